--- /dev/null
+++ b/crates/cloverfold/src/bin/cloverfold/keys.rs
@@ -0,0 +1,55 @@
+//! `cloverfold keys` and `cloverfold hash-key`: keys of processes and of callers.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use cloverfold_net::{PeerRole, make_key_set};
+use cloverfold_settings::hash_caller_key;
+use eyre::{Result, bail};
+
+/// Make certificates and private keys for processes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "keys")]
+pub(crate) struct Keys {
+    /// folder to write to; an authority that is there is used again
+    #[argh(option, default = "PathBuf::from(\"keys\")")]
+    folder: PathBuf,
+    /// names of the processes: guard-<id>, entry-<name>, operator-<name>
+    #[argh(positional)]
+    names: Vec<String>,
+}
+
+impl Keys {
+    pub(crate) fn run(self) -> Result<()> {
+        if self.names.is_empty() {
+            bail!("name at least one process, as in: cloverfold keys guard-1 entry-1 operator-1");
+        }
+        for name in &self.names {
+            if PeerRole::of_name(name).is_none() {
+                bail!("{name}: must begin with guard-, entry- or operator-");
+            }
+        }
+        make_key_set(&self.folder, &self.names)?;
+        println!(
+            "{} has the keys; keep authority.key off the boxes",
+            self.folder.display()
+        );
+        Ok(())
+    }
+}
+
+/// Print the hash of a customer's key, as the cell's file holds it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hash-key")]
+pub(crate) struct HashKey {
+    /// the customer's key
+    #[argh(positional)]
+    key: String,
+}
+
+impl HashKey {
+    pub(crate) fn run(self) -> Result<()> {
+        println!("{}", hash_caller_key(&self.key));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/cloverfold/src/bin/cloverfold/main.rs
@@ -0,0 +1,46 @@
+//! `cloverfold`: entries, the solo system and the operators' commands.
+
+mod check;
+mod entry;
+mod found;
+mod keys;
+mod solo;
+
+use argh::FromArgs;
+use eyre::Result;
+
+/// Dispatches sub-second tasks over small sites.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(check::Check),
+    Entry(entry::Entry),
+    Found(found::Found),
+    HashKey(keys::HashKey),
+    Keys(keys::Keys),
+    Solo(solo::Solo),
+}
+
+fn main() -> Result<()> {
+    let args: Args = argh::from_env();
+    match args.command {
+        Command::Check(command) => command.run(),
+        Command::Entry(command) => command.run(),
+        Command::Found(command) => command.run(),
+        Command::HashKey(command) => command.run(),
+        Command::Keys(command) => command.run(),
+        Command::Solo(command) => command.run(),
+    }
+}
+
+/// Starts the runtime that traffic runs on.
+fn start_runtime() -> Result<tokio::runtime::Runtime> {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    Ok(builder.enable_all().build()?)
+}
--- /dev/null
+++ b/crates/cloverfold/src/bin/cloverfold/solo.rs
@@ -0,0 +1,105 @@
+//! `cloverfold solo`: every role in one process.
+
+use std::time::Duration;
+
+use argh::FromArgs;
+use cloverfold_app::start_logging;
+use cloverfold_settings::LogSettings;
+use cloverfold_solo::{SoloConfig, SoloSystem, measure_load};
+use eyre::{Result, bail};
+
+/// Run every role in this process, put sample jobs on, and report.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "solo")]
+pub(crate) struct Solo {
+    /// number of guards, each with a sample target of 8 slots
+    #[argh(option, default = "11")]
+    guards: usize,
+    /// load as a share of all slots
+    #[argh(option, default = "0.7")]
+    load: f64,
+    /// how long jobs arrive, in seconds
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// most tasks of a job
+    #[argh(option, default = "4")]
+    tasks: usize,
+    /// seed of the sample jobs
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// placement policy; an unknown name lists them all
+    #[argh(option, default = "String::from(\"least_loaded\")")]
+    placement: String,
+    /// stay up for your own requests instead
+    #[argh(switch)]
+    serve: bool,
+}
+
+impl Solo {
+    pub(crate) fn run(self) -> Result<()> {
+        if self.guards == 0 || self.tasks == 0 || self.load.is_nan() || self.load <= 0.0 {
+            bail!("--guards, --tasks and --load must be above 0");
+        }
+        start_logging(&LogSettings {
+            level: cloverfold_settings::LogLevel::Error,
+            file: None,
+        })?;
+        crate::start_runtime()?.block_on(async {
+            let config = SoloConfig {
+                guards: self.guards,
+                placement: parse_placement(&self.placement)?,
+                ..SoloConfig::default()
+            };
+            let system = SoloSystem::start(config).await?;
+            if self.serve {
+                serve(&system).await?;
+            } else {
+                self.measure(&system).await?;
+            }
+            if !system.stop().await {
+                bail!("the system did not stop in time");
+            }
+            Ok(())
+        })
+    }
+
+    async fn measure(&self, system: &SoloSystem) -> Result<()> {
+        println!(
+            "{} guards x 8 slots, {} entries, {:.0} % load, jobs of 1 to {} tasks of 50-500 ms, {} s, {} placement",
+            self.guards,
+            system.config().entries,
+            self.load * 100.0,
+            self.tasks,
+            self.seconds,
+            self.placement,
+        );
+        let length = Duration::from_secs(self.seconds);
+        let sizes = (1, self.tasks);
+        let measured = measure_load(system, self.load, sizes, length, self.seed).await?;
+        print!("{}{}", measured.load, measured.waste);
+        Ok(())
+    }
+}
+
+fn parse_placement(name: &str) -> Result<&'static str> {
+    let known = ["least_loaded", "two_choices", "round_robin", "random"];
+    let found = known.into_iter().find(|one| *one == name);
+    found.ok_or_else(|| eyre::eyre!("--placement must be one of {}", known.join(", ")))
+}
+
+async fn serve(system: &SoloSystem) -> Result<()> {
+    let entries = system.entry_addresses();
+    let caller = &system.config().customers[0].caller;
+    println!(
+        "entries: {entries:?}; settings and keys: {}",
+        system.folder().display()
+    );
+    println!("try, and end with Ctrl-C:");
+    println!(
+        "  curl -s http://{}/v1/jobs -H 'Cloverfold-Customer: {}' -H 'Authorization: Bearer {}' \\",
+        entries[0], caller.customer, caller.key
+    );
+    println!("    -d '{{\"service\":\"sample\",\"tasks\":[{{\"duration_ms\":100}}]}}'");
+    tokio::signal::ctrl_c().await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/cloverfold_app/src/logging.rs
@@ -0,0 +1,66 @@
+//! Log lines in JSON.
+
+use std::path::Path;
+
+use cloverfold_settings::{LogLevel, LogSettings};
+use log::LevelFilter;
+use log4rs::append::Append;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::file::FileAppender;
+use log4rs::config::{Appender, Config, Logger, Root};
+use log4rs::encode::json::JsonEncoder;
+
+const APPENDER: &str = "lines";
+
+/// Why logging could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum LoggingError {
+    /// The log file cannot be opened.
+    #[error("log.file {path}: {cause}")]
+    File {
+        /// The file.
+        path: String,
+        /// The system's error.
+        cause: std::io::Error,
+    },
+    /// Logging was started before or is set up wrongly.
+    #[error("logging cannot start: {0}")]
+    Start(String),
+}
+
+/// Starts logging for the whole process; call it once.
+///
+/// # Errors
+///
+/// Says which file cannot be written or that logging runs already.
+pub fn start_logging(settings: &LogSettings) -> Result<(), LoggingError> {
+    let level = match settings.level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+    };
+    let appender = build_appender(settings.file.as_deref())?;
+    let config = Config::builder()
+        .appender(Appender::builder().build(APPENDER, appender))
+        // Libraries speak only when something is wrong.
+        .logger(Logger::builder().build("cloverfold", level))
+        .build(Root::builder().appender(APPENDER).build(LevelFilter::Error))
+        .map_err(|e| LoggingError::Start(e.to_string()))?;
+    log4rs::init_config(config).map_err(|e| LoggingError::Start(e.to_string()))?;
+    Ok(())
+}
+
+fn build_appender(file: Option<&Path>) -> Result<Box<dyn Append>, LoggingError> {
+    let encoder = Box::new(JsonEncoder::new());
+    let Some(path) = file else {
+        let console = ConsoleAppender::builder().target(Target::Stderr);
+        return Ok(Box::new(console.encoder(encoder).build()));
+    };
+    let appender = FileAppender::builder().encoder(encoder).build(path);
+    let appender = appender.map_err(|cause| LoggingError::File {
+        path: path.display().to_string(),
+        cause,
+    })?;
+    Ok(Box::new(appender))
+}
--- /dev/null
+++ b/crates/cloverfold_app/src/ops_http.rs
@@ -0,0 +1,132 @@
+//! The HTTP server of a process, with health, readiness and metrics.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::StatusCode;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::registry::Registry;
+use tokio::net::TcpListener;
+use volo::net::incoming::DefaultIncoming;
+use volo_http::server::route::{Router, get};
+use volo_http::server::{IntoResponse, Server};
+
+use crate::lifecycle::{Lifecycle, Phase};
+
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+type ReadyCheck = Box<dyn Fn() -> Result<(), String> + Send + Sync>;
+
+/// What the operations routes show.
+pub struct OpsState {
+    lifecycle: Lifecycle,
+    registry: Registry,
+    ready_checks: Vec<ReadyCheck>,
+}
+
+impl OpsState {
+    /// Gathers what the routes show.
+    pub(crate) fn new(
+        lifecycle: Lifecycle,
+        registry: Registry,
+        ready_checks: Vec<ReadyCheck>,
+    ) -> Self {
+        Self {
+            lifecycle,
+            registry,
+            ready_checks,
+        }
+    }
+
+    /// Says why the process should get no new work, if there is a reason.
+    pub fn find_unreadiness(&self) -> Option<String> {
+        if self.lifecycle.phase() != Phase::Serving {
+            return Some("the process is stopping".into());
+        }
+        self.ready_checks.iter().find_map(|check| check().err())
+    }
+
+    fn write_metrics(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
+
+/// Builds the routes `/healthz`, `/readyz` and `/metrics`.
+pub fn build_ops_router(state: Arc<OpsState>) -> Router {
+    let ready = state.clone();
+    let metrics = state;
+    Router::new()
+        .route("/healthz", get(|| async { "ok\n" }))
+        .route(
+            "/readyz",
+            get(move || {
+                let ready = ready.clone();
+                async move {
+                    match ready.find_unreadiness() {
+                        None => (StatusCode::OK, "ready\n".to_owned()),
+                        Some(why) => (StatusCode::SERVICE_UNAVAILABLE, format!("{why}\n")),
+                    }
+                }
+            }),
+        )
+        .route(
+            "/metrics",
+            get(move || {
+                let metrics = metrics.clone();
+                async move {
+                    match metrics.write_metrics() {
+                        Ok(text) => ([("content-type", OPEN_METRICS)], text).into_response(),
+                        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+                    }
+                }
+            }),
+        )
+}
+
+/// A listening HTTP server that has not started to serve.
+pub struct HttpServer {
+    listener: TcpListener,
+}
+
+impl HttpServer {
+    /// Listens on an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        Ok(Self { listener })
+    }
+
+    /// Returns the address that is listened on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves routes until the process has stopped.
+    pub async fn serve(self, routes: Router, lifecycle: Lifecycle) {
+        let hook = lifecycle.clone();
+        let server = Server::new(routes)
+            .http1_only()
+            // The library stops on signals of its own accord; it must go on until the process has drained.
+            .register_shutdown_hook(move || {
+                Box::pin(async move { hook.wait_for(Phase::Stopped).await })
+            });
+        let serving = server.run(DefaultIncoming::from(self.listener));
+        tokio::select! {
+            ended = serving => {
+                if let Err(cause) = ended {
+                    log::error!("the HTTP server ended: {cause}");
+                }
+            }
+            () = lifecycle.wait_for(Phase::Stopped) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_app/src/resources.rs
@@ -0,0 +1,24 @@
+//! Values that capabilities share within a process, found by their type.
+
+use std::any::{Any, TypeId};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// At most one shared value of each type.
+#[derive(Clone, Default)]
+pub struct Resources {
+    values: HashMap<TypeId, Arc<dyn Any + Send + Sync>>,
+}
+
+impl Resources {
+    /// Adds a value, in place of an earlier one of the same type.
+    pub fn insert<T: Send + Sync + 'static>(&mut self, value: Arc<T>) {
+        self.values.insert(TypeId::of::<T>(), value);
+    }
+
+    /// Finds the value of a type.
+    pub fn get<T: Send + Sync + 'static>(&self) -> Option<Arc<T>> {
+        let value = self.values.get(&TypeId::of::<T>())?;
+        value.clone().downcast::<T>().ok()
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_claim/src/claims.rs
@@ -0,0 +1,217 @@
+//! Agreement on a claim with the other replicas of its key.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cloverfold_app::{ControlState, random_u64, unix_now};
+use cloverfold_core::{
+    Cell, Claim, ClaimReply, ClaimRequest, GuardId, Placement, Proposer, ProposerStep, Replica,
+    Reply, Submission, SubmissionKey,
+};
+use cloverfold_membership::Directory;
+use cloverfold_net::Network;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::error::ClaimError;
+use crate::messages::ClaimCall;
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+const MAX_ATTEMPTS: u32 = 6;
+const BACKOFF_BASE_MS: u64 = 10;
+
+/// This guard's replica and its way to the others.
+#[derive(Clone)]
+pub struct Claims {
+    pub(crate) inner: Arc<Inner>,
+}
+
+pub(crate) struct Inner {
+    pub(crate) own: Placement,
+    pub(crate) cell: Cell,
+    pub(crate) directory: Arc<Directory>,
+    pub(crate) network: Network,
+    pub(crate) replica: ControlState<Replica>,
+    /// Number of the next attempt of this life.
+    pub(crate) attempts: AtomicU64,
+}
+
+enum AttemptEnd {
+    Chosen(Claim),
+    Outbid { round: u32 },
+    Expired,
+    NoQuorum,
+}
+
+impl Claims {
+    /// Returns the guard and life that these claims are held by.
+    pub fn own(&self) -> Placement {
+        self.inner.own
+    }
+
+    /// Returns the guards that hold a key, first choice first.
+    pub fn group_of(&self, key: &SubmissionKey) -> Vec<GuardId> {
+        self.inner.cell.choose_replica_group(key)
+    }
+
+    /// Tells whether this guard may vote on a key, and so may coordinate its job.
+    pub async fn can_vote(&self, key: &SubmissionKey) -> bool {
+        let group = self.group_of(key);
+        let replica = &self.inner.replica;
+        replica.with(move |replica| replica.can_vote(&group)).await
+    }
+
+    /// Has the group of the key agree on a claim; it may be one that another guard proposed earlier.
+    ///
+    /// # Errors
+    ///
+    /// Says that no majority could vote, that the key is past its retention, or that this guard does not
+    /// belong to the key's group. After [`ClaimError::NoQuorum`] the claim may still have been agreed on.
+    pub async fn agree(&self, submission: Submission, wanted: Claim) -> Result<Claim, ClaimError> {
+        let group = self.group_of(&submission.key);
+        if !group.contains(&self.inner.own.guard) {
+            return Err(ClaimError::NotMember);
+        }
+        let mut proposer = self.first_proposer(&submission, &group, &wanted).await;
+        let mut round = 1;
+        for attempt in 0..MAX_ATTEMPTS {
+            match self.run_attempt(submission, &group, proposer).await {
+                AttemptEnd::Chosen(claim) => return Ok(claim),
+                AttemptEnd::Expired => return Err(ClaimError::Expired),
+                AttemptEnd::Outbid { round: next } => round = round.max(next),
+                AttemptEnd::NoQuorum => {}
+            }
+            sleep(draw_backoff(attempt)).await;
+            proposer = self.prepared_proposer(&group, round, wanted.clone());
+            round += 1;
+        }
+        Err(ClaimError::NoQuorum)
+    }
+
+    /// Reads what a majority of the group has accepted for a key.
+    ///
+    /// # Errors
+    ///
+    /// Says that no majority answered.
+    pub async fn read(&self, submission: Submission) -> Result<Option<Claim>, ClaimError> {
+        let group = self.group_of(&submission.key);
+        let mut replies = self.send_to_group(submission, &group, &ClaimRequest::Read);
+        let mut values = Vec::new();
+        while let Some(reply) = replies.recv().await {
+            if let ClaimReply::Value(value) = reply.body {
+                values.push(value);
+            }
+            if values.len() >= self.inner.cell.quorum() {
+                let accepted = values.into_iter().flatten();
+                let newest = accepted.max_by_key(|accepted| accepted.ballot);
+                return Ok(newest.map(|accepted| accepted.claim));
+            }
+        }
+        Err(ClaimError::NoQuorum)
+    }
+
+    /// The first choice begins without a prepare phase where it holds nothing of the key.
+    async fn first_proposer(
+        &self,
+        submission: &Submission,
+        group: &[GuardId],
+        wanted: &Claim,
+    ) -> Proposer {
+        let key = submission.key;
+        let holds = self.inner.replica.with(move |replica| replica.holds(&key));
+        let is_first_choice = group.first() == Some(&self.inner.own.guard);
+        if is_first_choice && !holds.await {
+            let attempt = self.next_attempt();
+            Proposer::fast(group.to_vec(), self.inner.own, attempt, wanted.clone())
+        } else {
+            self.prepared_proposer(group, 1, wanted.clone())
+        }
+    }
+
+    fn prepared_proposer(&self, group: &[GuardId], round: u32, wanted: Claim) -> Proposer {
+        let attempt = self.next_attempt();
+        Proposer::prepared(group.to_vec(), self.inner.own, round, attempt, wanted)
+    }
+
+    fn next_attempt(&self) -> u64 {
+        self.inner.attempts.fetch_add(1, Ordering::Relaxed)
+    }
+
+    async fn run_attempt(
+        &self,
+        submission: Submission,
+        group: &[GuardId],
+        mut proposer: Proposer,
+    ) -> AttemptEnd {
+        let mut request = proposer.request();
+        loop {
+            let mut replies = self.send_to_group(submission, group, &request);
+            let next = loop {
+                let Some(reply) = replies.recv().await else {
+                    return AttemptEnd::NoQuorum;
+                };
+                match proposer.absorb(reply) {
+                    ProposerStep::Wait => {}
+                    ProposerStep::Send(next) => break next,
+                    ProposerStep::Chosen(claim) => return AttemptEnd::Chosen(claim),
+                    ProposerStep::Outbid { round } => return AttemptEnd::Outbid { round },
+                    ProposerStep::Expired => return AttemptEnd::Expired,
+                }
+            };
+            request = next;
+        }
+    }
+
+    /// Sends a request to every member; the channel ends when each has answered or failed to.
+    fn send_to_group(
+        &self,
+        submission: Submission,
+        group: &[GuardId],
+        request: &ClaimRequest,
+    ) -> mpsc::Receiver<Reply> {
+        let (tx, rx) = mpsc::channel(group.len());
+        for guard in group {
+            let claims = self.clone();
+            let call = ClaimCall {
+                submission,
+                request: request.clone(),
+            };
+            let tx = tx.clone();
+            let guard = *guard;
+            tokio::spawn(async move {
+                if let Some(reply) = claims.ask(guard, call).await {
+                    // The attempt may be decided already, and then nobody listens.
+                    let _ = tx.send(reply).await;
+                }
+            });
+        }
+        rx
+    }
+
+    async fn ask(&self, guard: GuardId, call: ClaimCall) -> Option<Reply> {
+        if guard == self.inner.own.guard {
+            return Some(self.handle(call).await);
+        }
+        let address = self.inner.directory.address_of(guard)?;
+        let reply = self.inner.network.call(address, &call, CALL_TIMEOUT).await;
+        reply
+            .inspect_err(|cause| log::debug!("claim call: {cause}"))
+            .ok()
+    }
+
+    /// Answers a request as this guard's replica.
+    pub(crate) async fn handle(&self, call: ClaimCall) -> Reply {
+        let group = self.group_of(&call.submission.key);
+        let now = unix_now();
+        self.inner
+            .replica
+            .with(move |replica| replica.handle(&call.submission, &group, call.request, now))
+            .await
+    }
+}
+
+fn draw_backoff(attempt: u32) -> Duration {
+    let ceiling = BACKOFF_BASE_MS << attempt.min(5);
+    Duration::from_millis(1 + random_u64() % ceiling)
+}
--- /dev/null
+++ b/crates/cloverfold_claim/src/error.rs
@@ -0,0 +1,15 @@
+//! Why no claim could be agreed on.
+
+/// Why [`crate::Claims::agree`] brought no claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ClaimError {
+    /// Too few members of the replica group answered or may vote.
+    #[error("too few replicas of the key can vote")]
+    NoQuorum,
+    /// The key is past its retention.
+    #[error("the key is older than the retention")]
+    Expired,
+    /// This guard does not belong to the replica group of the key.
+    #[error("this guard does not hold the key")]
+    NotMember,
+}
--- /dev/null
+++ b/crates/cloverfold_claim/src/found.rs
@@ -0,0 +1,94 @@
+//! The operator's founding of a cell.
+//!
+//! A guard cannot tell its first life from a restart by itself: it has no disk. So it votes on nothing
+//! until its memory covers what it may have forgotten, and at the very first start the operator says, once,
+//! that there is nothing to forget.
+
+use std::time::Duration;
+
+use cloverfold_core::Standing;
+use cloverfold_net::{CallError, Network, PeerAddress};
+
+use crate::messages::{FoundCall, StandingCall, StandingReport};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Why a cell was not founded.
+#[derive(Debug, thiserror::Error)]
+pub enum FoundError {
+    /// A guard did not answer; founding needs every guard.
+    #[error("{guard} did not answer ({cause}); start every guard of the cell, then found it again")]
+    Unreachable {
+        /// Name of the guard.
+        guard: String,
+        /// What happened.
+        cause: CallError,
+    },
+    /// Guards are in service, so the cell was founded before.
+    #[error(
+        "the cell was founded before ({0} is whole); a restarted guard recovers by itself, and after \
+         the loss of a majority the cell serves again when the retention has passed"
+    )]
+    FoundedBefore(String),
+    /// A guard restarted meanwhile.
+    #[error("{0} restarted meanwhile and will recover by itself from the others")]
+    Restarted(String),
+}
+
+/// Declares that no guard of the cell has ever voted, so that all serve at once.
+///
+/// # Errors
+///
+/// Says which guard stands in the way. Guards already told stay told; the rest recover from them.
+pub async fn found_cell(
+    network: &Network,
+    guards: &[PeerAddress],
+) -> Result<Vec<StandingReport>, FoundError> {
+    let reports = read_standings(network, guards).await?;
+    for (guard, report) in guards.iter().zip(&reports) {
+        if report.standing == Standing::Whole {
+            return Err(FoundError::FoundedBefore(guard.name.clone()));
+        }
+    }
+    let lives: Vec<_> = reports.iter().map(|report| report.own).collect();
+    for guard in guards {
+        let call = FoundCall {
+            lives: lives.clone(),
+        };
+        let is_whole = network
+            .call(guard, &call, CALL_TIMEOUT)
+            .await
+            .map_err(|cause| unreachable_guard(guard, cause))?;
+        if !is_whole {
+            return Err(FoundError::Restarted(guard.name.clone()));
+        }
+    }
+    Ok(reports)
+}
+
+/// Asks every guard how whole it is.
+///
+/// # Errors
+///
+/// Names the first guard that does not answer.
+pub async fn read_standings(
+    network: &Network,
+    guards: &[PeerAddress],
+) -> Result<Vec<StandingReport>, FoundError> {
+    let mut reports = Vec::with_capacity(guards.len());
+    for guard in guards {
+        let report = network
+            .call(guard, &StandingCall, CALL_TIMEOUT)
+            .await
+            .map_err(|cause| unreachable_guard(guard, cause))?;
+        reports.push(report);
+    }
+    Ok(reports)
+}
+
+fn unreachable_guard(guard: &PeerAddress, cause: CallError) -> FoundError {
+    FoundError::Unreachable {
+        guard: guard.name.clone(),
+        cause,
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_claim/src/lib.rs
@@ -0,0 +1,27 @@
+//! Replicated claims: one plan per submission.
+//!
+//! [`Claims::agree`] has the replica group of a key agree on a claim before any task starts. A restarted
+//! guard recovers in the background, and votes only where it can have forgotten nothing
+//! (see [`cloverfold_core::Replica`]).
+//!
+//! ```no_run
+//! # async fn show(claims: cloverfold_claim::Claims, submission: cloverfold_core::Submission,
+//! #     wanted: cloverfold_core::Claim) -> Result<(), cloverfold_claim::ClaimError> {
+//! let agreed = claims.agree(submission, wanted).await?;
+//! println!("{} tasks have their places", agreed.tasks.len());
+//! # Ok(())
+//! # }
+//! ```
+
+mod claims;
+mod error;
+mod found;
+mod messages;
+mod plugin;
+mod recovery;
+
+pub use claims::Claims;
+pub use error::ClaimError;
+pub use found::{FoundError, found_cell, read_standings};
+pub use messages::{ClaimCall, FoundCall, RecoverCall, StandingCall, StandingReport};
+pub use plugin::ClaimPlugin;
--- /dev/null
+++ b/crates/cloverfold_claim/src/messages.rs
@@ -0,0 +1,72 @@
+//! Messages between replicas.
+
+use cloverfold_core::{
+    ClaimRequest, Placement, RecoveryPage, Reply, Standing, Submission, SubmissionKey,
+};
+use cloverfold_net::Message;
+use serde::{Deserialize, Serialize};
+
+/// A request to one replica of a key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ClaimCall {
+    /// Which submission it concerns.
+    pub submission: Submission,
+    /// What is asked.
+    pub request: ClaimRequest,
+}
+
+impl Message for ClaimCall {
+    const KIND: u16 = 10;
+    const NAME: &'static str = "claim";
+    type Reply = Reply;
+}
+
+/// Asks for the records that a restarted guard shares with the receiver.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RecoverCall {
+    /// The asking guard in its new life.
+    pub asking: Placement,
+    /// The last key of the page before.
+    pub after: Option<SubmissionKey>,
+}
+
+impl Message for RecoverCall {
+    const KIND: u16 = 11;
+    const NAME: &'static str = "recover";
+    type Reply = RecoveryPage;
+}
+
+/// Asks a replica how whole it is.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StandingCall;
+
+/// How whole a replica is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StandingReport {
+    /// The replica in its present life.
+    pub own: Placement,
+    /// How whole it is.
+    pub standing: Standing,
+    /// Number of records it holds.
+    pub records: u64,
+}
+
+impl Message for StandingCall {
+    const KIND: u16 = 12;
+    const NAME: &'static str = "standing";
+    type Reply = StandingReport;
+}
+
+/// Declares the named lives to be the first of their guards.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FoundCall {
+    /// The lives.
+    pub lives: Vec<Placement>,
+}
+
+impl Message for FoundCall {
+    const KIND: u16 = 13;
+    const NAME: &'static str = "found";
+    /// Whether the replica is whole afterwards.
+    type Reply = bool;
+}
--- /dev/null
+++ b/crates/cloverfold_claim/src/plugin.rs
@@ -0,0 +1,135 @@
+//! Registers the replica with a guard.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use cloverfold_app::{App, BuildError, Plugin, unix_now};
+use cloverfold_core::{Placement, Replica};
+use cloverfold_membership::Directory;
+use cloverfold_net::{Peer, PeerRole};
+use cloverfold_settings::CellSettings;
+use prometheus_client::metrics::gauge::Gauge;
+use tokio::time::sleep;
+
+use crate::claims::{Claims, Inner};
+use crate::messages::{ClaimCall, FoundCall, RecoverCall, StandingCall, StandingReport};
+use crate::recovery::PAGE_LIMIT;
+
+/// Allowance for clocks of boxes that disagree.
+pub(crate) const CLOCK_MARGIN: Duration = Duration::from_secs(5);
+const GAUGE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Adds [`Claims`]; needs [`CellSettings`] and [`Directory`].
+pub struct ClaimPlugin {
+    /// The guard that this process is.
+    pub own: Placement,
+}
+
+impl Plugin for ClaimPlugin {
+    fn build(self, app: &mut App) -> Result<(), BuildError> {
+        let cell = app.resource::<CellSettings>()?;
+        let replica = Replica::new(self.own, unix_now(), cell.retention(), CLOCK_MARGIN);
+        let claims = Claims {
+            inner: Arc::new(Inner {
+                own: self.own,
+                cell: cell.build_cell(),
+                directory: app.resource::<Directory>()?,
+                network: app.network(),
+                replica: app.control().own(replica),
+                attempts: AtomicU64::new(0),
+            }),
+        };
+        app.insert_resource(claims.clone());
+        register_handlers(app, &claims);
+        register_operators_handlers(app, &claims);
+        register_state(app, &claims);
+        app.add_task(claims.clone().recover(app.lifecycle()));
+        app.add_task(claims.purge());
+        Ok(())
+    }
+}
+
+fn register_handlers(app: &mut App, claims: &Claims) {
+    let served = claims.clone();
+    app.router()
+        .register(&[PeerRole::Guard], move |_peer: Peer, call: ClaimCall| {
+            let claims = served.clone();
+            async move { claims.handle(call).await }
+        });
+    let served = claims.clone();
+    app.router()
+        .register(&[PeerRole::Guard], move |_peer: Peer, call: RecoverCall| {
+            let claims = served.clone();
+            async move {
+                let cell = claims.inner.cell.clone();
+                let replica = &claims.inner.replica;
+                replica
+                    .with(move |replica| {
+                        replica.serve_page(call.asking, call.after, PAGE_LIMIT, &cell)
+                    })
+                    .await
+            }
+        });
+}
+
+fn register_operators_handlers(app: &mut App, claims: &Claims) {
+    let served = claims.clone();
+    app.router().register(
+        &[PeerRole::Operator],
+        move |_peer: Peer, _call: StandingCall| {
+            let claims = served.clone();
+            async move {
+                let replica = &claims.inner.replica;
+                replica
+                    .with(|replica| StandingReport {
+                        own: replica.own(),
+                        standing: replica.standing().clone(),
+                        records: replica.record_count() as u64,
+                    })
+                    .await
+            }
+        },
+    );
+    let served = claims.clone();
+    app.router()
+        .register(&[PeerRole::Operator], move |peer: Peer, call: FoundCall| {
+            let claims = served.clone();
+            async move {
+                log::info!(operator = peer.name; "the cell is being founded");
+                let replica = &claims.inner.replica;
+                replica
+                    .with(move |replica| replica.found(&call.lives))
+                    .await
+            }
+        });
+}
+
+/// Keeps the readiness check and the gauges up to date.
+fn register_state(app: &mut App, claims: &Claims) {
+    let is_whole = Arc::new(AtomicBool::new(false));
+    let records = Gauge::<i64>::default();
+    app.registry().register(
+        "claim_records",
+        "Claims held by this replica",
+        records.clone(),
+    );
+    let shown = is_whole.clone();
+    app.add_ready_check(move || {
+        if shown.load(Ordering::Relaxed) {
+            Ok(())
+        } else {
+            Err("the replica is recovering, or the cell has not been founded".into())
+        }
+    });
+    let claims = claims.clone();
+    app.add_task(async move {
+        loop {
+            is_whole.store(claims.is_whole().await, Ordering::Relaxed);
+            let replica = &claims.inner.replica;
+            let count = replica.with(|replica| replica.record_count()).await;
+            records.set(count as i64);
+            sleep(GAUGE_INTERVAL).await;
+        }
+    });
+}
--- /dev/null
+++ b/crates/cloverfold_coordinate/src/assignment.rs
@@ -0,0 +1,206 @@
+//! Keeps an assignment going over lost connections, until its tasks have ended or their place is lost.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cloverfold_app::random_u64;
+use cloverfold_core::{JobEvent, Placement, TaskEnd, TaskIndex};
+use cloverfold_execute::{Assign, AssignReply, AssignedTask, Release};
+use cloverfold_net::CallError;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::coordinator::Coordinator;
+use crate::messages::Submit;
+
+/// A place that cannot be reached for this long counts as lost.
+const PATIENCE: Duration = Duration::from_secs(4);
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
+const SUPERSEDED_POLL: Duration = Duration::from_millis(200);
+const BACKOFF_MS: u64 = 60;
+
+/// What assignments of one job share.
+#[derive(Clone)]
+pub(crate) struct JobLink {
+    pub(crate) coordinator: Coordinator,
+    pub(crate) submit: Arc<Submit>,
+    pub(crate) events: mpsc::Sender<JobEvent>,
+}
+
+/// Why an assignment no longer brings reports.
+enum Break {
+    /// The life that was meant is over.
+    Superseded,
+    /// The connection broke; the assignment can be asked for again.
+    Link(String),
+}
+
+impl JobLink {
+    /// Gives tasks to a place and passes on how each ends.
+    pub(crate) async fn run_assignment(self, place: Placement, tasks: Vec<TaskIndex>) {
+        let mut open: BTreeMap<TaskIndex, ()> = tasks.into_iter().map(|task| (task, ())).collect();
+        let mut reached_at = Instant::now();
+        let mut is_first = true;
+        while !open.is_empty() {
+            if !is_first {
+                self.coordinator.metrics().repeated_assigns.inc();
+            }
+            is_first = false;
+            let attempt = self.follow_assignment(place, &mut open, &mut reached_at);
+            let broken = tokio::select! {
+                broken = attempt => broken,
+                () = self.wait_superseded(place) => Some(Break::Superseded),
+                // The job is answered, so nobody needs the rest.
+                () = self.events.closed() => return,
+            };
+            match broken {
+                None => {}
+                Some(Break::Superseded) => break,
+                Some(Break::Link(cause)) => {
+                    self.coordinator.membership().suspect(place);
+                    log::debug!(guard = place.guard; "assignment: {cause}");
+                    if reached_at.elapsed() > PATIENCE {
+                        break;
+                    }
+                    sleep(draw_backoff()).await;
+                }
+            }
+        }
+        for task in open.into_keys() {
+            self.send(JobEvent::PlaceLost { task, place }).await;
+        }
+    }
+
+    /// Sends the assignment once and reads its replies to their end.
+    async fn follow_assignment(
+        &self,
+        place: Placement,
+        open: &mut BTreeMap<TaskIndex, ()>,
+        reached_at: &mut Instant,
+    ) -> Option<Break> {
+        let assign = self.build_assign(place, open);
+        let Some(address) = self.coordinator.directory().address_of(place.guard) else {
+            return Some(Break::Superseded);
+        };
+        let opened = self.coordinator.network().open(address, &assign).await;
+        let mut replies = match opened {
+            Ok(replies) => replies,
+            Err(cause) => return Some(break_of(&cause)),
+        };
+        loop {
+            match replies.next().await {
+                Err(cause) => return Some(break_of(&cause)),
+                Ok(None) if open.is_empty() => return None,
+                Ok(None) => return Some(Break::Link("the replies ended early".into())),
+                Ok(Some(AssignReply::WrongIncarnation(_))) => return Some(Break::Superseded),
+                Ok(Some(AssignReply::Ended { reports, member })) => {
+                    *reached_at = Instant::now();
+                    self.coordinator
+                        .membership()
+                        .absorb(member.into_iter().collect());
+                    for report in reports {
+                        open.remove(&report.index);
+                        self.report_end(report.index, place, report.end).await;
+                    }
+                    if open.is_empty() {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    fn build_assign(&self, place: Placement, open: &BTreeMap<TaskIndex, ()>) -> Assign {
+        let submit = &self.submit;
+        let tasks = open.keys().map(|task| AssignedTask {
+            index: *task,
+            payload: submit.tasks[usize::from(*task)].clone(),
+        });
+        Assign {
+            place,
+            key: submit.submission.key,
+            customer: submit.customer.clone(),
+            service: submit.service.clone(),
+            deadline: submit.deadline,
+            keep_until: self.coordinator.keep_until(&submit.submission),
+            tasks: tasks.collect(),
+        }
+    }
+
+    async fn report_end(&self, task: TaskIndex, place: Placement, end: TaskEnd) {
+        self.send(JobEvent::Ended { task, place, end }).await;
+    }
+
+    async fn send(&self, event: JobEvent) {
+        // The driver stops listening once the job is answered.
+        let _ = self.events.send(event).await;
+    }
+
+    /// Waits until a later life of the guard is known.
+    async fn wait_superseded(&self, place: Placement) {
+        loop {
+            sleep(SUPERSEDED_POLL).await;
+            let newest = self
+                .coordinator
+                .membership()
+                .newest_incarnation(place.guard);
+            if newest
+                .await
+                .is_some_and(|newest| newest > place.incarnation)
+            {
+                return;
+            }
+        }
+    }
+
+    /// Takes a task back from a place and passes on the verdict.
+    pub(crate) async fn run_release(
+        self,
+        task: TaskIndex,
+        place: Placement,
+        to: Option<Placement>,
+    ) {
+        let release = Release {
+            place,
+            key: self.submit.submission.key,
+            index: task,
+            to,
+            keep_until: self.coordinator.keep_until(&self.submit.submission),
+        };
+        let since = Instant::now();
+        let Some(address) = self.coordinator.directory().address_of(place.guard) else {
+            return;
+        };
+        loop {
+            let network = self.coordinator.network();
+            match network.call(address, &release, RELEASE_TIMEOUT).await {
+                Ok(reply) => {
+                    let verdict = reply.verdict;
+                    self.coordinator
+                        .membership()
+                        .absorb(reply.member.into_iter().collect());
+                    let event = JobEvent::Verdict {
+                        task,
+                        place,
+                        verdict,
+                    };
+                    return self.send(event).await;
+                }
+                Err(cause) => log::debug!(guard = place.guard; "release: {cause}"),
+            }
+            if since.elapsed() > PATIENCE {
+                return self.send(JobEvent::PlaceLost { task, place }).await;
+            }
+            sleep(draw_backoff()).await;
+        }
+    }
+}
+
+fn break_of(cause: &CallError) -> Break {
+    Break::Link(cause.to_string())
+}
+
+fn draw_backoff() -> Duration {
+    Duration::from_millis(BACKOFF_MS + random_u64() % BACKOFF_MS)
+}
--- /dev/null
+++ b/crates/cloverfold_coordinate/src/driver.rs
@@ -0,0 +1,176 @@
+//! Runs one job: agrees on its claim, feeds its progress, and returns its answer.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cloverfold_app::{random_u64, unix_now};
+use cloverfold_claim::ClaimError;
+use cloverfold_core::{
+    Candidate, Claim, JobAction, JobEvent, JobOptions, JobProgress, Outcome, Placement, ReasonCode,
+    TaskIndex, choose_placements,
+};
+use tokio::sync::mpsc;
+
+use crate::assignment::JobLink;
+use crate::coordinator::Coordinator;
+use crate::messages::Submit;
+
+/// Events that may wait for the driver; a sender waits when it is full.
+const EVENT_QUEUE: usize = 256;
+/// When to come again after a refusal for want of a place.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Runs a job to its answer.
+pub(crate) async fn drive_job(coordinator: Coordinator, submit: Submit) -> Outcome {
+    let wanted = plan_job(&coordinator, &submit).await;
+    if submit.is_fresh_key
+        && let Some(reason) = wanted.refusal
+    {
+        // Nobody else knows the key, so this guard alone can say that nothing runs under it.
+        return refuse(reason);
+    }
+    match coordinator.claims().agree(submit.submission, wanted).await {
+        Ok(claim) if claim.digest != submit.digest => refuse(ReasonCode::KeyConflict),
+        Ok(claim) => match claim.refusal {
+            Some(reason) => refuse(reason),
+            None => drive_claim(coordinator, submit, &claim).await,
+        },
+        Err(cause) => explain_no_claim(cause),
+    }
+}
+
+/// Chooses where each task runs, or decides that nothing can run.
+async fn plan_job(coordinator: &Coordinator, submit: &Submit) -> Claim {
+    let mut claim = Claim {
+        digest: submit.digest,
+        submitted_at: submit.submission.submitted_at,
+        placements: Vec::new(),
+        tasks: Vec::new(),
+        refusal: None,
+    };
+    if unix_now() >= submit.deadline {
+        claim.refusal = Some(ReasonCode::DeadlinePassed);
+        return claim;
+    }
+    let mut candidates = coordinator.membership().list_candidates().await;
+    let policy = coordinator.cell().placement;
+    let chosen = choose_placements(policy, &mut candidates, submit.tasks.len(), draw_below);
+    if chosen.is_empty() {
+        claim.refusal = Some(ReasonCode::Unavailable);
+        return claim;
+    }
+    fill_places(&mut claim, &candidates, &chosen);
+    let guards = chosen
+        .iter()
+        .map(|index| candidates[*index].placement.guard);
+    coordinator.membership().charge(guards.collect());
+    claim
+}
+
+fn fill_places(claim: &mut Claim, candidates: &[Candidate], chosen: &[usize]) {
+    let mut index_of = BTreeMap::new();
+    for choice in chosen {
+        let index = *index_of.entry(*choice).or_insert_with(|| {
+            claim.placements.push(candidates[*choice].placement);
+            claim.placements.len() as u16 - 1
+        });
+        claim.tasks.push(index);
+    }
+}
+
+fn draw_below(bound: usize) -> usize {
+    (random_u64() % bound as u64) as usize
+}
+
+fn refuse(reason: ReasonCode) -> Outcome {
+    let (detail, retry_after) = match reason {
+        ReasonCode::KeyConflict => (
+            "the idempotency key was used before with another body; use a new key",
+            None,
+        ),
+        ReasonCode::DeadlinePassed => ("the deadline had passed before any task could start", None),
+        _ => (
+            "no target could take the job; submit it again under a new key",
+            Some(RETRY_AFTER),
+        ),
+    };
+    Outcome::not_run(reason, detail, retry_after)
+}
+
+fn explain_no_claim(cause: ClaimError) -> Outcome {
+    let reason = match cause {
+        ClaimError::Expired => ReasonCode::KeyExpired,
+        ClaimError::NoQuorum | ClaimError::NotMember => ReasonCode::NoQuorum,
+    };
+    Outcome::unknown(reason, format!("{cause}, so nobody can say what was run"))
+}
+
+async fn drive_claim(coordinator: Coordinator, submit: Submit, claim: &Claim) -> Outcome {
+    let (mut progress, mut actions) = JobProgress::begin(claim, submit.repeat);
+    let (tx, mut events) = mpsc::channel(EVENT_QUEUE);
+    let link = JobLink {
+        coordinator: coordinator.clone(),
+        submit: Arc::new(submit),
+        events: tx,
+    };
+    loop {
+        if let Some(outcome) = carry_out(&link, actions) {
+            return outcome;
+        }
+        let Some(event) = events.recv().await else {
+            return Outcome::unknown(ReasonCode::Unavailable, "the coordinator is stopping");
+        };
+        let next_place = choose_next_place(&coordinator, &event).await;
+        let budget = coordinator.clone();
+        let mut take_retry = || budget.take_retry();
+        let mut options = JobOptions {
+            next_place,
+            take_retry: &mut take_retry,
+        };
+        actions = progress.absorb(event, &mut options);
+    }
+}
+
+/// Sends what the progress asks for; returns the answer when it is there.
+fn carry_out(link: &JobLink, actions: Vec<JobAction>) -> Option<Outcome> {
+    let mut batches: BTreeMap<Placement, Vec<TaskIndex>> = BTreeMap::new();
+    let mut answer = None;
+    for action in actions {
+        match action {
+            JobAction::Assign { task, place } => batches.entry(place).or_default().push(task),
+            JobAction::Release { task, place, to } => {
+                link.coordinator.metrics().releases.inc();
+                tokio::spawn(link.clone().run_release(task, place, to));
+            }
+            JobAction::Answer(outcome) => answer = Some(outcome),
+        }
+    }
+    if answer.is_none() {
+        for (place, tasks) in batches {
+            tokio::spawn(link.clone().run_assignment(place, tasks));
+        }
+    }
+    answer
+}
+
+/// Finds where a task can go that did not stay at its place.
+async fn choose_next_place(coordinator: &Coordinator, event: &JobEvent) -> Option<Placement> {
+    let from = match event {
+        JobEvent::Ended { place, end, .. } => {
+            if matches!(end, cloverfold_core::TaskEnd::Done(_)) {
+                coordinator.note_success();
+                return None;
+            }
+            *place
+        }
+        JobEvent::Verdict { place, .. } | JobEvent::PlaceLost { place, .. } => *place,
+    };
+    let mut candidates = coordinator.membership().list_candidates().await;
+    candidates.retain(|candidate| candidate.placement.guard != from.guard);
+    let policy = coordinator.cell().placement;
+    let chosen = choose_placements(policy, &mut candidates, 1, draw_below);
+    let place = chosen.first().map(|index| candidates[*index].placement)?;
+    coordinator.membership().charge(vec![place.guard]);
+    Some(place)
+}
--- /dev/null
+++ b/crates/cloverfold_core/src/choice.rs
@@ -0,0 +1,84 @@
+//! Choice of the guards that run a job's tasks.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Placement;
+
+/// A guard that may take tasks, with what is known of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The guard and its present life.
+    pub placement: Placement,
+    /// Tasks that run or wait there, as far as known.
+    pub load: u32,
+    /// Tasks that can run there at once.
+    pub slots: u32,
+}
+
+/// How tasks are placed; all but the last are kept as baselines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlacementPolicy {
+    /// Any guard, with equal chance.
+    Random,
+    /// Each guard in turn.
+    RoundRobin,
+    /// The less loaded of two guards drawn at random.
+    TwoChoices,
+    /// The guard with the most free slots, ties drawn at random.
+    #[default]
+    LeastLoaded,
+}
+
+/// Places `count` tasks one after the other, charging each to its guard before the next is placed.
+///
+/// `draw(n)` returns a number below `n`. Returns for each task the index of its candidate; empty when there is
+/// no candidate.
+pub fn choose_placements(
+    policy: PlacementPolicy,
+    candidates: &mut [Candidate],
+    count: usize,
+    mut draw: impl FnMut(usize) -> usize,
+) -> Vec<usize> {
+    if candidates.is_empty() {
+        return Vec::new();
+    }
+    let first = draw(candidates.len());
+    let mut chosen = Vec::with_capacity(count);
+    for turn in 0..count {
+        let index = match policy {
+            PlacementPolicy::Random => draw(candidates.len()),
+            PlacementPolicy::RoundRobin => (first + turn) % candidates.len(),
+            PlacementPolicy::TwoChoices => choose_of_two(candidates, &mut draw),
+            PlacementPolicy::LeastLoaded => choose_least_loaded(candidates, &mut draw),
+        };
+        candidates[index].load += 1;
+        chosen.push(index);
+    }
+    chosen
+}
+
+/// Orders guards by how soon a new task would start: free slots first, then waiting per slot.
+fn compare_load(a: &Candidate, b: &Candidate) -> std::cmp::Ordering {
+    let a_scaled = u64::from(a.load) * u64::from(b.slots.max(1));
+    let b_scaled = u64::from(b.load) * u64::from(a.slots.max(1));
+    a_scaled.cmp(&b_scaled)
+}
+
+fn choose_of_two(candidates: &[Candidate], draw: &mut impl FnMut(usize) -> usize) -> usize {
+    let first = draw(candidates.len());
+    let second = draw(candidates.len());
+    if compare_load(&candidates[second], &candidates[first]).is_lt() {
+        second
+    } else {
+        first
+    }
+}
+
+fn choose_least_loaded(candidates: &[Candidate], draw: &mut impl FnMut(usize) -> usize) -> usize {
+    // Starting anywhere makes ties fall evenly.
+    let start = draw(candidates.len());
+    let in_turn = (0..candidates.len()).map(|step| (start + step) % candidates.len());
+    let least = in_turn.min_by(|a, b| compare_load(&candidates[*a], &candidates[*b]));
+    least.unwrap_or(start)
+}
--- /dev/null
+++ b/crates/cloverfold_core/src/fair_queue.rs
@@ -0,0 +1,117 @@
+//! A queue that shares its exits between flows in proportion to their weights.
+
+use std::collections::{HashMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{CustomerId, ServiceId};
+
+/// What is kept apart in the queue: the work of one customer at one service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Flow {
+    /// The service.
+    pub service: ServiceId,
+    /// The customer.
+    pub customer: CustomerId,
+}
+
+#[derive(Clone, Debug)]
+struct FlowState<T> {
+    items: VecDeque<T>,
+    /// Virtual time at which the flow's next item may leave.
+    next_tag: f64,
+    weight: f64,
+}
+
+/// Start-time fair queue: the waiting flow with the smallest virtual time goes next.
+///
+/// A flow that was idle starts at the present virtual time, so that it neither gains credit by waiting nor
+/// pays for capacity that it was lent.
+#[derive(Clone, Debug)]
+pub struct FairQueue<T> {
+    flows: HashMap<Flow, FlowState<T>>,
+    virtual_time: f64,
+    len: usize,
+}
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self {
+            flows: HashMap::new(),
+            virtual_time: 0.0,
+            len: 0,
+        }
+    }
+}
+
+impl<T> FairQueue<T> {
+    /// Returns the number of waiting items.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Tells whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns the number of items that wait in one flow.
+    pub fn flow_len(&self, flow: &Flow) -> usize {
+        self.flows.get(flow).map_or(0, |state| state.items.len())
+    }
+
+    /// Adds an item at the end of its flow; `weight` is above 0.
+    pub fn push(&mut self, flow: Flow, weight: f64, item: T) {
+        let now = self.virtual_time;
+        let state = self.flows.entry(flow).or_insert_with(|| FlowState {
+            items: VecDeque::new(),
+            next_tag: now,
+            weight,
+        });
+        if state.items.is_empty() {
+            state.next_tag = state.next_tag.max(now);
+        }
+        state.weight = weight;
+        state.items.push_back(item);
+        self.len += 1;
+    }
+
+    /// Takes the next item in fair order.
+    pub fn pop(&mut self) -> Option<T> {
+        let waiting = self.flows.iter().filter(|(_, one)| !one.items.is_empty());
+        // Ties go by name, so that equal states always decide alike.
+        let next = waiting.min_by(|(a_flow, a), (b_flow, b)| {
+            a.next_tag
+                .total_cmp(&b.next_tag)
+                .then_with(|| a_flow.cmp(b_flow))
+        });
+        let flow = next.map(|(flow, _)| flow.clone())?;
+        let state = self.flows.get_mut(&flow)?;
+        let item = state.items.pop_front()?;
+        self.virtual_time = self.virtual_time.max(state.next_tag);
+        state.next_tag += 1.0 / state.weight;
+        self.len -= 1;
+        self.drop_idle_flows();
+        Some(item)
+    }
+
+    /// Takes out every item for which `is_wanted` holds.
+    pub fn drain_where(&mut self, mut is_wanted: impl FnMut(&T) -> bool) -> Vec<T> {
+        let mut taken = Vec::new();
+        for state in self.flows.values_mut() {
+            let (out, kept) = std::mem::take(&mut state.items)
+                .into_iter()
+                .partition(|item| is_wanted(item));
+            state.items = kept;
+            taken.extend::<VecDeque<T>>(out);
+        }
+        self.len -= taken.len();
+        taken
+    }
+
+    fn drop_idle_flows(&mut self) {
+        let now = self.virtual_time;
+        self.flows
+            .retain(|_, state| !state.items.is_empty() || state.next_tag > now);
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_core/src/fence.rs
@@ -0,0 +1,305 @@
+//! The start fence and the queue in front of one target.
+//!
+//! A guard alone starts tasks at its target, and each `(key, task)` at most once in the guard's life. A task
+//! can be taken from a guard only through this state: [`Fence::release`] either proves that the task has not
+//! started and never will here, or says where it went or that it started. The first release wins, so two
+//! coordinators of one job can never send one task to two places.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::fair_queue::{FairQueue, Flow};
+use crate::outcome::ReasonCode;
+use crate::{Incarnation, Placement, SubmissionKey, TaskIndex, UnixTime};
+
+/// Identity of one task of one submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskId {
+    /// Key of the submission.
+    pub key: SubmissionKey,
+    /// Place of the task in the job.
+    pub index: TaskIndex,
+}
+
+/// A task as it is given to a guard.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueuedTask<P> {
+    /// Identity of the task.
+    pub id: TaskId,
+    /// The flow it is queued in.
+    pub flow: Flow,
+    /// The flow's weight, above 0.
+    pub weight: f64,
+    /// No start at or after this time.
+    pub deadline: UnixTime,
+    /// Until when the fence must remember the task.
+    pub keep_until: UnixTime,
+    /// What the target is given.
+    pub payload: P,
+}
+
+/// How a task ended at its guard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskEnd {
+    /// The target answered with this result.
+    Done(Vec<u8>),
+    /// The task started and did not end well.
+    Failed {
+        /// Why.
+        reason: ReasonCode,
+        /// One sentence for a person.
+        detail: String,
+    },
+    /// The task has not started here and will not, until a release says where it goes.
+    Returned(ReasonCode),
+    /// The task has not started here and was passed on, or cancelled where there is no new place.
+    Released(Option<Placement>),
+}
+
+/// What the fence holds of one task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TaskState {
+    /// It waits for a slot.
+    Queued,
+    /// It was sent to the target.
+    Running,
+    /// It is over here.
+    Ended(TaskEnd),
+}
+
+/// What becomes of an assignment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AssignVerdict {
+    /// It waits in the queue.
+    Queued,
+    /// It was known before; this is its state.
+    Known(TaskState),
+    /// It was meant for another life of the guard, and nothing was done.
+    WrongIncarnation(Incarnation),
+}
+
+/// What becomes of a release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReleaseVerdict {
+    /// The task has not started here and never will; it belongs to this place now, or to none.
+    Released(Option<Placement>),
+    /// The task was sent to the target, so it cannot be released.
+    Started,
+    /// The release was meant for another life of the guard, and nothing was done.
+    WrongIncarnation(Incarnation),
+}
+
+/// Bounds of one guard's fence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FenceLimits {
+    /// Tasks that may run at once.
+    pub slots: usize,
+    /// Tasks that may wait.
+    pub queue: usize,
+    /// How long results are kept for a coordinator that asks again.
+    pub answer_retention: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    state: TaskState,
+    keep_until: UnixTime,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KeptResult {
+    id: TaskId,
+    until: UnixTime,
+}
+
+/// The tasks of one guard in one life.
+#[derive(Clone, Debug)]
+pub struct Fence<P> {
+    incarnation: Incarnation,
+    limits: FenceLimits,
+    is_leaving: bool,
+    running: usize,
+    queue: FairQueue<QueuedTask<P>>,
+    entries: HashMap<TaskId, Entry>,
+    results: VecDeque<KeptResult>,
+}
+
+impl<P> Fence<P> {
+    /// Builds an empty fence for one life of a guard.
+    pub fn new(incarnation: Incarnation, limits: FenceLimits) -> Self {
+        Self {
+            incarnation,
+            limits,
+            is_leaving: false,
+            running: 0,
+            queue: FairQueue::default(),
+            entries: HashMap::new(),
+            results: VecDeque::new(),
+        }
+    }
+
+    /// Returns the number of tasks at the target.
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Returns the number of tasks that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the number of tasks remembered.
+    pub fn entry_count(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns the state of a task, if it is known here.
+    pub fn state_of(&self, id: &TaskId) -> Option<&TaskState> {
+        self.entries.get(id).map(|entry| &entry.state)
+    }
+
+    /// Takes a task in, unless it is known or meant for another life.
+    ///
+    /// A task that cannot be queued is remembered as returned, so that a later copy of the same assignment
+    /// cannot start it after it was placed elsewhere.
+    pub fn assign(
+        &mut self,
+        incarnation: Incarnation,
+        task: QueuedTask<P>,
+        now: UnixTime,
+    ) -> AssignVerdict {
+        if incarnation != self.incarnation {
+            return AssignVerdict::WrongIncarnation(self.incarnation);
+        }
+        if let Some(entry) = self.entries.get(&task.id) {
+            return AssignVerdict::Known(entry.state.clone());
+        }
+        if let Some(reason) = self.find_obstacle(&task, now) {
+            let state = TaskState::Ended(TaskEnd::Returned(reason));
+            self.remember(task.id, state.clone(), task.keep_until);
+            return AssignVerdict::Known(state);
+        }
+        self.remember(task.id, TaskState::Queued, task.keep_until);
+        self.queue.push(task.flow.clone(), task.weight, task);
+        AssignVerdict::Queued
+    }
+
+    fn find_obstacle(&self, task: &QueuedTask<P>, now: UnixTime) -> Option<ReasonCode> {
+        if self.is_leaving {
+            Some(ReasonCode::Leaving)
+        } else if now >= task.deadline {
+            Some(ReasonCode::DeadlinePassed)
+        } else if self.running >= self.limits.slots && self.queue.len() >= self.limits.queue {
+            Some(ReasonCode::QueueFull)
+        } else {
+            None
+        }
+    }
+
+    fn remember(&mut self, id: TaskId, state: TaskState, keep_until: UnixTime) {
+        self.entries.insert(id, Entry { state, keep_until });
+    }
+
+    /// Takes the next task to start while a slot is free, and marks it as started.
+    ///
+    /// Tasks whose deadline has passed are returned on the way and listed in `returned`.
+    pub fn start_next(
+        &mut self,
+        now: UnixTime,
+        returned: &mut Vec<TaskId>,
+    ) -> Option<QueuedTask<P>> {
+        while self.running < self.limits.slots && !self.is_leaving {
+            let task = self.queue.pop()?;
+            if now < task.deadline {
+                self.set_state(&task.id, TaskState::Running);
+                self.running += 1;
+                return Some(task);
+            }
+            self.return_task(&task.id, ReasonCode::DeadlinePassed);
+            returned.push(task.id);
+        }
+        None
+    }
+
+    fn set_state(&mut self, id: &TaskId, state: TaskState) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.state = state;
+        }
+    }
+
+    fn return_task(&mut self, id: &TaskId, reason: ReasonCode) {
+        self.set_state(id, TaskState::Ended(TaskEnd::Returned(reason)));
+    }
+
+    /// Notes how a running task ended and frees its slot.
+    pub fn finish(&mut self, id: &TaskId, end: TaskEnd, now: UnixTime) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        if entry.state != TaskState::Running {
+            return;
+        }
+        entry.state = TaskState::Ended(end);
+        self.running -= 1;
+        let until = now + self.limits.answer_retention;
+        self.results.push_back(KeptResult { id: *id, until });
+    }
+
+    /// Gives up a task that has not started, to a new place or, with `None`, for good.
+    ///
+    /// A task that is not known yet is fenced, so that its assignment, still on the way, starts nothing.
+    pub fn release(
+        &mut self,
+        incarnation: Incarnation,
+        id: TaskId,
+        to: Option<Placement>,
+        keep_until: UnixTime,
+    ) -> ReleaseVerdict {
+        if incarnation != self.incarnation {
+            return ReleaseVerdict::WrongIncarnation(self.incarnation);
+        }
+        match self.state_of(&id) {
+            Some(TaskState::Running)
+            | Some(TaskState::Ended(TaskEnd::Done(_) | TaskEnd::Failed { .. })) => {
+                return ReleaseVerdict::Started;
+            }
+            Some(TaskState::Ended(TaskEnd::Released(place))) => {
+                return ReleaseVerdict::Released(*place);
+            }
+            Some(TaskState::Queued) => {
+                self.queue.drain_where(|task| task.id == id);
+            }
+            Some(TaskState::Ended(TaskEnd::Returned(_))) | None => {}
+        }
+        let state = TaskState::Ended(TaskEnd::Released(to));
+        self.remember(id, state, keep_until);
+        ReleaseVerdict::Released(to)
+    }
+
+    /// Begins to leave: nothing starts any more, and all that waits is returned and listed.
+    pub fn begin_leaving(&mut self) -> Vec<TaskId> {
+        self.is_leaving = true;
+        let waiting = self.queue.drain_where(|_| true);
+        for task in &waiting {
+            self.return_task(&task.id, ReasonCode::Leaving);
+        }
+        waiting.into_iter().map(|task| task.id).collect()
+    }
+
+    /// Drops results and entries whose time has passed; a dropped result leaves its fence standing.
+    pub fn collect_expired(&mut self, now: UnixTime) {
+        while let Some(kept) = self.results.pop_front_if(|kept| kept.until <= now) {
+            let dropped = TaskEnd::Failed {
+                reason: ReasonCode::AnswerDropped,
+                detail: "the task ran, but its answer is no longer kept".into(),
+            };
+            self.set_state(&kept.id, TaskState::Ended(dropped));
+        }
+        self.entries.retain(|_, entry| {
+            let is_over = matches!(entry.state, TaskState::Ended(_));
+            !is_over || now < entry.keep_until
+        });
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_core/src/lib.rs
@@ -0,0 +1,45 @@
+//! Pure decisions of cloverfold: no I/O and no clock of its own.
+//!
+//! Everything here is a plain value with functions over explicit state, so that each decision can be
+//! tested without a network. Times and random numbers are arguments.
+//!
+//! ```
+//! use cloverfold_core::{Cell, Location, derive_submission_key};
+//!
+//! let place = |guard: u16, hall: &str| Location { guard, hall: hall.into(), rack: "r1".into() };
+//! let cell = Cell::new(vec![place(1, "a"), place(2, "b"), place(3, "b"), place(4, "c")], 3);
+//! let key = derive_submission_key("pharmacy-7", "order-1");
+//! assert_eq!(cell.choose_replica_group(&key).len(), 3);
+//! ```
+
+mod cell;
+mod choice;
+mod fair_queue;
+mod fence;
+mod ids;
+mod job;
+mod members;
+mod outcome;
+mod proposer;
+mod replica;
+mod retry_budget;
+
+pub use cell::{Cell, Location, quorum_of};
+pub use choice::{Candidate, PlacementPolicy, choose_placements};
+pub use fair_queue::{FairQueue, Flow};
+pub use fence::{
+    AssignVerdict, Fence, FenceLimits, QueuedTask, ReleaseVerdict, TaskEnd, TaskId, TaskState,
+};
+pub use ids::{
+    BodyDigest, CustomerId, GuardId, HASH_LEN, Incarnation, Placement, ServiceId, SubmissionKey,
+    TaskIndex, UnixTime, derive_submission_key, format_key, hash_parts,
+};
+pub use job::{JobAction, JobEvent, JobOptions, JobProgress};
+pub use members::{MemberPhase, MemberReport, MemberTable};
+pub use outcome::{Outcome, ReasonCode, Repeat};
+pub use proposer::{Proposer, ProposerStep};
+pub use replica::{
+    Accepted, Ballot, Claim, ClaimReply, ClaimRequest, Incarnations, RecoveryPage, Replica,
+    ReplicaRecord, Reply, Standing, Submission,
+};
+pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/crates/cloverfold_core/src/members.rs
@@ -0,0 +1,124 @@
+//! What is known of the guards of a cell: their lives, phases and loads.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::choice::Candidate;
+use crate::{GuardId, Incarnation, Placement};
+
+/// Phase of a guard's life as it reports it itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberPhase {
+    /// It runs but takes no work yet.
+    Joining,
+    /// It takes work.
+    Live,
+    /// It ends what runs and takes nothing new.
+    Leaving,
+}
+
+/// What a guard says of itself; a later report has a larger `(incarnation, sequence)`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberReport {
+    /// The guard and its life.
+    pub placement: Placement,
+    /// Number of the report in that life.
+    pub sequence: u64,
+    /// Phase of the guard.
+    pub phase: MemberPhase,
+    /// Tasks at the target.
+    pub running: u32,
+    /// Tasks that wait.
+    pub queued: u32,
+    /// Tasks that can run at once.
+    pub slots: u32,
+}
+
+impl MemberReport {
+    fn order(&self) -> (Incarnation, u64) {
+        (self.placement.incarnation, self.sequence)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Member {
+    report: MemberReport,
+    /// When the report came, by the process's monotonic clock.
+    heard_at: Duration,
+    /// Tasks that this process sent there since the report.
+    charged: u32,
+}
+
+/// The newest report of each guard, with this process's own assignments added.
+#[derive(Clone, Debug, Default)]
+pub struct MemberTable {
+    members: BTreeMap<GuardId, Member>,
+}
+
+impl MemberTable {
+    /// Takes in a report; an older one than known changes nothing. Returns whether the guard has restarted.
+    pub fn absorb(&mut self, report: MemberReport, now: Duration) -> bool {
+        let guard = report.placement.guard;
+        let held = self.members.get(&guard);
+        if held.is_some_and(|held| held.report.order() >= report.order()) {
+            return false;
+        }
+        let is_new_life =
+            |held: &Member| held.report.placement.incarnation != report.placement.incarnation;
+        let has_restarted = held.is_some_and(is_new_life);
+        let member = Member {
+            report,
+            heard_at: now,
+            charged: 0,
+        };
+        self.members.insert(guard, member);
+        has_restarted
+    }
+
+    /// Lists the newest report of each guard.
+    pub fn reports(&self) -> Vec<MemberReport> {
+        self.members.values().map(|member| member.report).collect()
+    }
+
+    /// Returns the newest report of a guard.
+    pub fn report_of(&self, guard: GuardId) -> Option<&MemberReport> {
+        self.members.get(&guard).map(|member| &member.report)
+    }
+
+    /// Tells whether a report of a guard came within the given silence.
+    pub fn is_heard(&self, guard: GuardId, now: Duration, silence: Duration) -> bool {
+        let member = self.members.get(&guard);
+        member.is_some_and(|member| now.saturating_sub(member.heard_at) <= silence)
+    }
+
+    /// Notes that this process sent tasks to a guard, until the guard's next report shows them.
+    pub fn charge(&mut self, guard: GuardId, tasks: u32) {
+        if let Some(member) = self.members.get_mut(&guard) {
+            member.charged += tasks;
+        }
+    }
+
+    /// Forgets that a guard was heard, because it could not be reached.
+    pub fn suspect(&mut self, placement: Placement) {
+        let member = self.members.get_mut(&placement.guard);
+        if let Some(member) = member.filter(|member| member.report.placement == placement) {
+            member.heard_at = Duration::ZERO;
+        }
+    }
+
+    /// Lists the live guards that were heard within the given silence.
+    pub fn list_candidates(&self, now: Duration, silence: Duration) -> Vec<Candidate> {
+        let usable = self.members.values().filter(|member| {
+            member.report.phase == MemberPhase::Live
+                && now.saturating_sub(member.heard_at) <= silence
+        });
+        let describe = |member: &Member| Candidate {
+            placement: member.report.placement,
+            load: member.report.running + member.report.queued + member.charged,
+            slots: member.report.slots,
+        };
+        usable.map(describe).collect()
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_entry/src/answer.rs
@@ -0,0 +1,170 @@
+//! What callers get back.
+
+use std::time::Duration;
+
+use cloverfold_core::{Outcome, ReasonCode};
+use http::StatusCode;
+use serde::Serialize;
+use serde_json::value::RawValue;
+use volo_http::response::Response;
+use volo_http::server::IntoResponse;
+
+use crate::submission::Refusal;
+
+/// Body of every answer about a job.
+#[derive(Debug, Serialize)]
+pub struct AnswerBody {
+    /// `complete`, `failed`, `not_run`, `unknown`; for a state also `running`, `claimed` or `not_seen`.
+    pub outcome: &'static str,
+    /// Key to ask again with.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub key: Option<String>,
+    /// One result for each task, in the order of the tasks.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub results: Option<Vec<Box<RawValue>>>,
+    /// Why the outcome is not `complete`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub error: Option<ErrorBody>,
+}
+
+/// Cause of an answer that is not `complete`.
+#[derive(Debug, Serialize)]
+pub struct ErrorBody {
+    /// Stable code.
+    pub code: &'static str,
+    /// One sentence for a person.
+    pub message: String,
+    /// The field or header at fault, if it is one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub field: Option<String>,
+    /// When to come again, in milliseconds, where that can help.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+/// Answer to a request, with the status and headers that go with its body.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: AnswerBody,
+    /// Tells the caller's connection pool to go elsewhere.
+    pub(crate) closes_connection: bool,
+}
+
+impl Answer {
+    /// Wraps a refusal: nothing was done for the request.
+    pub(crate) fn from_refusal(refusal: Refusal) -> Self {
+        let error = ErrorBody {
+            code: refusal.code,
+            message: refusal.message,
+            field: refusal.field,
+            retry_after_ms: None,
+        };
+        Self::new(refusal.status, "not_run", None, Some(error))
+    }
+
+    /// Wraps the outcome of a job.
+    pub(crate) fn from_outcome(outcome: Outcome, key: String) -> Self {
+        let kind = outcome.kind();
+        let status = choose_status(&outcome);
+        match outcome {
+            Outcome::Complete { results } => {
+                let results = results.iter().map(|one| wrap_result(one)).collect();
+                let mut answer = Self::new(status, kind, Some(key), None);
+                answer.body.results = Some(results);
+                answer
+            }
+            Outcome::NotRun {
+                reason,
+                detail,
+                retry_after,
+            } => Self::new(
+                status,
+                kind,
+                Some(key),
+                Some(explain(reason, detail, retry_after)),
+            ),
+            Outcome::Failed { reason, detail } | Outcome::Unknown { reason, detail } => {
+                Self::new(status, kind, Some(key), Some(explain(reason, detail, None)))
+            }
+        }
+    }
+
+    /// Builds an answer without results.
+    pub(crate) fn new(
+        status: StatusCode,
+        outcome: &'static str,
+        key: Option<String>,
+        error: Option<ErrorBody>,
+    ) -> Self {
+        let body = AnswerBody {
+            outcome,
+            key,
+            results: None,
+            error,
+        };
+        Self {
+            status,
+            body,
+            closes_connection: false,
+        }
+    }
+}
+
+impl IntoResponse for Answer {
+    fn into_response(self) -> Response {
+        let retry_after = self
+            .body
+            .error
+            .as_ref()
+            .and_then(|error| error.retry_after_ms);
+        let text = serde_json::to_vec(&self.body).unwrap_or_default();
+        let mut response = (self.status, text).into_response();
+        let headers = response.headers_mut();
+        headers.insert(
+            "content-type",
+            http::HeaderValue::from_static("application/json"),
+        );
+        if let Some(millis) = retry_after {
+            headers.insert(
+                "retry-after",
+                http::HeaderValue::from(millis.div_ceil(1_000)),
+            );
+        }
+        if self.closes_connection {
+            headers.insert("connection", http::HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+fn explain(reason: ReasonCode, detail: String, retry_after: Option<Duration>) -> ErrorBody {
+    ErrorBody {
+        code: reason.as_str(),
+        message: detail,
+        field: None,
+        retry_after_ms: retry_after.map(|span| span.as_millis() as u64),
+    }
+}
+
+fn choose_status(outcome: &Outcome) -> StatusCode {
+    match outcome {
+        Outcome::Complete { .. } => StatusCode::OK,
+        Outcome::Failed { .. } => StatusCode::BAD_GATEWAY,
+        Outcome::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+        Outcome::NotRun { reason, .. } => match reason {
+            ReasonCode::KeyConflict => StatusCode::CONFLICT,
+            ReasonCode::DeadlinePassed => StatusCode::UNPROCESSABLE_ENTITY,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        },
+    }
+}
+
+/// Results are JSON by the targets' protocol; what is not becomes a string, so that nothing is lost.
+fn wrap_result(result: &[u8]) -> Box<RawValue> {
+    let text = String::from_utf8_lossy(result).into_owned();
+    RawValue::from_string(text.clone()).unwrap_or_else(|_| {
+        let quoted = serde_json::Value::String(text).to_string();
+        RawValue::from_string(quoted).unwrap_or_default()
+    })
+}
--- /dev/null
+++ b/crates/cloverfold_entry/src/api.rs
@@ -0,0 +1,229 @@
+//! Handlers of the callers' routes.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use cloverfold_app::{Lifecycle, Phase, random_u64, unix_now};
+use cloverfold_coordinate::{JobState, Submit};
+use cloverfold_core::{ReasonCode, derive_submission_key};
+use cloverfold_settings::{CellSettings, EntrySettings};
+use http::StatusCode;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use tokio::time::{sleep, timeout};
+use volo_http::request::Request;
+
+use crate::answer::{Answer, ErrorBody};
+use crate::auth::{authenticate, read_header};
+use crate::plugin::EntryMetrics;
+use crate::routing::JobRouting;
+use crate::submission::{
+    CheckedSubmission, Refusal, RequestHeaders, SubmissionLimits, check_submission,
+};
+
+pub(crate) const JOBS_PATH: &str = "/v1/jobs";
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+const BUSY_RETRY_MS: u64 = 500;
+
+/// What the handlers share.
+pub(crate) struct Api {
+    pub(crate) settings: Arc<EntrySettings>,
+    pub(crate) cell: Arc<CellSettings>,
+    pub(crate) routing: JobRouting,
+    pub(crate) lifecycle: Lifecycle,
+    pub(crate) in_flight: AtomicUsize,
+    pub(crate) metrics: EntryMetrics,
+}
+
+/// Counts a request as in flight until it is dropped.
+struct InFlight<'a>(&'a Api);
+
+impl<'a> InFlight<'a> {
+    fn begin(api: &'a Api) -> Self {
+        let count = api.in_flight.fetch_add(1, Ordering::AcqRel) + 1;
+        api.metrics.in_flight.set(count as i64);
+        Self(api)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        let count = self.0.in_flight.fetch_sub(1, Ordering::AcqRel) - 1;
+        self.0.metrics.in_flight.set(count as i64);
+    }
+}
+
+impl Api {
+    /// Handles `POST /v1/jobs`.
+    pub(crate) async fn submit_job(self: Arc<Self>, req: Request) -> Answer {
+        let _in_flight = InFlight::begin(&self);
+        let began = Instant::now();
+        let mut answer = match self.run_submission(req).await {
+            Ok(answer) => answer,
+            Err(refusal) => Answer::from_refusal(refusal),
+        };
+        answer.closes_connection = self.lifecycle.phase() != Phase::Serving;
+        self.metrics
+            .note_answer(answer.body.outcome, began.elapsed());
+        answer
+    }
+
+    async fn run_submission(&self, req: Request) -> Result<Answer, Refusal> {
+        let (parts, body) = req.into_parts();
+        let customer = authenticate(&self.cell, &parts.headers)?;
+        let headers = RequestHeaders {
+            idempotency_key: read_header(&parts.headers, IDEMPOTENCY_HEADER).map(str::to_owned),
+        };
+        if parts.headers.contains_key(IDEMPOTENCY_HEADER) && headers.idempotency_key.is_none() {
+            let message = "must be ASCII text";
+            return Err(Refusal::of_field("bad_key", "Idempotency-Key", message));
+        }
+        let body = self.read_body(body).await?;
+        let limits = SubmissionLimits {
+            default_deadline: Duration::from_millis(self.settings.default_deadline_ms),
+            max_deadline: Duration::from_millis(self.settings.max_deadline_ms),
+        };
+        let fresh = format!("{:016x}{:016x}", random_u64(), random_u64());
+        let now = unix_now();
+        let checked = check_submission(&customer.name, &headers, &body, fresh, limits, now)?;
+        if self.cell.find_service(&checked.service).is_none() {
+            let message = format!("no service is named {:?}", checked.service);
+            return Err(Refusal::of_field("unknown_service", "service", message));
+        }
+        if self.in_flight.load(Ordering::Acquire) > self.settings.in_flight {
+            return Ok(answer_busy(&checked));
+        }
+        let key = checked.caller_key.clone();
+        let outcome = self
+            .routing
+            .submit(build_submit(&customer.name, checked))
+            .await;
+        Ok(Answer::from_outcome(outcome, key))
+    }
+
+    /// Reads a body within the limits of size and time.
+    async fn read_body(&self, body: volo_http::body::Body) -> Result<bytes::Bytes, Refusal> {
+        let limited = Limited::new(body, self.settings.max_body).collect();
+        let Ok(read) = timeout(self.settings.read_timeout(), limited).await else {
+            return Err(Refusal {
+                status: StatusCode::REQUEST_TIMEOUT,
+                code: "body_too_slow",
+                field: None,
+                message: "the body did not arrive in time; send it without pauses".into(),
+            });
+        };
+        let read = read.map_err(|e| self.explain_body_error(e.as_ref()))?;
+        Ok(read.to_bytes())
+    }
+
+    fn explain_body_error(&self, e: &(dyn std::error::Error + 'static)) -> Refusal {
+        if e.is::<LengthLimitError>() {
+            return Refusal {
+                status: StatusCode::PAYLOAD_TOO_LARGE,
+                code: "body_too_large",
+                field: None,
+                message: format!(
+                    "the body is longer than {} bytes; split the job",
+                    self.settings.max_body
+                ),
+            };
+        }
+        Refusal {
+            status: StatusCode::BAD_REQUEST,
+            code: "bad_body",
+            field: None,
+            message: format!("the body broke off: {e}"),
+        }
+    }
+
+    /// Handles `GET /v1/jobs/{key}`.
+    pub(crate) async fn show_job(self: Arc<Self>, req: Request) -> Answer {
+        match self.find_job(&req).await {
+            Ok(answer) => answer,
+            Err(refusal) => Answer::from_refusal(refusal),
+        }
+    }
+
+    async fn find_job(&self, req: &Request) -> Result<Answer, Refusal> {
+        let customer = authenticate(&self.cell, req.headers())?;
+        let path = req.uri().path();
+        let caller_key = path.rsplit('/').next().unwrap_or_default().to_owned();
+        let key = derive_submission_key(&customer.name, &caller_key);
+        let state = self.routing.query(key).await;
+        Ok(describe_state(state, caller_key))
+    }
+
+    /// Serves on while the balancer notices, then waits for what is in flight.
+    pub(crate) async fn drain(self: Arc<Self>) {
+        self.lifecycle.wait_for(Phase::Draining).await;
+        sleep(self.settings.linger()).await;
+        while self.in_flight.load(Ordering::Acquire) > 0 {
+            sleep(DRAIN_POLL).await;
+        }
+    }
+}
+
+fn build_submit(customer: &str, checked: CheckedSubmission) -> Submit {
+    Submit {
+        submission: checked.submission,
+        attempt: random_u64(),
+        is_fresh_key: checked.is_fresh_key,
+        customer: customer.to_owned(),
+        service: checked.service,
+        digest: checked.digest,
+        deadline: checked.deadline,
+        repeat: checked.repeat,
+        tasks: checked.tasks,
+    }
+}
+
+/// Only a key that nobody else knows lets the entry itself say that nothing ran under it.
+fn answer_busy(checked: &CheckedSubmission) -> Answer {
+    let error = ErrorBody {
+        code: "entry_busy",
+        message: "this entry has as many submissions in flight as it may; come again".into(),
+        field: None,
+        retry_after_ms: Some(BUSY_RETRY_MS),
+    };
+    let outcome = if checked.is_fresh_key {
+        "not_run"
+    } else {
+        "unknown"
+    };
+    let key = Some(checked.caller_key.clone());
+    Answer::new(StatusCode::SERVICE_UNAVAILABLE, outcome, key, Some(error))
+}
+
+fn describe_state(state: JobState, key: String) -> Answer {
+    let show = |word| Answer::new(StatusCode::OK, word, Some(key.clone()), None);
+    match state {
+        JobState::Answered(outcome) => {
+            let mut answer = Answer::from_outcome(outcome, key);
+            answer.status = StatusCode::OK;
+            answer
+        }
+        JobState::Running => show("running"),
+        JobState::Claimed { .. } => show("claimed"),
+        JobState::NotSeen => show("not_seen"),
+        JobState::Refused(reason) => {
+            explain_state("not_run", reason, "refused under this key", key)
+        }
+        JobState::CannotTell => explain_state(
+            "unknown",
+            ReasonCode::NoQuorum,
+            "too few replicas of the key can tell",
+            key,
+        ),
+    }
+}
+
+fn explain_state(outcome: &'static str, reason: ReasonCode, message: &str, key: String) -> Answer {
+    let error = ErrorBody {
+        code: reason.as_str(),
+        message: message.into(),
+        field: None,
+        retry_after_ms: None,
+    };
+    Answer::new(StatusCode::OK, outcome, Some(key), Some(error))
+}
--- /dev/null
+++ b/crates/cloverfold_entry/src/routing.rs
@@ -0,0 +1,147 @@
+//! Finds a coordinator for a submission and brings back its answer.
+
+use std::time::Duration;
+
+use cloverfold_app::{random_u64, unix_now};
+use cloverfold_coordinate::{JobState, Query, Submit, SubmitReply, Verdict};
+use cloverfold_core::{Cell, GuardId, Outcome, ReasonCode, SubmissionKey, format_key};
+use cloverfold_membership::{Directory, Membership};
+use cloverfold_net::{CallError, Network};
+use std::sync::Arc;
+use tokio::time::sleep;
+
+use crate::plugin::EntryMetrics;
+
+/// How often the whole group is tried.
+const ROUNDS: u32 = 3;
+const ROUND_PAUSE_MS: u64 = 150;
+const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long after its deadline a job may still be running its last tasks.
+const ANSWER_GRACE: Duration = Duration::from_secs(60);
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The way from an entry to the guards that hold a key.
+#[derive(Clone)]
+pub(crate) struct JobRouting {
+    pub(crate) cell: Cell,
+    pub(crate) directory: Arc<Directory>,
+    pub(crate) membership: Membership,
+    pub(crate) network: Network,
+    pub(crate) metrics: EntryMetrics,
+}
+
+/// What one guard made of a submission.
+enum Try {
+    Answered(Outcome),
+    /// The guard certainly did nothing.
+    NotTaken,
+    /// The guard may run the job.
+    Lost,
+}
+
+impl JobRouting {
+    /// Sends a submission to the members of its group in turn until one answers.
+    ///
+    /// Going to the next member cannot start a task twice: the group agrees on one claim for the key, and a
+    /// second coordinator joins the tasks where they are.
+    pub(crate) async fn submit(&self, submit: Submit) -> Outcome {
+        let key = submit.submission.key;
+        let mut was_lost = false;
+        let mut is_first = true;
+        for round in 0..ROUNDS {
+            if round > 0 {
+                sleep(draw_pause(round)).await;
+            }
+            for guard in self.order_group(&key).await {
+                if !is_first {
+                    self.metrics.reroutes.inc();
+                }
+                is_first = false;
+                match self.try_guard(guard, &submit).await {
+                    Try::Answered(outcome) => return outcome,
+                    Try::NotTaken => {}
+                    Try::Lost => was_lost = true,
+                }
+            }
+        }
+        conclude_without_answer(was_lost || !submit.is_fresh_key)
+    }
+
+    /// Orders a group by rendezvous rank, with those behind that are not known to take work.
+    async fn order_group(&self, key: &SubmissionKey) -> Vec<GuardId> {
+        let group = self.cell.choose_replica_group(key);
+        let mut ordered = self.membership.keep_usable(group.clone()).await;
+        let rest = group.into_iter().filter(|guard| !ordered.contains(guard));
+        let rest: Vec<GuardId> = rest.collect();
+        ordered.extend(rest);
+        ordered
+    }
+
+    async fn try_guard(&self, guard: GuardId, submit: &Submit) -> Try {
+        let Some(address) = self.directory.address_of(guard) else {
+            return Try::NotTaken;
+        };
+        let timeout = submit.deadline.saturating_sub(unix_now()) + ANSWER_GRACE;
+        let reply = self.network.call(address, submit, timeout).await;
+        let key = format_key(&submit.submission.key);
+        match reply {
+            Ok(reply) if !is_bound_to(&reply, submit) => {
+                log::error!(key = key, guard = guard; "an answer belongs to another request");
+                Try::Lost
+            }
+            Ok(reply) => match reply.verdict {
+                Verdict::Answered(outcome) => Try::Answered(outcome),
+                Verdict::NotHere(reason) => {
+                    log::debug!(key = key, guard = guard; "not taken: {}", reason.as_str());
+                    Try::NotTaken
+                }
+            },
+            Err(cause) => {
+                log::warn!(key = key, guard = guard; "a submission brought no answer: {cause}");
+                match cause {
+                    CallError::NotSent { .. } | CallError::Refused { .. } => Try::NotTaken,
+                    CallError::Lost { .. } => Try::Lost,
+                }
+            }
+        }
+    }
+
+    /// Asks the group what is known of a key; the first that can tell is believed.
+    pub(crate) async fn query(&self, key: SubmissionKey) -> JobState {
+        let mut best = JobState::CannotTell;
+        for guard in self.order_group(&key).await {
+            let Some(address) = self.directory.address_of(guard) else {
+                continue;
+            };
+            let query = Query { key };
+            let Ok(reply) = self.network.call(address, &query, QUERY_TIMEOUT).await else {
+                continue;
+            };
+            match reply.state {
+                JobState::CannotTell => {}
+                JobState::Running | JobState::Answered(_) => return reply.state,
+                state => best = state,
+            }
+        }
+        best
+    }
+}
+
+/// Late and crossed answers must never reach another request.
+fn is_bound_to(reply: &SubmitReply, submit: &Submit) -> bool {
+    reply.key == submit.submission.key && reply.attempt == submit.attempt
+}
+
+fn conclude_without_answer(may_have_run: bool) -> Outcome {
+    let detail = "no guard that holds the key gave an answer";
+    if may_have_run {
+        Outcome::unknown(ReasonCode::Unavailable, detail)
+    } else {
+        Outcome::not_run(ReasonCode::Unavailable, detail, Some(RETRY_AFTER))
+    }
+}
+
+fn draw_pause(round: u32) -> Duration {
+    let base = ROUND_PAUSE_MS << round.min(4);
+    Duration::from_millis(base / 2 + random_u64() % base)
+}
--- /dev/null
+++ b/crates/cloverfold_entry/src/submission.rs
@@ -0,0 +1,242 @@
+//! Checks of what a caller submits.
+
+use std::time::Duration;
+
+use cloverfold_core::{
+    BodyDigest, Repeat, Submission, UnixTime, derive_submission_key, hash_parts,
+};
+use http::StatusCode;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+/// Most tasks of one job.
+pub const MAX_TASKS: usize = 1_900;
+const MAX_KEY_LEN: usize = 128;
+/// How far a caller's clock may be ahead.
+const CLOCK_MARGIN: Duration = Duration::from_secs(5);
+
+/// Bounds from the entry's settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SubmissionLimits {
+    /// Deadline of a submission that names none, from its arrival.
+    pub default_deadline: Duration,
+    /// Longest deadline, from the arrival.
+    pub max_deadline: Duration,
+}
+
+/// Headers of a submission that matter to its check.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RequestHeaders {
+    /// The caller's `Idempotency-Key`.
+    pub idempotency_key: Option<String>,
+}
+
+/// A request that is refused before anything was done for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Stable code of the cause.
+    pub code: &'static str,
+    /// The field or header at fault, if it is one.
+    pub field: Option<String>,
+    /// What is wrong and what would be right.
+    pub message: String,
+}
+
+impl Refusal {
+    /// Builds a refusal of a field with status 400.
+    pub(crate) fn of_field(code: &'static str, field: &str, message: impl Into<String>) -> Self {
+        Self {
+            status: StatusCode::BAD_REQUEST,
+            code,
+            field: Some(field.into()),
+            message: message.into(),
+        }
+    }
+}
+
+/// A submission that can be sent to a coordinator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CheckedSubmission {
+    /// Key as the caller knows it.
+    pub caller_key: String,
+    /// Whether the entry made the key.
+    pub is_fresh_key: bool,
+    /// Key and age.
+    pub submission: Submission,
+    /// Service to run at.
+    pub service: String,
+    /// Hash of the body.
+    pub digest: BodyDigest,
+    /// No start at or after this time.
+    pub deadline: UnixTime,
+    /// Whether a task may be repeated.
+    pub repeat: Repeat,
+    /// What each task gives to the target.
+    pub tasks: Vec<Vec<u8>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobBody<'a> {
+    service: String,
+    #[serde(borrow)]
+    tasks: Vec<&'a RawValue>,
+    #[serde(default)]
+    repeat: Repeat,
+    deadline_ms: Option<u64>,
+    deadline_unix_ms: Option<u64>,
+    first_submitted_unix_ms: Option<u64>,
+}
+
+/// Checks a submission's headers and body.
+///
+/// `fresh_key` is used where the caller names no key.
+///
+/// # Errors
+///
+/// Names the field and the fix.
+pub fn check_submission(
+    customer: &str,
+    headers: &RequestHeaders,
+    body: &[u8],
+    fresh_key: String,
+    limits: SubmissionLimits,
+    now: UnixTime,
+) -> Result<CheckedSubmission, Refusal> {
+    let body = parse_body(body)?;
+    check_tasks(&body)?;
+    let is_fresh_key = headers.idempotency_key.is_none();
+    let caller_key = match &headers.idempotency_key {
+        None => fresh_key,
+        Some(key) => check_key(key)?,
+    };
+    let submitted_at = find_submitted_at(&body, is_fresh_key, now)?;
+    let deadline = find_deadline(&body, limits, now)?;
+    let tasks: Vec<Vec<u8>> = body
+        .tasks
+        .iter()
+        .map(|task| task.get().as_bytes().to_vec())
+        .collect();
+    Ok(CheckedSubmission {
+        submission: Submission {
+            key: derive_submission_key(customer, &caller_key),
+            submitted_at,
+        },
+        caller_key,
+        is_fresh_key,
+        digest: digest_body(&body.service, body.repeat, &tasks),
+        service: body.service,
+        deadline,
+        repeat: body.repeat,
+        tasks,
+    })
+}
+
+fn parse_body(body: &[u8]) -> Result<JobBody<'_>, Refusal> {
+    let mut deserializer = serde_json::Deserializer::from_slice(body);
+    let parsed: JobBody<'_> =
+        serde_path_to_error::deserialize(&mut deserializer).map_err(|e| Refusal {
+            status: StatusCode::BAD_REQUEST,
+            code: "bad_body",
+            field: Some(e.path().to_string()).filter(|path| path != "."),
+            message: format!("the body is not a job: {}", e.inner()),
+        })?;
+    deserializer.end().map_err(|e| Refusal {
+        status: StatusCode::BAD_REQUEST,
+        code: "bad_body",
+        field: None,
+        message: format!("the body goes on after the job: {e}"),
+    })?;
+    Ok(parsed)
+}
+
+fn check_tasks(body: &JobBody<'_>) -> Result<(), Refusal> {
+    let count = body.tasks.len();
+    if count == 0 {
+        let message = "must hold at least one task";
+        return Err(Refusal::of_field("no_tasks", "tasks", message));
+    }
+    if count > MAX_TASKS {
+        let message =
+            format!("holds {count} tasks; split the job into jobs of at most {MAX_TASKS}");
+        return Err(Refusal::of_field("too_many_tasks", "tasks", message));
+    }
+    Ok(())
+}
+
+fn check_key(key: &str) -> Result<String, Refusal> {
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || "-._~".contains(c);
+    if key.is_empty() || key.len() > MAX_KEY_LEN || !key.chars().all(is_allowed) {
+        let message = format!("must be 1 to {MAX_KEY_LEN} letters, digits or any of -._~");
+        return Err(Refusal::of_field("bad_key", "Idempotency-Key", message));
+    }
+    Ok(key.to_owned())
+}
+
+/// A key is known for the retention after the first submission, so a caller's key needs that time.
+fn find_submitted_at(
+    body: &JobBody<'_>,
+    is_fresh_key: bool,
+    now: UnixTime,
+) -> Result<UnixTime, Refusal> {
+    const FIELD: &str = "first_submitted_unix_ms";
+    const CODE: &str = "bad_first_submitted";
+    let Some(given) = body.first_submitted_unix_ms else {
+        if is_fresh_key {
+            return Ok(now);
+        }
+        let message = "is required with an Idempotency-Key: the time of the first submission under \
+                       the key, the same at every repetition";
+        return Err(Refusal::of_field(CODE, FIELD, message));
+    };
+    let given = Duration::from_millis(given);
+    if given > now + CLOCK_MARGIN {
+        let message = "lies in the future; set the clock or send the present time";
+        return Err(Refusal::of_field(CODE, FIELD, message));
+    }
+    Ok(given)
+}
+
+fn find_deadline(
+    body: &JobBody<'_>,
+    limits: SubmissionLimits,
+    now: UnixTime,
+) -> Result<UnixTime, Refusal> {
+    const CODE: &str = "bad_deadline";
+    let latest = now + limits.max_deadline;
+    let (deadline, field) = match (body.deadline_ms, body.deadline_unix_ms) {
+        (Some(_), Some(_)) => {
+            let message = "must not be given beside deadline_ms";
+            return Err(Refusal::of_field(CODE, "deadline_unix_ms", message));
+        }
+        (Some(0), None) => {
+            let message = "must be above 0";
+            return Err(Refusal::of_field(CODE, "deadline_ms", message));
+        }
+        (Some(span), None) => (
+            now.saturating_add(Duration::from_millis(span)),
+            "deadline_ms",
+        ),
+        (None, Some(at)) => (Duration::from_millis(at), "deadline_unix_ms"),
+        (None, None) => (now + limits.default_deadline, "deadline_ms"),
+    };
+    if deadline > latest {
+        let longest = limits.max_deadline.as_millis();
+        let message = format!("is too far off; at most {longest} ms from now are allowed");
+        return Err(Refusal::of_field(CODE, field, message));
+    }
+    Ok(deadline)
+}
+
+/// Hashes what makes two submissions the same work; the deadline may differ between repetitions.
+fn digest_body(service: &str, repeat: Repeat, tasks: &[Vec<u8>]) -> BodyDigest {
+    let repeat: &[u8] = match repeat {
+        Repeat::Never => b"never",
+        Repeat::Allowed => b"allowed",
+    };
+    let mut parts = vec![service.as_bytes(), repeat];
+    parts.extend(tasks.iter().map(Vec::as_slice));
+    hash_parts(&parts)
+}
--- /dev/null
+++ b/crates/cloverfold_execute/src/execution.rs
@@ -0,0 +1,161 @@
+//! The fence together with who waits for its tasks.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cloverfold_core::{
+    AssignVerdict, Fence, FenceLimits, Flow, Incarnation, QueuedTask, ReleaseVerdict, TaskEnd,
+    TaskId, TaskState, UnixTime,
+};
+use cloverfold_membership::OwnLoad;
+use tokio::sync::mpsc;
+
+use crate::messages::{Assign, Release, TaskReport};
+
+/// Control state of the target: decisions go through here on the control thread.
+pub(crate) struct Execution {
+    fence: Fence<Bytes>,
+    /// Coordinators that wait for a task; each channel has room for all tasks that it was made for.
+    watchers: HashMap<TaskId, Vec<mpsc::Sender<TaskReport>>>,
+    load: Arc<OwnLoad>,
+}
+
+/// What the guard is to do after an assignment.
+pub(crate) enum Assigned {
+    /// The assignment was for another life.
+    WrongIncarnation(Incarnation),
+    /// Ends come through the channel; these tasks start now.
+    Taken {
+        reports: mpsc::Receiver<TaskReport>,
+        starts: Vec<QueuedTask<Bytes>>,
+    },
+}
+
+impl Execution {
+    pub(crate) fn new(incarnation: Incarnation, limits: FenceLimits, load: Arc<OwnLoad>) -> Self {
+        Self {
+            fence: Fence::new(incarnation, limits),
+            watchers: HashMap::new(),
+            load,
+        }
+    }
+
+    pub(crate) fn fence(&self) -> &Fence<Bytes> {
+        &self.fence
+    }
+
+    /// Takes an assignment in and starts what has a slot.
+    pub(crate) fn assign(&mut self, assign: Assign, weight: f64, now: UnixTime) -> Assigned {
+        let (tx, reports) = mpsc::channel(assign.tasks.len().max(1));
+        let flow = Flow {
+            service: assign.service,
+            customer: assign.customer,
+        };
+        for task in assign.tasks {
+            let id = TaskId {
+                key: assign.key,
+                index: task.index,
+            };
+            let queued = QueuedTask {
+                id,
+                flow: flow.clone(),
+                weight,
+                deadline: assign.deadline,
+                keep_until: assign.keep_until,
+                payload: Bytes::from(task.payload),
+            };
+            match self.fence.assign(assign.place.incarnation, queued, now) {
+                AssignVerdict::WrongIncarnation(own) => return Assigned::WrongIncarnation(own),
+                AssignVerdict::Known(TaskState::Ended(end)) => {
+                    let index = task.index;
+                    // The channel has room for every task, and its other end is ours.
+                    let _ = tx.try_send(TaskReport { index, end });
+                }
+                AssignVerdict::Queued | AssignVerdict::Known(_) => {
+                    self.watchers.entry(id).or_default().push(tx.clone());
+                }
+            }
+        }
+        let starts = self.start_waiting(now);
+        Assigned::Taken { reports, starts }
+    }
+
+    /// Notes how a task ended and returns what starts in its place.
+    pub(crate) fn finish(
+        &mut self,
+        id: &TaskId,
+        end: TaskEnd,
+        now: UnixTime,
+    ) -> Vec<QueuedTask<Bytes>> {
+        self.fence.finish(id, end, now);
+        self.notify(id);
+        self.start_waiting(now)
+    }
+
+    /// Gives up a task that has not started.
+    pub(crate) fn release(&mut self, release: &Release) -> ReleaseVerdict {
+        let id = TaskId {
+            key: release.key,
+            index: release.index,
+        };
+        let verdict = self.fence.release(
+            release.place.incarnation,
+            id,
+            release.to,
+            release.keep_until,
+        );
+        self.notify(&id);
+        self.note_load();
+        verdict
+    }
+
+    /// Returns all that waits, because the guard leaves.
+    pub(crate) fn begin_leaving(&mut self) {
+        for id in self.fence.begin_leaving() {
+            self.notify(&id);
+        }
+        self.note_load();
+    }
+
+    /// Drops what is past its time.
+    pub(crate) fn collect_expired(&mut self, now: UnixTime) {
+        self.fence.collect_expired(now);
+        self.watchers.retain(|_, watchers| {
+            watchers.retain(|tx| !tx.is_closed());
+            !watchers.is_empty()
+        });
+    }
+
+    fn start_waiting(&mut self, now: UnixTime) -> Vec<QueuedTask<Bytes>> {
+        let mut returned = Vec::new();
+        let mut starts = Vec::new();
+        while let Some(task) = self.fence.start_next(now, &mut returned) {
+            starts.push(task);
+        }
+        for id in returned {
+            self.notify(&id);
+        }
+        self.note_load();
+        starts
+    }
+
+    /// Tells those who wait for a task that it ended here.
+    fn notify(&mut self, id: &TaskId) {
+        let Some(TaskState::Ended(end)) = self.fence.state_of(id) else {
+            return;
+        };
+        for tx in self.watchers.remove(id).unwrap_or_default() {
+            let report = TaskReport {
+                index: id.index,
+                end: end.clone(),
+            };
+            // A coordinator that has gone needs no report; there is room for those that have not.
+            let _ = tx.try_send(report);
+        }
+    }
+
+    fn note_load(&self) {
+        self.load.set(self.fence.running(), self.fence.queued());
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_execute/src/messages.rs
@@ -0,0 +1,96 @@
+//! Messages from a coordinator to the guard of a target.
+
+use cloverfold_core::{
+    CustomerId, Incarnation, MemberReport, Placement, ReleaseVerdict, ServiceId, SubmissionKey,
+    TaskEnd, TaskIndex, UnixTime,
+};
+use cloverfold_net::Message;
+use serde::{Deserialize, Serialize};
+
+/// One task of an assignment.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AssignedTask {
+    /// Place of the task in the job.
+    pub index: TaskIndex,
+    /// What the target is given.
+    pub payload: Vec<u8>,
+}
+
+/// Gives tasks of one job to a guard, or asks again how they go.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Assign {
+    /// The guard and the life that is meant.
+    pub place: Placement,
+    /// Key of the submission.
+    pub key: SubmissionKey,
+    /// Customer that submitted.
+    pub customer: CustomerId,
+    /// Service that runs the tasks.
+    pub service: ServiceId,
+    /// No start at or after this time.
+    pub deadline: UnixTime,
+    /// Until when the fence must remember the tasks.
+    pub keep_until: UnixTime,
+    /// The tasks.
+    pub tasks: Vec<AssignedTask>,
+}
+
+impl Message for Assign {
+    const KIND: u16 = 20;
+    const NAME: &'static str = "assign";
+    /// Several replies, until every task has ended here.
+    type Reply = AssignReply;
+}
+
+/// How one task ended at the guard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskReport {
+    /// Place of the task in the job.
+    pub index: TaskIndex,
+    /// How it ended here.
+    pub end: TaskEnd,
+}
+
+/// One of the replies to an [`Assign`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum AssignReply {
+    /// Tasks that ended since the reply before, and the guard's load now.
+    Ended {
+        /// The tasks.
+        reports: Vec<TaskReport>,
+        /// The guard's state.
+        member: Option<MemberReport>,
+    },
+    /// The assignment was meant for another life of the guard; nothing was done.
+    WrongIncarnation(Incarnation),
+}
+
+/// Takes back a task that has not started.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Release {
+    /// The guard and the life that is meant.
+    pub place: Placement,
+    /// Key of the submission.
+    pub key: SubmissionKey,
+    /// Place of the task in the job.
+    pub index: TaskIndex,
+    /// Where the task goes, or nowhere.
+    pub to: Option<Placement>,
+    /// Until when the fence must remember the task.
+    pub keep_until: UnixTime,
+}
+
+impl Message for Release {
+    const KIND: u16 = 21;
+    const NAME: &'static str = "release";
+    type Reply = ReleaseReply;
+}
+
+/// What became of a [`Release`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReleaseReply {
+    /// The verdict.
+    pub verdict: ReleaseVerdict,
+    /// The guard's state.
+    pub member: Option<MemberReport>,
+}
--- /dev/null
+++ b/crates/cloverfold_execute/src/runner.rs
@@ -0,0 +1,148 @@
+//! Carries out what the fence decides: answers coordinators and starts tasks at the target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cloverfold_app::{ControlState, unix_now};
+use cloverfold_core::{QueuedTask, ReasonCode, ReleaseVerdict, TaskEnd, TaskId, format_key};
+use cloverfold_membership::Membership;
+use cloverfold_net::ReplySink;
+use cloverfold_settings::CellSettings;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::execution::{Assigned, Execution};
+use crate::messages::{Assign, AssignReply, Release, ReleaseReply, TaskReport};
+use crate::plugin::ExecuteMetrics;
+use crate::target_client::{TargetAnswer, TargetClient};
+
+const COLLECT_INTERVAL: Duration = Duration::from_secs(1);
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// The parts that work on tasks, shared by all handlers.
+#[derive(Clone)]
+pub(crate) struct Runner {
+    pub(crate) execution: ControlState<Execution>,
+    pub(crate) target: TargetClient,
+    pub(crate) membership: Membership,
+    pub(crate) cell: Arc<CellSettings>,
+    pub(crate) metrics: ExecuteMetrics,
+}
+
+impl Runner {
+    /// Handles an assignment until each of its tasks has ended here.
+    pub(crate) async fn handle_assign(self, assign: Assign, mut sink: ReplySink) {
+        let customer = self.cell.find_customer(&assign.customer);
+        let weight = customer.map_or(1.0, |customer| customer.weight);
+        let now = unix_now();
+        let assigned = self
+            .execution
+            .with(move |execution| execution.assign(assign, weight, now))
+            .await;
+        let (mut reports, starts) = match assigned {
+            Assigned::WrongIncarnation(own) => {
+                if sink.send(&AssignReply::WrongIncarnation(own)).await {
+                    sink.finish().await;
+                }
+                return;
+            }
+            Assigned::Taken { reports, starts } => (reports, starts),
+        };
+        self.spawn_starts(starts);
+        while let Some(batch) = receive_batch(&mut reports).await {
+            let reply = AssignReply::Ended {
+                reports: batch,
+                member: self.membership.own_report(),
+            };
+            if !sink.send(&reply).await {
+                return;
+            }
+        }
+        sink.finish().await;
+    }
+
+    /// Handles a release; a task that runs is cancelled where the job is given up.
+    pub(crate) async fn handle_release(self, release: Release) -> ReleaseReply {
+        let id = TaskId {
+            key: release.key,
+            index: release.index,
+        };
+        let is_given_up = release.to.is_none();
+        let verdict = self
+            .execution
+            .with(move |execution| execution.release(&release))
+            .await;
+        if verdict == ReleaseVerdict::Started && is_given_up {
+            let target = self.target.clone();
+            tokio::spawn(async move { target.cancel(&id).await });
+        }
+        ReleaseReply {
+            verdict,
+            member: self.membership.own_report(),
+        }
+    }
+
+    fn spawn_starts(&self, starts: Vec<QueuedTask<Bytes>>) {
+        for task in starts {
+            tokio::spawn(self.clone().run_task(task));
+        }
+    }
+
+    async fn run_task(self, task: QueuedTask<Bytes>) {
+        self.metrics.starts.inc();
+        let id = task.id;
+        let answer = self.target.start(&id, task.payload).await;
+        let end = match answer {
+            Ok(TargetAnswer::Done(result)) => TaskEnd::Done(result),
+            Ok(TargetAnswer::NotStarted) => TaskEnd::Returned(ReasonCode::QueueFull),
+            Ok(TargetAnswer::Failed(detail)) => TaskEnd::Failed {
+                reason: ReasonCode::TargetFailed,
+                detail,
+            },
+            Err(cause) => TaskEnd::Failed {
+                reason: ReasonCode::TargetLost,
+                detail: cause.to_string(),
+            },
+        };
+        if !matches!(end, TaskEnd::Done(_)) {
+            self.metrics.failures.inc();
+            let key = format_key(&id.key);
+            log::warn!(key = key, task = id.index; "a task did not end well: {end:?}");
+        }
+        let now = unix_now();
+        let starts = self
+            .execution
+            .with(move |execution| execution.finish(&id, end, now))
+            .await;
+        self.spawn_starts(starts);
+    }
+
+    /// Drops what is past its time, as long as the process lives.
+    pub(crate) async fn collect(self) {
+        loop {
+            sleep(COLLECT_INTERVAL).await;
+            let now = unix_now();
+            self.execution
+                .post(move |execution| execution.collect_expired(now));
+        }
+    }
+
+    /// Returns what waits and ends what runs.
+    pub(crate) async fn drain(self) {
+        self.execution.with(Execution::begin_leaving).await;
+        let count_running = |execution: &mut Execution| execution.fence().running();
+        while self.execution.with(count_running).await > 0 {
+            sleep(DRAIN_POLL).await;
+        }
+    }
+}
+
+/// Waits for one report and takes what else is there; `None` when all have come.
+async fn receive_batch(reports: &mut mpsc::Receiver<TaskReport>) -> Option<Vec<TaskReport>> {
+    let mut batch = vec![reports.recv().await?];
+    while let Ok(report) = reports.try_recv() {
+        batch.push(report);
+    }
+    Some(batch)
+}
--- /dev/null
+++ b/crates/cloverfold_execute/src/target_client.rs
@@ -0,0 +1,147 @@
+//! The guard's side of the HTTP protocol with its target; see `docs/TARGETS.md`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cloverfold_core::{TaskId, format_key};
+use cloverfold_settings::TargetSettings;
+use http::{Method, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use tokio::sync::Semaphore;
+use volo_http::body::Body;
+use volo_http::client::{Client, ClientBuilder};
+
+/// Largest result of a task, in bytes.
+const MAX_RESULT_LEN: usize = 1024 * 1024;
+/// A pooled connection is dropped before a usual server would close it under a request.
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Header with which a target proves that it did not start a task.
+const NOT_STARTED_HEADER: &str = "cloverfold-not-started";
+
+/// What a target answers to a start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TargetAnswer {
+    /// The task ended well with this result.
+    Done(Vec<u8>),
+    /// The target says that it did not start the task.
+    NotStarted,
+    /// The task failed; carries the status and the beginning of the body.
+    Failed(String),
+}
+
+/// Why a start brought no answer; the task may have run.
+#[derive(Debug, thiserror::Error)]
+pub enum TargetError {
+    /// The request cannot be built: a mistake in the settings.
+    #[error("the client cannot be built: {0}")]
+    Build(String),
+    /// The connection broke or could not be opened.
+    #[error("the target did not answer: {0}")]
+    Connection(String),
+    /// The task ran longer than it may.
+    #[error("the target did not answer within {0:?}")]
+    Timeout(Duration),
+    /// The result is larger than a result may be, or broke off.
+    #[error("the result could not be read: {0}")]
+    Result(String),
+}
+
+/// Pooled connections to one target.
+#[derive(Clone)]
+pub struct TargetClient {
+    client: Client<Body>,
+    address: SocketAddr,
+    timeout: Duration,
+    can_cancel: bool,
+    connections: Arc<Semaphore>,
+}
+
+impl TargetClient {
+    /// Builds a client from the target's settings.
+    ///
+    /// # Errors
+    ///
+    /// Says why the library cannot build it.
+    pub fn new(settings: &TargetSettings) -> Result<Self, TargetError> {
+        let mut builder = ClientBuilder::new();
+        builder
+            .set_pool_idle_timeout(POOL_IDLE_TIMEOUT)
+            .set_max_idle_per_host(settings.connections)
+            .set_connect_timeout(CONNECT_TIMEOUT);
+        let client = builder
+            .build()
+            .map_err(|e| TargetError::Build(e.to_string()))?;
+        Ok(Self {
+            client,
+            address: settings.address,
+            timeout: settings.task_timeout(),
+            can_cancel: settings.can_cancel,
+            connections: Arc::new(Semaphore::new(settings.connections)),
+        })
+    }
+
+    /// Starts a task and waits for its end.
+    ///
+    /// The request is sent once; a connection that breaks is never tried again, since the task may run.
+    ///
+    /// # Errors
+    ///
+    /// Says why there is no answer; whether the task ran is then unknown.
+    pub async fn start(&self, id: &TaskId, payload: Bytes) -> Result<TargetAnswer, TargetError> {
+        let exchange = self.exchange(Method::POST, id, payload);
+        let answer = tokio::time::timeout(self.timeout, exchange).await;
+        answer.unwrap_or(Err(TargetError::Timeout(self.timeout)))
+    }
+
+    /// Asks the target to stop a task, where it can.
+    pub async fn cancel(&self, id: &TaskId) {
+        if !self.can_cancel {
+            return;
+        }
+        let exchange = self.exchange(Method::DELETE, id, Bytes::new());
+        // A cancellation only saves work; a lost one changes no promise.
+        let _ = tokio::time::timeout(CANCEL_TIMEOUT, exchange).await;
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        id: &TaskId,
+        payload: Bytes,
+    ) -> Result<TargetAnswer, TargetError> {
+        let _permit = self.connections.acquire().await;
+        let key = format_key(&id.key);
+        let path = format!("http://{}/v1/tasks/{key}/{}", self.address, id.index);
+        let response = self
+            .client
+            .request(method, path)
+            .header("content-type", "application/json")
+            .body(Body::from(payload))
+            .send()
+            .await
+            .map_err(|e| TargetError::Connection(e.to_string()))?;
+        let status = response.status();
+        let says_not_started = response.headers().contains_key(NOT_STARTED_HEADER);
+        let body = Limited::new(response.into_body(), MAX_RESULT_LEN).collect();
+        let body = body.await.map_err(|e| TargetError::Result(e.to_string()))?;
+        Ok(judge_answer(status, says_not_started, &body.to_bytes()))
+    }
+}
+
+fn judge_answer(status: StatusCode, says_not_started: bool, body: &Bytes) -> TargetAnswer {
+    const SHOWN_LEN: usize = 200;
+    if status.is_success() {
+        TargetAnswer::Done(body.to_vec())
+    } else if says_not_started && status == StatusCode::SERVICE_UNAVAILABLE {
+        TargetAnswer::NotStarted
+    } else {
+        let shown = &body[..body.len().min(SHOWN_LEN)];
+        let shown = String::from_utf8_lossy(shown);
+        TargetAnswer::Failed(format!("the target answered {status}: {shown}"))
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_load/src/lib.rs
@@ -0,0 +1,16 @@
+//! Open-loop load and its report.
+//!
+//! Arrivals follow a schedule that does not wait for answers, so that a slow system cannot hide its slowness.
+//! Each answer's time is set against the ideal: the longest of the job's tasks plus the network's delay.
+
+mod client;
+mod metrics_reader;
+mod plan;
+mod report;
+mod run;
+
+pub use client::{CallerClient, CallerKey, JobAnswer, JobRequest, LoadError};
+pub use metrics_reader::{MetricsTotals, read_metrics};
+pub use plan::{LoadCustomer, LoadPlan};
+pub use report::{CustomerReport, LoadReport, WasteReport};
+pub use run::run_load;
--- /dev/null
+++ b/crates/cloverfold_load/src/report.rs
@@ -0,0 +1,215 @@
+//! What a run of load showed.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use crate::metrics_reader::MetricsTotals;
+
+/// Ratios are kept in thousandths.
+const RATIO_SCALE: f64 = 1_000.0;
+const LARGEST_RATIO: u64 = 10_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// One answered or failed job.
+pub(crate) struct Sample {
+    pub(crate) customer: usize,
+    pub(crate) is_counted: bool,
+    pub(crate) tasks: usize,
+    pub(crate) response: Duration,
+    pub(crate) ideal: Duration,
+    pub(crate) outcome: String,
+}
+
+/// What one customer got.
+#[derive(Clone, Debug)]
+pub struct CustomerReport {
+    /// Name of the customer.
+    pub customer: String,
+    /// Jobs by outcome.
+    pub outcomes: BTreeMap<String, u64>,
+    /// Tasks of complete jobs.
+    pub useful_tasks: u64,
+    /// `response / ideal` of complete jobs, in thousandths.
+    ratios: Histogram<u64>,
+}
+
+impl CustomerReport {
+    fn new(customer: String) -> Self {
+        let ratios = Histogram::new_with_max(LARGEST_RATIO, SIGNIFICANT_DIGITS);
+        Self {
+            customer,
+            outcomes: BTreeMap::new(),
+            useful_tasks: 0,
+            ratios: ratios.expect("the bounds are valid"),
+        }
+    }
+
+    /// Returns a quantile of `response / ideal`.
+    pub fn ratio_at(&self, quantile: f64) -> f64 {
+        self.ratios.value_at_quantile(quantile) as f64 / RATIO_SCALE
+    }
+
+    /// Returns the largest `response / ideal`.
+    pub fn largest_ratio(&self) -> f64 {
+        self.ratios.max() as f64 / RATIO_SCALE
+    }
+
+    /// Returns the number of jobs that were counted.
+    pub fn jobs(&self) -> u64 {
+        self.outcomes.values().sum()
+    }
+
+    fn note(&mut self, sample: &Sample) {
+        if sample.outcome == "complete" {
+            self.useful_tasks += sample.tasks as u64;
+        }
+        if !sample.is_counted {
+            return;
+        }
+        *self.outcomes.entry(sample.outcome.clone()).or_default() += 1;
+        if sample.outcome == "complete" {
+            let ratio = sample.response.as_secs_f64() / sample.ideal.as_secs_f64();
+            self.ratios.saturating_record((ratio * RATIO_SCALE) as u64);
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        for (outcome, count) in &other.outcomes {
+            *self.outcomes.entry(outcome.clone()).or_default() += count;
+        }
+        self.useful_tasks += other.useful_tasks;
+        self.ratios += &other.ratios;
+    }
+}
+
+/// What a run showed, by customer.
+#[derive(Clone, Debug)]
+pub struct LoadReport {
+    /// The customers.
+    pub customers: Vec<CustomerReport>,
+    /// How long the run took, to its last answer.
+    pub length: Duration,
+}
+
+impl LoadReport {
+    pub(crate) fn new(customers: Vec<String>) -> Self {
+        Self {
+            customers: customers.into_iter().map(CustomerReport::new).collect(),
+            length: Duration::ZERO,
+        }
+    }
+
+    pub(crate) fn note(&mut self, sample: &Sample) {
+        self.customers[sample.customer].note(sample);
+    }
+
+    /// Adds up all customers.
+    pub fn total(&self) -> CustomerReport {
+        let mut total = CustomerReport::new("all".into());
+        for customer in &self.customers {
+            total.add(customer);
+        }
+        total
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<14} {:>7} {:>7} {:>8} {:>8} {:>8}  response / ideal of complete jobs",
+            "customer", "jobs", "other", "p50", "p99", "max"
+        )?;
+        let total = self.total();
+        for report in self.customers.iter().chain([&total]) {
+            let complete = report.outcomes.get("complete").copied().unwrap_or(0);
+            writeln!(
+                f,
+                "{:<14} {:>7} {:>7} {:>8.3} {:>8.3} {:>8.3}",
+                report.customer,
+                report.jobs(),
+                report.jobs() - complete,
+                report.ratio_at(0.5),
+                report.ratio_at(0.99),
+                report.largest_ratio(),
+            )?;
+        }
+        let others = total
+            .outcomes
+            .iter()
+            .filter(|(name, _)| *name != "complete");
+        for (outcome, count) in others {
+            writeln!(f, "outcome {outcome}: {count}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Messages beside the useful ones, and all messages between processes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WasteReport {
+    /// Starts at targets whose job completed.
+    pub useful_starts: u64,
+    /// Starts at targets whose job did not complete.
+    pub wasted_sends: u64,
+    /// Assignments sent again and tasks asked back.
+    pub wasted_calls: u64,
+    /// Submissions sent to a further guard, and tasks tried again.
+    pub retries: u64,
+    /// Requests sent only to learn of load: the system has none, its reports ride on other messages.
+    pub probes: u64,
+    /// Requests between processes by message.
+    pub requests: Vec<(String, u64)>,
+}
+
+impl WasteReport {
+    /// Reads the counts out of the processes' metrics and the targets' journals.
+    pub fn gather(metrics: &MetricsTotals, starts: u64, useful_starts: u64) -> Self {
+        let count = |name: &str| metrics.sum_of_name(name) as u64;
+        let requests = metrics.list_series("cloverfold_peer_requests_total");
+        let requests = requests.into_iter().map(|(series, value)| {
+            let name = series.split('"').nth(1).unwrap_or(series);
+            (name.to_owned(), value as u64)
+        });
+        Self {
+            useful_starts,
+            wasted_sends: starts.saturating_sub(useful_starts),
+            wasted_calls: count("cloverfold_repeated_assigns_total")
+                + count("cloverfold_releases_total"),
+            retries: count("cloverfold_reroutes_total") + count("cloverfold_task_retries_total"),
+            probes: 0,
+            requests: requests.collect(),
+        }
+    }
+
+    /// Returns the wasted messages per useful start.
+    pub fn waste_per_start(&self) -> f64 {
+        let wasted = self.wasted_sends + self.wasted_calls + self.retries + self.probes;
+        wasted as f64 / self.useful_starts.max(1) as f64
+    }
+}
+
+impl fmt::Display for WasteReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let starts = self.useful_starts.max(1) as f64;
+        let rate = |count: u64| count as f64 / starts;
+        writeln!(
+            f,
+            "wasted messages per useful start: {:.4} (sends {:.4}, calls {:.4}, retries {:.4}, probes {:.4}; {} useful starts)",
+            self.waste_per_start(),
+            rate(self.wasted_sends),
+            rate(self.wasted_calls),
+            rate(self.retries),
+            rate(self.probes),
+            self.useful_starts,
+        )?;
+        write!(f, "requests between processes per useful start:")?;
+        for (name, count) in &self.requests {
+            write!(f, " {name} {:.3}", rate(*count))?;
+        }
+        writeln!(f)
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_load/src/run.rs
@@ -0,0 +1,145 @@
+//! Puts a plan's load on and gathers what comes back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+
+use crate::client::{CallerClient, JobRequest, LoadError};
+use crate::plan::{LoadCustomer, LoadPlan};
+use crate::report::{LoadReport, Sample};
+
+/// Answers that may wait to be noted.
+const SAMPLE_QUEUE: usize = 4_096;
+
+/// Puts the load on and waits for every answer.
+///
+/// # Errors
+///
+/// Says that the client cannot be built; failed requests are part of the report.
+pub async fn run_load(plan: &LoadPlan) -> Result<LoadReport, LoadError> {
+    let client = CallerClient::new()?;
+    let plan = Arc::new(plan.clone());
+    let (tx, mut samples) = mpsc::channel(SAMPLE_QUEUE);
+    let began = Instant::now();
+    for index in 0..plan.customers.len() {
+        tokio::spawn(submit_as_customer(
+            plan.clone(),
+            index,
+            client.clone(),
+            began,
+            tx.clone(),
+        ));
+    }
+    drop(tx);
+    let names = plan.customers.iter();
+    let names = names.map(|one| one.caller.customer.clone()).collect();
+    let mut report = LoadReport::new(names);
+    while let Some(sample) = samples.recv().await {
+        report.note(&sample);
+    }
+    report.length = began.elapsed();
+    Ok(report)
+}
+
+/// Submits one customer's jobs on schedule, whether or not earlier ones are answered.
+async fn submit_as_customer(
+    plan: Arc<LoadPlan>,
+    index: usize,
+    client: CallerClient,
+    began: Instant,
+    tx: mpsc::Sender<Sample>,
+) {
+    let mut rng = StdRng::seed_from_u64(plan.seed.wrapping_add(index as u64));
+    let customer = &plan.customers[index];
+    let mut at = Duration::ZERO;
+    let mut turn = index;
+    loop {
+        at += draw_gap(&mut rng, customer.jobs_per_s);
+        if at >= plan.length {
+            return;
+        }
+        let arrival = Arrival {
+            customer: index,
+            is_counted: at >= plan.warm_up,
+            due: began + at,
+            entry: plan.entries[turn % plan.entries.len()],
+        };
+        turn += 1;
+        let job = draw_job(&mut rng, &plan, customer);
+        sleep_until(arrival.due).await;
+        tokio::spawn(submit_one(
+            plan.clone(),
+            client.clone(),
+            arrival,
+            job,
+            tx.clone(),
+        ));
+    }
+}
+
+struct Arrival {
+    customer: usize,
+    is_counted: bool,
+    due: Instant,
+    entry: SocketAddr,
+}
+
+struct DrawnJob {
+    request: JobRequest,
+    longest: Duration,
+}
+
+async fn submit_one(
+    plan: Arc<LoadPlan>,
+    client: CallerClient,
+    arrival: Arrival,
+    job: DrawnJob,
+    tx: mpsc::Sender<Sample>,
+) {
+    let caller = &plan.customers[arrival.customer].caller;
+    let answer = client.submit(arrival.entry, caller, &job.request).await;
+    let sample = Sample {
+        customer: arrival.customer,
+        is_counted: arrival.is_counted,
+        tasks: job.request.tasks.len(),
+        // From the time at which the job was due, so that a late start counts as waiting.
+        response: arrival.due.elapsed(),
+        ideal: job.longest + plan.network_delay,
+        outcome: answer.map_or_else(|_| "no_answer".into(), |answer| answer.outcome),
+    };
+    // The report outlives every submission.
+    let _ = tx.send(sample).await;
+}
+
+fn draw_gap(rng: &mut StdRng, per_s: f64) -> Duration {
+    let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+    Duration::from_secs_f64(-uniform.ln() / per_s)
+}
+
+fn draw_job(rng: &mut StdRng, plan: &LoadPlan, customer: &LoadCustomer) -> DrawnJob {
+    let (least, most) = customer.job_size;
+    let size = rng.random_range(least..=most);
+    let (shortest, longest) = plan.task_duration;
+    let mut job_longest = 0;
+    let mut tasks = Vec::with_capacity(size);
+    for _ in 0..size {
+        let range = shortest.as_millis() as u64..=longest.as_millis() as u64;
+        let duration_ms = rng.random_range(range);
+        job_longest = job_longest.max(duration_ms);
+        tasks.push(json!({ "duration_ms": duration_ms }));
+    }
+    DrawnJob {
+        request: JobRequest {
+            service: plan.service.clone(),
+            tasks,
+            ..JobRequest::default()
+        },
+        longest: Duration::from_millis(job_longest),
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_membership/src/membership.rs
@@ -0,0 +1,195 @@
+//! What this process knows of the cell's guards.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use cloverfold_app::{Control, ControlState, Lifecycle, Phase};
+use cloverfold_core::{
+    Candidate, GuardId, Incarnation, MemberPhase, MemberReport, MemberTable, Placement,
+};
+use cloverfold_net::{Network, PeerAddress};
+use cloverfold_settings::CellSettings;
+
+/// A guard from which nothing was heard for this long gets no new task.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Where each guard of the cell is reached.
+#[derive(Clone, Debug)]
+pub struct Directory {
+    addresses: BTreeMap<GuardId, PeerAddress>,
+}
+
+impl Directory {
+    /// Reads the addresses out of the cell's settings.
+    pub fn new(cell: &CellSettings) -> Self {
+        let addresses = cell.guards.iter().map(|place| {
+            let address = PeerAddress {
+                name: format!("guard-{}", place.id),
+                address: place.address,
+            };
+            (place.id, address)
+        });
+        Self {
+            addresses: addresses.collect(),
+        }
+    }
+
+    /// Returns where a guard is reached.
+    pub fn address_of(&self, guard: GuardId) -> Option<&PeerAddress> {
+        self.addresses.get(&guard)
+    }
+
+    /// Lists the guards.
+    pub fn guards(&self) -> impl Iterator<Item = GuardId> + '_ {
+        self.addresses.keys().copied()
+    }
+}
+
+/// Load of this process's own target, kept up to date by the capability that runs tasks.
+#[derive(Debug, Default)]
+pub struct OwnLoad {
+    running: AtomicU32,
+    queued: AtomicU32,
+}
+
+impl OwnLoad {
+    /// Notes the present load.
+    pub fn set(&self, running: usize, queued: usize) {
+        self.running.store(running as u32, Ordering::Relaxed);
+        self.queued.store(queued as u32, Ordering::Relaxed);
+    }
+}
+
+/// The guard that this process is.
+#[derive(Debug)]
+pub(crate) struct OwnMember {
+    pub(crate) placement: Placement,
+    pub(crate) slots: u32,
+    pub(crate) load: Arc<OwnLoad>,
+    pub(crate) lifecycle: Lifecycle,
+    pub(crate) sequence: AtomicU64,
+}
+
+/// Shared knowledge of the cell's guards.
+#[derive(Clone)]
+pub struct Membership {
+    started: Instant,
+    table: ControlState<MemberTable>,
+    network: Network,
+    directory: Arc<Directory>,
+    own: Option<Arc<OwnMember>>,
+}
+
+impl Membership {
+    pub(crate) fn new(
+        control: &Control,
+        network: Network,
+        directory: Arc<Directory>,
+        own: Option<Arc<OwnMember>>,
+    ) -> Self {
+        Self {
+            started: Instant::now(),
+            table: control.own(MemberTable::default()),
+            network,
+            directory,
+            own,
+        }
+    }
+
+    /// Makes a fresh report of this guard; `None` in a process that is no guard.
+    pub fn own_report(&self) -> Option<MemberReport> {
+        let own = self.own.as_ref()?;
+        let phase = match own.lifecycle.phase() {
+            Phase::Serving => MemberPhase::Live,
+            Phase::Draining | Phase::Stopped => MemberPhase::Leaving,
+        };
+        Some(MemberReport {
+            placement: own.placement,
+            sequence: own.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            phase,
+            running: own.load.running.load(Ordering::Relaxed),
+            queued: own.load.queued.load(Ordering::Relaxed),
+            slots: own.slots,
+        })
+    }
+
+    /// Takes in reports, from heartbeats or from messages that carried them.
+    ///
+    /// The connection to a guard that turns out to have restarted is forgotten, since nothing answers on it.
+    pub fn absorb(&self, reports: Vec<MemberReport>) {
+        let now = self.started.elapsed();
+        let network = self.network.clone();
+        let directory = self.directory.clone();
+        self.table.post(move |table| {
+            for report in reports {
+                let guard = report.placement.guard;
+                if table.absorb(report, now)
+                    && let Some(address) = directory.address_of(guard)
+                {
+                    network.forget_connection(address);
+                }
+            }
+        });
+    }
+
+    /// Lists what is known of every guard, this one freshly.
+    pub async fn list_reports(&self) -> Vec<MemberReport> {
+        let own = self.own_report();
+        let now = self.started.elapsed();
+        self.table
+            .with(move |table| {
+                if let Some(own) = own {
+                    table.absorb(own, now);
+                }
+                table.reports()
+            })
+            .await
+    }
+
+    /// Lists the guards that can take work, with their load.
+    pub async fn list_candidates(&self) -> Vec<Candidate> {
+        let own = self.own_report();
+        let now = self.started.elapsed();
+        self.table
+            .with(move |table| {
+                if let Some(own) = own {
+                    table.absorb(own, now);
+                }
+                table.list_candidates(now, SILENCE_LIMIT)
+            })
+            .await
+    }
+
+    /// Notes that this process sends tasks to guards; one entry per task.
+    pub fn charge(&self, guards: Vec<GuardId>) {
+        self.table.post(move |table| {
+            for guard in guards {
+                table.charge(guard, 1);
+            }
+        });
+    }
+
+    /// Notes that a guard could not be reached, so that it gets nothing new until it is heard again.
+    pub fn suspect(&self, placement: Placement) {
+        self.table.post(move |table| table.suspect(placement));
+    }
+
+    /// Returns the newest life known of a guard.
+    pub async fn newest_incarnation(&self, guard: GuardId) -> Option<Incarnation> {
+        let find = move |table: &mut MemberTable| {
+            let report = table.report_of(guard);
+            report.map(|report| report.placement.incarnation)
+        };
+        self.table.with(find).await
+    }
+
+    /// Lists the guards that take work and were heard of lately, among those given and in their order.
+    pub async fn keep_usable(&self, guards: Vec<GuardId>) -> Vec<GuardId> {
+        let candidates = self.list_candidates().await;
+        let is_usable =
+            |guard: &GuardId| candidates.iter().any(|one| one.placement.guard == *guard);
+        guards.into_iter().filter(is_usable).collect()
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_membership/src/messages.rs
@@ -0,0 +1,18 @@
+//! Messages between processes about who is alive.
+
+use cloverfold_core::MemberReport;
+use cloverfold_net::Message;
+use serde::{Deserialize, Serialize};
+
+/// What the sender knows of the cell's guards; answered with what the receiver knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The newest report of each guard that the sender heard of.
+    pub reports: Vec<MemberReport>,
+}
+
+impl Message for Heartbeat {
+    const KIND: u16 = 1;
+    const NAME: &'static str = "heartbeat";
+    type Reply = Vec<MemberReport>;
+}
--- /dev/null
+++ b/crates/cloverfold_membership/src/plugin.rs
@@ -0,0 +1,130 @@
+//! Registers heartbeats with a process.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use cloverfold_app::{App, BuildError, Lifecycle, Phase, Plugin, random_u64};
+use cloverfold_core::{GuardId, Placement};
+use cloverfold_net::{Network, Peer, PeerRole};
+use cloverfold_settings::CellSettings;
+use tokio::time::sleep;
+
+use crate::membership::{Directory, Membership, OwnLoad, OwnMember};
+use crate::messages::Heartbeat;
+
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Peers that a guard sends each heartbeat to.
+const FANOUT: usize = 2;
+
+/// Adds [`Membership`], [`Directory`] and [`OwnLoad`]; needs [`CellSettings`].
+pub struct MembershipPlugin {
+    /// The guard that this process is and its number of slots, if it is one.
+    pub own: Option<(Placement, u32)>,
+}
+
+impl Plugin for MembershipPlugin {
+    fn build(self, app: &mut App) -> Result<(), BuildError> {
+        let cell = app.resource::<CellSettings>()?;
+        let directory = app.insert_resource(Directory::new(&cell));
+        let load = app.insert_resource(OwnLoad::default());
+        let own = self.own.map(|(placement, slots)| {
+            Arc::new(OwnMember {
+                placement,
+                slots,
+                load,
+                lifecycle: app.lifecycle(),
+                sequence: AtomicU64::new(0),
+            })
+        });
+        let membership = Membership::new(&app.control(), app.network(), directory.clone(), own);
+        app.insert_resource(membership.clone());
+
+        let served = membership.clone();
+        app.router().register(
+            &[PeerRole::Entry, PeerRole::Guard, PeerRole::Operator],
+            move |_peer: Peer, heartbeat: Heartbeat| {
+                let membership = served.clone();
+                async move {
+                    membership.absorb(heartbeat.reports);
+                    membership.list_reports().await
+                }
+            },
+        );
+
+        let gossip = Gossip {
+            network: app.network(),
+            directory,
+            membership,
+            own: self.own.map(|(placement, _)| placement.guard),
+        };
+        app.add_drain_step(gossip.clone().announce_leaving());
+        app.add_task(gossip.run(app.lifecycle()));
+        Ok(())
+    }
+}
+
+#[derive(Clone)]
+struct Gossip {
+    network: Network,
+    directory: Arc<Directory>,
+    membership: Membership,
+    own: Option<GuardId>,
+}
+
+impl Gossip {
+    async fn run(self, lifecycle: Lifecycle) {
+        while lifecycle.phase() != Phase::Stopped {
+            for guard in self.draw_peers(FANOUT) {
+                tokio::spawn(self.clone().exchange(guard));
+            }
+            sleep(HEARTBEAT_INTERVAL).await;
+        }
+    }
+
+    /// Tells every peer at once, since new work must stop within seconds.
+    async fn announce_leaving(self) {
+        if self.own.is_none() {
+            return;
+        }
+        let peers = self.list_peers();
+        let exchanges = peers.into_iter().map(|guard| self.clone().exchange(guard));
+        let mut set = tokio::task::JoinSet::new();
+        for exchange in exchanges {
+            set.spawn(exchange);
+        }
+        set.join_all().await;
+    }
+
+    fn list_peers(&self) -> Vec<GuardId> {
+        let others = self.directory.guards();
+        others.filter(|guard| Some(*guard) != self.own).collect()
+    }
+
+    fn draw_peers(&self, count: usize) -> Vec<GuardId> {
+        let mut peers = self.list_peers();
+        let mut drawn = Vec::with_capacity(count);
+        while drawn.len() < count && !peers.is_empty() {
+            let index = (random_u64() % peers.len() as u64) as usize;
+            drawn.push(peers.swap_remove(index));
+        }
+        drawn
+    }
+
+    async fn exchange(self, guard: GuardId) {
+        let Some(address) = self.directory.address_of(guard) else {
+            return;
+        };
+        let reports = self.membership.list_reports().await;
+        let heartbeat = Heartbeat { reports };
+        // A lost heartbeat needs no answer of its own: the silence shows.
+        if let Ok(reports) = self
+            .network
+            .call(address, &heartbeat, HEARTBEAT_TIMEOUT)
+            .await
+        {
+            self.membership.absorb(reports);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_net/src/lib.rs
@@ -0,0 +1,41 @@
+//! Mutually authenticated QUIC requests between cloverfold processes.
+//!
+//! A capability defines a [`Message`] with its number and reply type, registers a handler for it in a
+//! [`Router`], and sends it with [`Network::call`]. Each request has a QUIC stream of its own, so a late
+//! or crossed answer cannot reach another request. Both ends prove who they are with certificates of the
+//! same authority ([`make_key_set`]).
+//!
+//! ```
+//! use cloverfold_net::{Message, PeerRole, Router};
+//! use serde::{Deserialize, Serialize};
+//!
+//! #[derive(Serialize, Deserialize)]
+//! struct Ping;
+//! impl Message for Ping {
+//!     const KIND: u16 = 1;
+//!     const NAME: &'static str = "ping";
+//!     type Reply = u32;
+//! }
+//!
+//! let mut router = Router::default();
+//! router.register(&[PeerRole::Guard], |_peer, _ping: Ping| async { 7 });
+//! ```
+
+mod error;
+mod frame;
+mod keys;
+mod message;
+mod metrics;
+mod network;
+mod peer;
+mod router;
+mod tls;
+
+pub use error::{CallError, KeyError, NetError};
+pub use frame::MAX_MESSAGE_LEN;
+pub use keys::{AUTHORITY_NAME, KeyFiles, make_key_set};
+pub use message::Message;
+pub use metrics::NetMetrics;
+pub use network::{Network, NetworkConfig, Replies};
+pub use peer::{Peer, PeerAddress, PeerRole};
+pub use router::{ReplySink, Router};
--- /dev/null
+++ b/crates/cloverfold_net/src/metrics.rs
@@ -0,0 +1,77 @@
+//! Counts of messages and bytes between processes.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+
+/// Label that names a kind of message.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MessageLabel {
+    /// Name of the message.
+    pub message: String,
+}
+
+/// What a process sends to its peers.
+#[derive(Clone, Debug, Default)]
+pub struct NetMetrics {
+    requests: Family<MessageLabel, Counter>,
+    request_bytes: Family<MessageLabel, Counter>,
+    lost: Family<MessageLabel, Counter>,
+    handshakes: Counter,
+}
+
+impl NetMetrics {
+    /// Adds the counters to a process's metrics.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "peer_requests",
+            "Requests sent to other processes",
+            self.requests.clone(),
+        );
+        registry.register(
+            "peer_request_bytes",
+            "Bytes of requests sent to other processes",
+            self.request_bytes.clone(),
+        );
+        registry.register(
+            "peer_requests_lost",
+            "Requests without a reply",
+            self.lost.clone(),
+        );
+        registry.register(
+            "peer_handshakes",
+            "Connections opened to other processes",
+            self.handshakes.clone(),
+        );
+    }
+
+    pub(crate) fn count_request(&self, name: &str, bytes: usize) {
+        let label = MessageLabel {
+            message: name.into(),
+        };
+        self.requests.get_or_create(&label).inc();
+        self.request_bytes
+            .get_or_create(&label)
+            .inc_by(bytes as u64);
+    }
+
+    pub(crate) fn count_lost(&self, name: &str) {
+        let label = MessageLabel {
+            message: name.into(),
+        };
+        self.lost.get_or_create(&label).inc();
+    }
+
+    pub(crate) fn count_handshake(&self) {
+        self.handshakes.inc();
+    }
+
+    /// Returns how many requests of one kind were sent.
+    pub fn requests_of(&self, name: &str) -> u64 {
+        let label = MessageLabel {
+            message: name.into(),
+        };
+        self.requests.get_or_create(&label).get()
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_net/src/router.rs
@@ -0,0 +1,165 @@
+//! Dispatch of received requests to the capabilities' handlers.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use quinn::SendStream;
+use serde::Serialize;
+
+use crate::frame::{RequestFrame, Status, write_reply};
+use crate::message::Message;
+use crate::peer::{Peer, PeerRole};
+
+type HandlerFuture = Pin<Box<dyn Future<Output = ()> + Send>>;
+type HandlerFn = dyn Fn(Peer, &[u8], ReplySink) -> Result<HandlerFuture, Refusal> + Send + Sync;
+
+/// A request that no handler took, with the stream to say so on.
+pub(crate) struct Refusal {
+    status: Status,
+    sink: ReplySink,
+}
+
+struct Route {
+    roles: Vec<PeerRole>,
+    handler: Arc<HandlerFn>,
+}
+
+/// Where a handler writes its replies.
+pub struct ReplySink {
+    tx: SendStream,
+}
+
+impl ReplySink {
+    pub(crate) fn new(tx: SendStream) -> Self {
+        Self { tx }
+    }
+
+    /// Sends one reply; returns whether the stream still stands.
+    pub async fn send<T: Serialize>(&mut self, reply: &T) -> bool {
+        match write_reply(&mut self.tx, reply).await {
+            Ok(_) => true,
+            Err(cause) => {
+                log::debug!("a reply could not be sent: {cause}");
+                false
+            }
+        }
+    }
+
+    /// Ends the replies properly and waits until they have arrived; without it the peer sees the stream
+    /// break off.
+    pub async fn finish(mut self) {
+        if self.tx.finish().is_ok() {
+            // An error means that the connection is gone, which the peer sees by itself.
+            let _ = self.tx.stopped().await;
+        }
+    }
+
+    /// Waits until the peer no longer reads, because it was cancelled or its connection is gone.
+    pub async fn wait_for_abandonment(&mut self) {
+        let _ = self.tx.stopped().await;
+    }
+
+    async fn open(&mut self, status: Status) -> bool {
+        self.tx.write_all(&[status as u8]).await.is_ok()
+    }
+}
+
+/// The handlers of a process, by message.
+#[derive(Default)]
+pub struct Router {
+    routes: HashMap<u16, Route>,
+}
+
+impl Router {
+    /// Registers a handler with one reply for each request.
+    ///
+    /// # Panics
+    ///
+    /// Panics when another message with the same number is registered: a mistake in the program.
+    pub fn register<M, F, Fut>(&mut self, roles: &[PeerRole], handler: F)
+    where
+        M: Message,
+        M::Reply: Sync,
+        F: Fn(Peer, M) -> Fut + Send + Sync + 'static,
+        Fut: Future<Output = M::Reply> + Send + 'static,
+    {
+        let handler = Arc::new(handler);
+        self.register_streaming(roles, move |peer, message: M, mut sink: ReplySink| {
+            let handler = handler.clone();
+            async move {
+                let reply = handler(peer, message).await;
+                if sink.send(&reply).await {
+                    sink.finish().await;
+                }
+            }
+        });
+    }
+
+    /// Registers a handler that sends its replies itself.
+    ///
+    /// # Panics
+    ///
+    /// Panics when another message with the same number is registered: a mistake in the program.
+    pub fn register_streaming<M, F, Fut>(&mut self, roles: &[PeerRole], handler: F)
+    where
+        M: Message,
+        F: Fn(Peer, M, ReplySink) -> Fut + Send + Sync + 'static,
+        Fut: Future<Output = ()> + Send + 'static,
+    {
+        let handler = Arc::new(handler);
+        let erased = move |peer: Peer, body: &[u8], mut sink: ReplySink| {
+            let Ok(message) = postcard::from_bytes::<M>(body) else {
+                return Err(Refusal {
+                    status: Status::BadBody,
+                    sink,
+                });
+            };
+            let handler = handler.clone();
+            let run = async move {
+                if sink.open(Status::Ok).await {
+                    handler(peer, message, sink).await;
+                }
+            };
+            Ok(Box::pin(run) as HandlerFuture)
+        };
+        let route = Route {
+            roles: roles.to_vec(),
+            handler: Arc::new(erased),
+        };
+        let earlier = self.routes.insert(M::KIND, route);
+        assert!(
+            earlier.is_none(),
+            "message number {} is registered twice",
+            M::KIND
+        );
+    }
+
+    /// Runs the handler of a request, or refuses it.
+    pub(crate) async fn dispatch(&self, peer: Peer, frame: RequestFrame<'_>, sink: ReplySink) {
+        let started = match self.routes.get(&frame.kind) {
+            None => Err(Refusal {
+                status: Status::UnknownKind,
+                sink,
+            }),
+            Some(route) if !route.roles.contains(&peer.role) => Err(Refusal {
+                status: Status::Forbidden,
+                sink,
+            }),
+            Some(route) => (route.handler)(peer, frame.body, sink),
+        };
+        match started {
+            Ok(run) => run.await,
+            Err(refusal) => refuse(refusal.status, refusal.sink).await,
+        }
+    }
+}
+
+/// Tells the peer that its request was not handled.
+pub(crate) async fn refuse(status: Status, mut sink: ReplySink) {
+    log::warn!("a request from a peer was refused: {status:?}");
+    if sink.open(status).await {
+        sink.finish().await;
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_process/src/entry.rs
@@ -0,0 +1,33 @@
+//! The entry process.
+
+use cloverfold_app::{App, Running};
+use cloverfold_entry::EntryPlugin;
+use cloverfold_membership::MembershipPlugin;
+use cloverfold_net::{Network, NetworkConfig};
+use cloverfold_settings::{CellSettings, EntrySettings, read_settings};
+
+use crate::error::ProcessError;
+use crate::guard::key_files;
+
+/// Starts an entry.
+///
+/// # Errors
+///
+/// Says which file, address or key is unusable.
+pub async fn start_entry(settings: EntrySettings) -> Result<Running, ProcessError> {
+    let cell: CellSettings = read_settings(&settings.cell)?;
+    let network = Network::bind(
+        settings.peer_address,
+        &key_files(&settings.keys),
+        NetworkConfig::default(),
+        Default::default(),
+    )?;
+    let http_address = settings.http_address;
+    let name = settings.name.clone();
+    let mut app = App::new(&name, network)?;
+    app.insert_resource(cell);
+    app.insert_resource(settings);
+    app.add_plugin(MembershipPlugin { own: None })?
+        .add_plugin(EntryPlugin)?;
+    Ok(app.start(http_address).await?)
+}
--- /dev/null
+++ b/crates/cloverfold_process/src/guard.rs
@@ -0,0 +1,54 @@
+//! The guard process.
+
+use cloverfold_app::{App, Running, unix_now};
+use cloverfold_claim::ClaimPlugin;
+use cloverfold_coordinate::CoordinatePlugin;
+use cloverfold_core::Placement;
+use cloverfold_execute::ExecutePlugin;
+use cloverfold_membership::MembershipPlugin;
+use cloverfold_net::{KeyFiles, Network, NetworkConfig};
+use cloverfold_settings::{CellSettings, GuardSettings, KeySettings, read_settings};
+
+use crate::error::ProcessError;
+
+/// Starts a guard; its life begins now.
+///
+/// # Errors
+///
+/// Says which file, address or key is unusable.
+pub async fn start_guard(settings: GuardSettings) -> Result<Running, ProcessError> {
+    let cell: CellSettings = read_settings(&settings.cell)?;
+    if !cell.guards.iter().any(|place| place.id == settings.id) {
+        return Err(ProcessError::UnknownGuard(settings.id));
+    }
+    let own = Placement {
+        guard: settings.id,
+        incarnation: unix_now().as_micros() as u64,
+    };
+    let network = Network::bind(
+        settings.peer_address,
+        &key_files(&settings.keys),
+        NetworkConfig::default(),
+        Default::default(),
+    )?;
+    let http_address = settings.http_address;
+    let slots = settings.target.slots as u32;
+    let mut app = App::new(&format!("guard-{}", settings.id), network)?;
+    app.insert_resource(cell);
+    app.insert_resource(settings);
+    app.add_plugin(MembershipPlugin {
+        own: Some((own, slots)),
+    })?
+    .add_plugin(ClaimPlugin { own })?
+    .add_plugin(ExecutePlugin { own })?
+    .add_plugin(CoordinatePlugin)?;
+    Ok(app.start(http_address).await?)
+}
+
+pub(crate) fn key_files(keys: &KeySettings) -> KeyFiles {
+    KeyFiles {
+        authority: keys.authority.clone(),
+        certificate: keys.certificate.clone(),
+        private_key: keys.private_key.clone(),
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_process/src/operator.rs
@@ -0,0 +1,32 @@
+//! What an operator's command needs to speak to the guards.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+
+use cloverfold_net::{KeyFiles, Network, NetworkConfig, PeerAddress};
+use cloverfold_settings::CellSettings;
+
+use crate::error::ProcessError;
+
+/// Opens an endpoint with an operator's keys; must be called within a runtime.
+///
+/// # Errors
+///
+/// Says which key file is unusable.
+pub fn open_operator_network(folder: &Path, name: &str) -> Result<Network, ProcessError> {
+    let any = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+    let keys = KeyFiles::in_folder(folder, name);
+    let config = NetworkConfig::default();
+    Ok(Network::bind(any, &keys, config, Default::default())?)
+}
+
+/// Lists where the guards of a cell are reached.
+pub fn list_guard_addresses(cell: &CellSettings) -> Vec<PeerAddress> {
+    let guards = cell.guards.iter();
+    guards
+        .map(|place| PeerAddress {
+            name: format!("guard-{}", place.id),
+            address: place.address,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/cloverfold_settings/src/cell.rs
@@ -0,0 +1,224 @@
+//! The file that all processes of a cell share.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cloverfold_core::{Cell, GuardId, Location, PlacementPolicy};
+use serde::Deserialize;
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::document::{Check, FaultList};
+
+const KEY_HASH_LEN: usize = 32;
+const ALLOWED_REPLICAS: [usize; 3] = [1, 3, 5];
+
+/// Guards, services and customers of one cell.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CellSettings {
+    /// How many guards hold each claim: 1, 3 or 5.
+    #[serde(default = "default_replicas")]
+    pub replicas: usize,
+    /// For how long after its first submission a key is known, in milliseconds.
+    #[serde(default = "default_retention_ms")]
+    pub retention_ms: u64,
+    /// For how long answers and results are kept, in milliseconds.
+    #[serde(default = "default_retention_ms")]
+    pub answer_retention_ms: u64,
+    /// How tasks are placed.
+    #[serde(default)]
+    pub placement: PlacementPolicy,
+    /// The guards.
+    pub guards: Vec<GuardPlace>,
+    /// The services.
+    pub services: Vec<ServiceSettings>,
+    /// The customers.
+    pub customers: Vec<CustomerSettings>,
+}
+
+/// One guard and where it is reached.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GuardPlace {
+    /// Number of the guard, unique in the cell; its certificate names `guard-<id>`.
+    pub id: GuardId,
+    /// Name of the data hall.
+    pub hall: String,
+    /// Name of the rack.
+    pub rack: String,
+    /// UDP address at which other processes reach it.
+    pub address: SocketAddr,
+}
+
+/// A service that tasks can be submitted for.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSettings {
+    /// Name of the service.
+    pub name: String,
+}
+
+/// A customer that may submit.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CustomerSettings {
+    /// Name of the customer.
+    pub name: String,
+    /// SHA-256 of the customer's key, in hexadecimal.
+    pub key_sha256: String,
+    /// Share of the slots relative to other customers when all wait.
+    #[serde(default = "default_weight")]
+    pub weight: f64,
+}
+
+fn default_replicas() -> usize {
+    3
+}
+
+fn default_retention_ms() -> u64 {
+    600_000
+}
+
+fn default_weight() -> f64 {
+    1.0
+}
+
+impl CellSettings {
+    /// Builds the cell that the decisions work with.
+    pub fn build_cell(&self) -> Cell {
+        let locate = |place: &GuardPlace| Location {
+            guard: place.id,
+            hall: place.hall.clone(),
+            rack: place.rack.clone(),
+        };
+        Cell::new(self.guards.iter().map(locate).collect(), self.replicas)
+    }
+
+    /// Returns for how long after its first submission a key is known.
+    pub fn retention(&self) -> Duration {
+        Duration::from_millis(self.retention_ms)
+    }
+
+    /// Returns for how long answers and results are kept.
+    pub fn answer_retention(&self) -> Duration {
+        Duration::from_millis(self.answer_retention_ms)
+    }
+
+    /// Finds a customer by name.
+    pub fn find_customer(&self, name: &str) -> Option<&CustomerSettings> {
+        self.customers.iter().find(|one| one.name == name)
+    }
+
+    /// Finds a service by name.
+    pub fn find_service(&self, name: &str) -> Option<&ServiceSettings> {
+        self.services.iter().find(|one| one.name == name)
+    }
+}
+
+impl Check for CellSettings {
+    fn check(&self, faults: &mut FaultList) {
+        faults.add_if(
+            !ALLOWED_REPLICAS.contains(&self.replicas),
+            "replicas",
+            "must be 1, 3 or 5",
+        );
+        faults.add_if(
+            self.guards.len() < self.replicas,
+            "guards",
+            format!(
+                "needs at least as many guards as replicas ({})",
+                self.replicas
+            ),
+        );
+        faults.add_if(
+            self.retention_ms < 1_000,
+            "retention_ms",
+            "must be at least 1000",
+        );
+        faults.add_if(
+            self.answer_retention_ms > self.retention_ms,
+            "answer_retention_ms",
+            "must not be over retention_ms",
+        );
+        self.check_guards(faults);
+        self.check_names(faults);
+        for (index, customer) in self.customers.iter().enumerate() {
+            customer.check(&format!("customers[{index}]"), faults);
+        }
+    }
+}
+
+impl CellSettings {
+    fn check_guards(&self, faults: &mut FaultList) {
+        let mut ids = BTreeSet::new();
+        let mut addresses = BTreeSet::new();
+        for (index, guard) in self.guards.iter().enumerate() {
+            let field = |name: &str| format!("guards[{index}].{name}");
+            let is_known = !ids.insert(guard.id);
+            faults.add_if(is_known, field("id"), "is used by another guard");
+            let is_known = !addresses.insert(guard.address);
+            faults.add_if(is_known, field("address"), "is used by another guard");
+            faults.add_if(guard.hall.is_empty(), field("hall"), "must name a hall");
+            faults.add_if(guard.rack.is_empty(), field("rack"), "must name a rack");
+        }
+    }
+
+    fn check_names(&self, faults: &mut FaultList) {
+        let mut names = BTreeSet::new();
+        for (index, service) in self.services.iter().enumerate() {
+            let is_wrong = service.name.is_empty() || !names.insert(service.name.as_str());
+            let field = format!("services[{index}].name");
+            faults.add_if(is_wrong, field, "must be unique and not empty");
+        }
+        let mut names = BTreeSet::new();
+        for (index, customer) in self.customers.iter().enumerate() {
+            let is_wrong = customer.name.is_empty() || !names.insert(customer.name.as_str());
+            let field = format!("customers[{index}].name");
+            faults.add_if(is_wrong, field, "must be unique and not empty");
+        }
+    }
+}
+
+impl CustomerSettings {
+    fn check(&self, field: &str, faults: &mut FaultList) {
+        faults.add_if(
+            decode_key_hash(&self.key_sha256).is_none(),
+            format!("{field}.key_sha256"),
+            "must be 64 hexadecimal digits, as `cloverfold hash-key` prints them",
+        );
+        faults.add_if(
+            !(self.weight.is_finite() && self.weight > 0.0),
+            format!("{field}.weight"),
+            "must be a number above 0",
+        );
+    }
+}
+
+/// Hashes a caller's key into the form that settings hold.
+pub fn hash_caller_key(key: &str) -> String {
+    let hash = Sha256::digest(key.as_bytes());
+    hash.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Tells whether a key is the customer's, in a time that does not depend on where they differ.
+pub fn verify_caller_key(customer: &CustomerSettings, key: &str) -> bool {
+    let Some(expected) = decode_key_hash(&customer.key_sha256) else {
+        return false;
+    };
+    let given: [u8; KEY_HASH_LEN] = Sha256::digest(key.as_bytes()).into();
+    expected.ct_eq(&given).into()
+}
+
+fn decode_key_hash(text: &str) -> Option<[u8; KEY_HASH_LEN]> {
+    if text.len() != 2 * KEY_HASH_LEN || !text.is_ascii() {
+        return None;
+    }
+    let mut hash = [0; KEY_HASH_LEN];
+    for (index, byte) in hash.iter_mut().enumerate() {
+        let digits = text.get(2 * index..2 * index + 2)?;
+        *byte = u8::from_str_radix(digits, 16).ok()?;
+    }
+    Some(hash)
+}
--- /dev/null
+++ b/crates/cloverfold_settings/src/common.rs
@@ -0,0 +1,51 @@
+//! Settings that every role has.
+
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+
+/// Where the process finds its key files; paths are relative to the settings file.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KeySettings {
+    /// Certificate of the installation's authority.
+    pub authority: PathBuf,
+    /// The process's certificate.
+    pub certificate: PathBuf,
+    /// The process's private key.
+    pub private_key: PathBuf,
+}
+
+impl KeySettings {
+    /// Makes the paths absolute or relative to the working folder.
+    pub(crate) fn resolve(&mut self, folder: &Path) {
+        self.authority = folder.join(&self.authority);
+        self.certificate = folder.join(&self.certificate);
+        self.private_key = folder.join(&self.private_key);
+    }
+}
+
+/// How much is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Only what needs a person.
+    Error,
+    /// Also what may.
+    Warn,
+    /// Also changes of state.
+    #[default]
+    Info,
+    /// Also each step of each job.
+    Debug,
+}
+
+/// Where log lines go.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Least weight of what is logged.
+    pub level: LogLevel,
+    /// File that lines are appended to; standard error where there is none.
+    pub file: Option<PathBuf>,
+}
--- /dev/null
+++ b/crates/cloverfold_settings/src/document.rs
@@ -0,0 +1,171 @@
+//! Reading of a settings file and the place of each fault in it.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+use jsonc_parser::ast;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast, parse_to_serde_value};
+use serde::de::DeserializeOwned;
+
+/// Settings that can say what is impossible about their values.
+pub trait Check {
+    /// Adds a fault for each impossible value.
+    fn check(&self, faults: &mut FaultList);
+}
+
+/// One impossible value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The field, as in `guards[2].hall`.
+    pub field: String,
+    /// What is wrong, and what would be right.
+    pub message: String,
+}
+
+/// The faults found in one file.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FaultList(Vec<Fault>);
+
+impl FaultList {
+    /// Adds a fault when `is_wrong` holds.
+    pub fn add_if(&mut self, is_wrong: bool, field: impl Into<String>, message: impl Into<String>) {
+        if is_wrong {
+            self.0.push(Fault {
+                field: field.into(),
+                message: message.into(),
+            });
+        }
+    }
+
+    /// Lists the faults in the order in which they were found.
+    pub fn faults(&self) -> &[Fault] {
+        &self.0
+    }
+}
+
+/// Why settings cannot be used; its text names the file, the line and the field of each fault.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError {
+    file: PathBuf,
+    lines: Vec<FaultLine>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct FaultLine {
+    line: Option<usize>,
+    field: String,
+    message: String,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, fault) in self.lines.iter().enumerate() {
+            if index > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{}:", self.file.display())?;
+            if let Some(line) = fault.line {
+                write!(f, "{line}:")?;
+            }
+            if !fault.field.is_empty() {
+                write!(f, " {}:", fault.field)?;
+            }
+            write!(f, " {}", fault.message)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Says that the file cannot be read, or what [`parse_settings`] found.
+pub fn read_settings<T: DeserializeOwned + Check>(file: &Path) -> Result<T, SettingsError> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|e| single_error(file, None, "", format!("cannot be read: {e}")))?;
+    parse_settings(file, &text)
+}
+
+/// Checks the text of a settings file.
+///
+/// # Errors
+///
+/// Lists the first error of form, or all impossible values.
+pub fn parse_settings<T: DeserializeOwned + Check>(
+    file: &Path,
+    text: &str,
+) -> Result<T, SettingsError> {
+    let options = ParseOptions::default();
+    let form_error = |e: jsonc_parser::errors::ParseError| {
+        single_error(file, Some(e.line_display()), "", e.kind().to_string())
+    };
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &options).map_err(form_error)?;
+    let Some(root) = parsed.value else {
+        return Err(single_error(file, None, "", "the file is empty".into()));
+    };
+    let json: serde_json::Value = parse_to_serde_value(text, &options).map_err(form_error)?;
+    let settings: T = serde_path_to_error::deserialize(json).map_err(|e| {
+        let field = e.path().to_string();
+        let field = if field == "." { String::new() } else { field };
+        let line = find_line(text, &root, &field);
+        single_error(file, line, &field, e.inner().to_string())
+    })?;
+    let mut faults = FaultList::default();
+    settings.check(&mut faults);
+    if faults.0.is_empty() {
+        return Ok(settings);
+    }
+    let place = |fault: Fault| FaultLine {
+        line: find_line(text, &root, &fault.field),
+        field: fault.field,
+        message: fault.message,
+    };
+    Err(SettingsError {
+        file: file.into(),
+        lines: faults.0.into_iter().map(place).collect(),
+    })
+}
+
+fn single_error(file: &Path, line: Option<usize>, field: &str, message: String) -> SettingsError {
+    SettingsError {
+        file: file.into(),
+        lines: vec![FaultLine {
+            line,
+            field: field.into(),
+            message,
+        }],
+    }
+}
+
+/// Finds the line of a field like `guards[2].hall`, or of the innermost part of it that is there.
+fn find_line(text: &str, root: &ast::Value<'_>, field: &str) -> Option<usize> {
+    let mut value = root;
+    let mut position = root.range().start;
+    let parts = field.split(['.', '[', ']']).filter(|part| !part.is_empty());
+    for part in parts {
+        match value {
+            ast::Value::Object(object) => {
+                let Some(property) = object.get(part) else {
+                    break;
+                };
+                position = property.range.start;
+                value = &property.value;
+            }
+            ast::Value::Array(array) => {
+                let index: usize = part.parse().ok()?;
+                let Some(element) = array.elements.get(index) else {
+                    break;
+                };
+                position = element.range().start;
+                value = element;
+            }
+            _ => break,
+        }
+    }
+    let before = text.get(..position)?;
+    Some(before.matches('\n').count() + 1)
+}
--- /dev/null
+++ b/crates/cloverfold_solo/src/error.rs
@@ -0,0 +1,33 @@
+//! Why the solo system could not start or be measured.
+
+use cloverfold_claim::FoundError;
+use cloverfold_load::LoadError;
+use cloverfold_net::KeyError;
+use cloverfold_process::ProcessError;
+use cloverfold_settings::SettingsError;
+
+/// Why the solo system could not start or be measured.
+#[derive(Debug, thiserror::Error)]
+pub enum SoloError {
+    /// Files or sockets could not be made.
+    #[error("the solo system cannot be set up: {0}")]
+    System(#[from] std::io::Error),
+    /// Keys could not be made.
+    #[error(transparent)]
+    Key(#[from] KeyError),
+    /// The settings that were made are wrong.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A process could not start.
+    #[error(transparent)]
+    Process(#[from] ProcessError),
+    /// The cell could not be founded.
+    #[error(transparent)]
+    Found(#[from] FoundError),
+    /// Load could not be put on.
+    #[error(transparent)]
+    Load(#[from] LoadError),
+    /// Something did not become ready.
+    #[error("{0} did not become ready in time")]
+    NotReady(String),
+}
--- /dev/null
+++ b/crates/cloverfold_target/src/journal.rs
@@ -0,0 +1,71 @@
+//! Record of every start at a target.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+/// One start as the target saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StartRecord {
+    /// `<submission>/<index>`.
+    pub task: String,
+    /// When it started.
+    pub started_at: Instant,
+    /// When it ended, if it did.
+    pub ended_at: Option<Instant>,
+    /// Body of the task.
+    pub body: Vec<u8>,
+}
+
+/// Starts in their order; clones share one record.
+#[derive(Clone, Debug, Default)]
+pub struct Journal {
+    starts: Arc<Mutex<Vec<StartRecord>>>,
+}
+
+impl Journal {
+    /// Notes a start and returns its number.
+    pub fn note_start(&self, task: &str, body: &[u8]) -> usize {
+        let mut starts = self.lock();
+        starts.push(StartRecord {
+            task: task.into(),
+            started_at: Instant::now(),
+            ended_at: None,
+            body: body.to_vec(),
+        });
+        starts.len() - 1
+    }
+
+    /// Notes the end of a start.
+    pub fn note_end(&self, number: usize) {
+        if let Some(start) = self.lock().get_mut(number) {
+            start.ended_at = Some(Instant::now());
+        }
+    }
+
+    /// Lists all starts.
+    pub fn list_starts(&self) -> Vec<StartRecord> {
+        self.lock().clone()
+    }
+
+    /// Returns the number of starts.
+    pub fn count_starts(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Lists the tasks that started more than once, over several journals.
+    pub fn list_repeated<'a>(journals: impl IntoIterator<Item = &'a Journal>) -> Vec<String> {
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for journal in journals {
+            for start in journal.lock().iter() {
+                *counts.entry(start.task.clone()).or_default() += 1;
+            }
+        }
+        let repeated = counts.into_iter().filter(|(_, count)| *count > 1);
+        repeated.map(|(task, _)| task).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<StartRecord>> {
+        self.starts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
