Test the path with real processes behind the fault-injecting proxy

Cause: nothing proved the promises yet. Change: a proxy for TCP and UDP, a cluster of real processes in tests, a checker that reads the targets' journals and the callers' records (itself fed with each kind of fault), 26 cases of killed, restarted, cut-off and stopping processes, faulty links and bad input. Found and mended: ports drawn from the system's own range were taken by others between choice and use (now drawn below that range); an error without a field named the field '?'; a fresh key is drawn so that its whole group takes work.

--- /dev/null
+++ b/crates/cloverfold/tests/system/checker_tests.rs
@@ -0,0 +1,72 @@
+//! The checker finds each kind of broken promise that it is fed.
+
+use cloverfold_load::JobAnswer;
+use cloverfold_target::Journal;
+use serde_json::{Value, json};
+
+use crate::checker::{JobRecord, find_broken_promises, make_echo};
+
+fn answer(value: Value) -> JobAnswer {
+    serde_json::from_value(value).unwrap()
+}
+
+fn complete(job: &str, tasks: usize) -> JobAnswer {
+    let results: Vec<Value> = (0..tasks)
+        .map(|task| json!({ "echo": make_echo(job, task) }))
+        .collect();
+    answer(json!({ "outcome": "complete", "results": results }))
+}
+
+fn record(answers: Vec<JobAnswer>) -> JobRecord {
+    JobRecord {
+        job: "job".into(),
+        tasks: 2,
+        is_repeatable: false,
+        answers,
+    }
+}
+
+fn journal(started_tasks: &[usize]) -> Journal {
+    let journal = Journal::default();
+    for task in started_tasks {
+        let body = json!({ "echo": make_echo("job", *task) }).to_string();
+        journal.note_start("any", body.as_bytes());
+    }
+    journal
+}
+
+#[test]
+fn a_sound_record_passes() {
+    let records = [record(vec![complete("job", 2), complete("job", 2)])];
+
+    let broken = find_broken_promises(&records, &[&journal(&[0]), &journal(&[1])]);
+
+    assert_eq!(broken, Vec::<String>::new());
+}
+
+#[test]
+fn each_kind_of_fault_is_found() {
+    let not_run = || answer(json!({ "outcome": "not_run" }));
+    let partial = answer(json!({ "outcome": "failed", "results": [1] }));
+    let cases = [
+        (vec![], vec![0, 0], "started 2 times"),
+        (vec![not_run()], vec![1], "was not run with 1 starts"),
+        (vec![complete("job", 2)], vec![0], "complete with 1 starts"),
+        (vec![complete("job", 1)], vec![0, 1], "has 1 results"),
+        (vec![complete("other", 2)], vec![0, 1], "another's result"),
+        (vec![partial], vec![], "is partial"),
+        (
+            vec![complete("job", 2), not_run()],
+            vec![0, 1],
+            "both complete and not run",
+        ),
+    ];
+    for (answers, starts, expected) in cases {
+        let broken = find_broken_promises(&[record(answers)], &[&journal(&starts)]);
+
+        assert!(
+            broken.iter().any(|one| one.contains(expected)),
+            "{expected}: {broken:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/cloverfold/tests/system/drain.rs
@@ -0,0 +1,118 @@
+//! Planned stops.
+
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+
+use crate::cluster::{Cluster, Shape, TestJob};
+
+/// A target that starts to leave gets no new work after this.
+const LEAVING_BOUND: Duration = Duration::from_secs(2);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_guard_cuts_nothing_and_soon_starts_nothing() {
+    let mut cluster = Cluster::start(Shape::default()).await;
+    let victim = 4;
+    let jobs: Vec<_> = (0..120)
+        .map(|number| TestJob::new(&format!("drain-{number}"), 2, 100))
+        .collect();
+
+    let mut signalled_at = None;
+    let mut requests = Vec::new();
+    for (number, job) in jobs.iter().enumerate() {
+        if number == 40 {
+            cluster.signal_guard(victim, Signal::TERM);
+            signalled_at = Some(Instant::now());
+        }
+        requests.push(cluster.submit(number % 2, job));
+        if requests.len() == 10 {
+            for answer in futures_util::future::join_all(requests.drain(..)).await {
+                assert_eq!(answer.unwrap().outcome, "complete");
+            }
+        }
+    }
+    drop(requests);
+    let ended_well = cluster.wait_guard_end(victim).await;
+
+    assert!(ended_well);
+    let bound = signalled_at.unwrap() + LEAVING_BOUND;
+    let starts = cluster.targets[victim].journal().list_starts();
+    assert!(starts.iter().all(|start| start.started_at < bound));
+    assert!(starts.iter().all(|start| start.ended_at.is_some()));
+    cluster.check_promises();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_guard_hands_back_what_it_has_not_started() {
+    let shape = Shape {
+        guards: 3,
+        slots: 1,
+        ..Shape::default()
+    };
+    let mut cluster = Cluster::start(shape).await;
+    let job = TestJob::new("queued", 12, 300);
+
+    let answer = {
+        let request = cluster.submit(0, &job);
+        tokio::pin!(request);
+        tokio::select! {
+            _ = &mut request => panic!("the job ended before the stop"),
+            () = cluster.wait_starts(3) => {}
+        }
+        let group = cluster.group_of(&job);
+        cluster.signal_guard(group[2], Signal::TERM);
+        request.await.unwrap()
+    };
+    let victim = cluster.group_of(&job)[2];
+    let ended_well = cluster.wait_guard_end(victim).await;
+
+    assert!(ended_well);
+    assert_eq!(answer.outcome, "complete");
+    assert_eq!(cluster.targets[victim].journal().count_starts(), 1);
+    cluster.check_promises();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_coordinator_answers_its_jobs_first() {
+    let mut cluster = Cluster::start(Shape::default()).await;
+    let job = TestJob::new("coordinated", 10, 700);
+    let victim = cluster.group_of(&job)[0];
+
+    let answer = {
+        let request = cluster.submit(0, &job);
+        tokio::pin!(request);
+        tokio::select! {
+            _ = &mut request => panic!("the job ended before the stop"),
+            () = cluster.wait_starts(10) => {}
+        }
+        cluster.signal_guard(victim, Signal::TERM);
+        request.await.unwrap()
+    };
+    let ended_well = cluster.wait_guard_end(victim).await;
+
+    assert!(ended_well);
+    assert_eq!(answer.outcome, "complete");
+    cluster.check_promises();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_entry_answers_what_it_has() {
+    let mut cluster = Cluster::start(Shape::default()).await;
+    let job = TestJob::new("entered", 8, 700);
+
+    let answer = {
+        let request = cluster.submit(0, &job);
+        tokio::pin!(request);
+        tokio::select! {
+            _ = &mut request => panic!("the job ended before the stop"),
+            () = cluster.wait_starts(8) => {}
+        }
+        cluster.signal_entry(0, Signal::TERM);
+        request.await.unwrap()
+    };
+    let ended_well = cluster.wait_entry_end(0).await;
+
+    assert!(ended_well);
+    assert_eq!(answer.outcome, "complete");
+    cluster.check_promises();
+}
--- /dev/null
+++ b/crates/cloverfold/tests/system/link_faults.rs
@@ -0,0 +1,92 @@
+//! Links that delay, lose, repeat, reorder, fall silent and break.
+
+use std::time::Duration;
+
+use cloverfold_faults::Faults;
+use tokio::time::sleep;
+
+use crate::cluster::{Cluster, Shape, TestJob};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_repeated_and_reordered_datagrams_cross_no_answers() {
+    let cluster = Cluster::start(Shape::default()).await;
+    for link in &cluster.guard_links {
+        link.set(Faults {
+            delay: Duration::from_millis(2),
+            jitter: Duration::from_millis(20),
+            loss: 0.05,
+            duplication: 0.3,
+            is_silent: false,
+        });
+    }
+    let jobs: Vec<_> = (0..60)
+        .map(|number| TestJob::new(&format!("crossed-{number}"), 1 + number % 4, 20))
+        .collect();
+
+    let requests = jobs
+        .iter()
+        .enumerate()
+        .map(|(number, job)| cluster.submit(number % 2, job));
+    let answers = futures_util::future::join_all(requests).await;
+
+    for answer in answers {
+        assert_eq!(answer.unwrap().outcome, "complete");
+    }
+    cluster.check_promises();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_coordinator_cut_off_in_silence_is_replaced_and_may_return() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let victim = 0;
+    let names = (0..8).map(|number| cluster.name_job_for(victim, &format!("silent-{number}")));
+    let jobs: Vec<_> = names.map(|name| TestJob::new(&name, 1, 800)).collect();
+
+    let requests = jobs.iter().map(|job| cluster.submit(0, job));
+    let all = futures_util::future::join_all(requests);
+    tokio::pin!(all);
+    tokio::select! {
+        _ = &mut all => panic!("the jobs ended before the cut"),
+        () = cluster.wait_starts(8) => {}
+    }
+    cluster.set_isolation(victim, true);
+    let answers = all.await;
+    cluster.set_isolation(victim, false);
+    cluster.wait_ready().await;
+    let requests = jobs.iter().map(|job| cluster.submit(1, job));
+    let again = futures_util::future::join_all(requests).await;
+
+    let is_complete = |answer: &&Result<cloverfold_load::JobAnswer, _>| {
+        answer.as_ref().is_ok_and(|one| one.outcome == "complete")
+    };
+    assert!(answers.iter().filter(is_complete).count() > 0);
+    for answer in again {
+        let answer = answer.unwrap();
+        assert!(["complete", "failed"].contains(&answer.outcome.as_str()));
+    }
+    assert_eq!(cluster.count_starts(), 8);
+    cluster.check_promises();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_connection_to_the_target_is_never_tried_again() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let job = TestJob::new("broken", 10, 500);
+
+    let request = cluster.submit(0, &job);
+    tokio::pin!(request);
+    tokio::select! {
+        _ = &mut request => panic!("the job ended before the cut"),
+        () = cluster.wait_starts(10) => {}
+    }
+    for link in &cluster.target_links {
+        link.cut();
+    }
+    let answer = request.await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+
+    assert_eq!(answer.outcome, "failed");
+    assert_eq!(answer.error_code(), Some("target_lost"));
+    assert_eq!(cluster.count_starts(), 10);
+    cluster.check_promises();
+}
--- /dev/null
+++ b/crates/cloverfold/tests/system/whole_path.rs
@@ -0,0 +1,72 @@
+//! The path without faults.
+
+use crate::cluster::{Cluster, Shape, TestJob};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_is_answered_whole_and_again_without_a_second_start() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let job = TestJob::new("whole", 40, 30);
+
+    let first = cluster.submit(0, &job).await.unwrap();
+    let again = cluster.submit(1, &job).await.unwrap();
+    let state = cluster
+        .client
+        .query(cluster.entry_https[1], &cluster.caller, &job.name)
+        .await
+        .unwrap();
+
+    assert_eq!(first.outcome, "complete");
+    assert_eq!(first.results, again.results);
+    assert_eq!(state.outcome, "complete");
+    assert_eq!(cluster.count_starts(), 40);
+    cluster.check_promises();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_submission_through_two_entries_at_once_runs_once() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let job = TestJob::new("twins", 10, 100);
+
+    let (one, other) = tokio::join!(cluster.submit(0, &job), cluster.submit(1, &job));
+
+    assert_eq!(one.unwrap().outcome, "complete");
+    assert_eq!(other.unwrap().outcome, "complete");
+    assert_eq!(cluster.count_starts(), 10);
+    cluster.check_promises();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failing_task_fails_the_whole_job() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let mut request = TestJob::new("failing", 3, 20).request();
+    request.tasks[1]["fails"] = true.into();
+
+    let answer = cluster
+        .client
+        .submit(cluster.entry_https[0], &cluster.caller, &request)
+        .await
+        .unwrap();
+
+    assert_eq!(answer.outcome, "failed");
+    assert_eq!(answer.error_code(), Some("target_failed"));
+    assert!(answer.results.is_none());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_runs_before_the_cell_is_founded() {
+    let mut cluster = Cluster::start_unfounded(Shape::default()).await;
+    let job = TestJob::new("early", 2, 20);
+    let other = TestJob::new("later", 2, 20);
+
+    let early = cluster.submit(0, &job).await;
+    cluster.found().await;
+    cluster.wait_ready().await;
+    let later = cluster.submit(0, &other).await.unwrap();
+
+    if let Ok(early) = early {
+        assert_eq!(early.outcome, "unknown");
+    }
+    assert_eq!(later.outcome, "complete");
+    assert_eq!(cluster.count_starts(), 2);
+    cluster.check_promises();
+}
--- a/crates/cloverfold_app/src/logging.rs
+++ b/crates/cloverfold_app/src/logging.rs
@@ -11,6 +11,15 @@
 use log4rs::encode::json::JsonEncoder;
 
 const APPENDER: &str = "lines";
+/// Libraries that speak only when something is wrong.
+const LIBRARIES: [&str; 6] = [
+    "quinn",
+    "quinn_proto",
+    "rustls",
+    "hyper",
+    "volo",
+    "volo_http",
+];
 
 /// Why logging could not start.
 #[derive(Debug, thiserror::Error)]
@@ -41,11 +50,11 @@
         LogLevel::Debug => LevelFilter::Debug,
     };
     let appender = build_appender(settings.file.as_deref())?;
+    let library = |name: &&str| Logger::builder().build(*name, LevelFilter::Error);
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, appender))
-        // Libraries speak only when something is wrong.
-        .logger(Logger::builder().build("cloverfold", level))
-        .build(Root::builder().appender(APPENDER).build(LevelFilter::Error))
+        .loggers(LIBRARIES.iter().map(library))
+        .build(Root::builder().appender(APPENDER).build(level))
         .map_err(|e| LoggingError::Start(e.to_string()))?;
     log4rs::init_config(config).map_err(|e| LoggingError::Start(e.to_string()))?;
     Ok(())
--- a/crates/cloverfold_coordinate/src/driver.rs
+++ b/crates/cloverfold_coordinate/src/driver.rs
@@ -23,10 +23,9 @@
 
 /// Runs a job to its answer.
 pub(crate) async fn drive_job(coordinator: Coordinator, submit: Submit) -> Outcome {
+    let is_fresh_key = submit.is_fresh_key;
     let wanted = plan_job(&coordinator, &submit).await;
-    if submit.is_fresh_key
-        && let Some(reason) = wanted.refusal
-    {
+    if is_fresh_key && let Some(reason) = wanted.refusal {
         // Nobody else knows the key, so this guard alone can say that nothing runs under it.
         return refuse(reason);
     }
@@ -36,6 +35,8 @@
             Some(reason) => refuse(reason),
             None => drive_claim(coordinator, submit, &claim).await,
         },
+        // Nobody else can have run the one attempt that a fresh key ever has.
+        Err(_) if is_fresh_key => refuse(ReasonCode::NoQuorum),
         Err(cause) => explain_no_claim(cause),
     }
 }
--- a/crates/cloverfold_entry/src/api.rs
+++ b/crates/cloverfold_entry/src/api.rs
@@ -25,6 +25,8 @@
 const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 const BUSY_RETRY_MS: u64 = 500;
+/// Between a handler's end and the arrival of its answer at the caller.
+const ANSWER_FLUSH: Duration = Duration::from_millis(200);
 
 /// What the handlers share.
 pub(crate) struct Api {
@@ -84,7 +86,7 @@
             default_deadline: Duration::from_millis(self.settings.default_deadline_ms),
             max_deadline: Duration::from_millis(self.settings.max_deadline_ms),
         };
-        let fresh = format!("{:016x}{:016x}", random_u64(), random_u64());
+        let fresh = self.routing.draw_fresh_key(&customer.name).await;
         let now = unix_now();
         let checked = check_submission(&customer.name, &headers, &body, fresh, limits, now)?;
         if self.cell.find_service(&checked.service).is_none() {
@@ -161,6 +163,7 @@
         while self.in_flight.load(Ordering::Acquire) > 0 {
             sleep(DRAIN_POLL).await;
         }
+        sleep(ANSWER_FLUSH).await;
     }
 }
 
--- a/crates/cloverfold_entry/src/routing.rs
+++ b/crates/cloverfold_entry/src/routing.rs
@@ -4,7 +4,9 @@
 
 use cloverfold_app::{random_u64, unix_now};
 use cloverfold_coordinate::{JobState, Query, Submit, SubmitReply, Verdict};
-use cloverfold_core::{Cell, GuardId, Outcome, ReasonCode, SubmissionKey, format_key};
+use cloverfold_core::{
+    Cell, GuardId, Outcome, ReasonCode, SubmissionKey, derive_submission_key, format_key,
+};
 use cloverfold_membership::{Directory, Membership};
 use cloverfold_net::{CallError, Network};
 use std::sync::Arc;
@@ -67,6 +69,23 @@
         conclude_without_answer(was_lost || !submit.is_fresh_key)
     }
 
+    /// Draws a key for a caller that names none, if possible one whose whole group takes work now.
+    pub(crate) async fn draw_fresh_key(&self, customer: &str) -> String {
+        const DRAWS: usize = 8;
+        let mut key = draw_key();
+        for _ in 0..DRAWS {
+            let group = self
+                .cell
+                .choose_replica_group(&derive_submission_key(customer, &key));
+            let usable = self.membership.keep_usable(group.clone()).await;
+            if usable.len() == group.len() {
+                break;
+            }
+            key = draw_key();
+        }
+        key
+    }
+
     /// Orders a group by rendezvous rank, with those behind that are not known to take work.
     async fn order_group(&self, key: &SubmissionKey) -> Vec<GuardId> {
         let group = self.cell.choose_replica_group(key);
@@ -127,6 +146,10 @@
     }
 }
 
+fn draw_key() -> String {
+    format!("{:016x}{:016x}", random_u64(), random_u64())
+}
+
 /// Late and crossed answers must never reach another request.
 fn is_bound_to(reply: &SubmitReply, submit: &Submit) -> bool {
     reply.key == submit.submission.key && reply.attempt == submit.attempt
--- a/crates/cloverfold_entry/src/submission.rs
+++ b/crates/cloverfold_entry/src/submission.rs
@@ -140,7 +140,7 @@
         serde_path_to_error::deserialize(&mut deserializer).map_err(|e| Refusal {
             status: StatusCode::BAD_REQUEST,
             code: "bad_body",
-            field: Some(e.path().to_string()).filter(|path| path != "."),
+            field: name_field(e.path()),
             message: format!("the body is not a job: {}", e.inner()),
         })?;
     deserializer.end().map_err(|e| Refusal {
@@ -152,6 +152,13 @@
     Ok(parsed)
 }
 
+/// Names a field, where the error is about one and not about the whole body.
+fn name_field(path: &serde_path_to_error::Path) -> Option<String> {
+    const NO_FIELD: [&str; 2] = [".", "?"];
+    let name = path.to_string();
+    (!NO_FIELD.contains(&name.as_str())).then_some(name)
+}
+
 fn check_tasks(body: &JobBody<'_>) -> Result<(), Refusal> {
     let count = body.tasks.len();
     if count == 0 {
--- a/crates/cloverfold_membership/src/plugin.rs
+++ b/crates/cloverfold_membership/src/plugin.rs
@@ -8,6 +8,7 @@
 use cloverfold_core::{GuardId, Placement};
 use cloverfold_net::{Network, Peer, PeerRole};
 use cloverfold_settings::CellSettings;
+use prometheus_client::metrics::gauge::Gauge;
 use tokio::time::sleep;
 
 use crate::membership::{Directory, Membership, OwnLoad, OwnMember};
@@ -53,7 +54,14 @@
             },
         );
 
+        let live = Gauge::<i64>::default();
+        app.registry().register(
+            "members_live",
+            "Guards that this process takes for able to work",
+            live.clone(),
+        );
         let gossip = Gossip {
+            live,
             network: app.network(),
             directory,
             membership,
@@ -67,6 +75,7 @@
 
 #[derive(Clone)]
 struct Gossip {
+    live: Gauge<i64>,
     network: Network,
     directory: Arc<Directory>,
     membership: Membership,
@@ -80,6 +89,8 @@
                 tokio::spawn(self.clone().exchange(guard));
             }
             sleep(HEARTBEAT_INTERVAL).await;
+            let candidates = self.membership.list_candidates().await;
+            self.live.set(candidates.len() as i64);
         }
     }
 
--- a/crates/cloverfold_solo/src/lib.rs
+++ b/crates/cloverfold_solo/src/lib.rs
@@ -4,9 +4,13 @@
 //! tasks of this process, over the same sockets and protocols as separate processes.
 
 mod error;
+mod installation;
 mod measure;
+mod ports;
 mod system;
 
 pub use error::SoloError;
+pub use installation::{GuardAddresses, Installation, OPERATOR, SERVICE, SoloCustomer};
 pub use measure::{Measurement, measure_load};
-pub use system::{SERVICE, SoloConfig, SoloCustomer, SoloSystem};
+pub use ports::find_free_addresses;
+pub use system::{SoloConfig, SoloSystem};
--- a/crates/cloverfold_solo/src/measure.rs
+++ b/crates/cloverfold_solo/src/measure.rs
@@ -7,7 +7,8 @@
 };
 
 use crate::error::SoloError;
-use crate::system::{SERVICE, SoloSystem};
+use crate::installation::SERVICE;
+use crate::system::SoloSystem;
 
 const SHORTEST_TASK: Duration = Duration::from_millis(50);
 const LONGEST_TASK: Duration = Duration::from_millis(500);
