Never call a job not run after a coordinator of it was lost

Cause: for a key that the entry made, a guard without a quorum answered 'not run', because nobody else could have the submission. After a lost try somebody could: the test killed two of three guards under jobs without a key and found jobs with starts called not run. Change: the entry drops the mark of the sole attempt once a try was lost, and a guard does not keep an answer that rests on it, nor gives it to a caller that was elsewhere too. Conclusion: 'not run' needs the claim or a sole attempt, and both are now explicit in the code.

--- a/crates/cloverfold/tests/system/cluster.rs
+++ b/crates/cloverfold/tests/system/cluster.rs
@@ -59,6 +59,8 @@
     pub duration_ms: u64,
     pub repeat: Option<&'static str>,
     pub first_submitted_unix_ms: u64,
+    /// Whether the caller names a key.
+    pub has_key: bool,
 }
 
 impl TestJob {
@@ -70,6 +72,7 @@
             duration_ms,
             repeat: None,
             first_submitted_unix_ms: unix_ms(),
+            has_key: true,
         }
     }
 
@@ -81,8 +84,8 @@
             tasks: (0..self.tasks).map(task).collect(),
             repeat: self.repeat,
             deadline_ms: None,
-            first_submitted_unix_ms: Some(self.first_submitted_unix_ms),
-            idempotency_key: Some(self.name.clone()),
+            first_submitted_unix_ms: self.has_key.then_some(self.first_submitted_unix_ms),
+            idempotency_key: self.has_key.then(|| self.name.clone()),
         }
     }
 }
--- a/crates/cloverfold/tests/system/guard_faults.rs
+++ b/crates/cloverfold/tests/system/guard_faults.rs
@@ -264,3 +264,32 @@
     );
     cluster.check_promises();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_without_a_key_is_not_called_not_run_after_its_coordinator_was_lost() {
+    let shape = Shape {
+        guards: 3,
+        ..Shape::default()
+    };
+    let cluster = Cluster::start(shape).await;
+    let jobs: Vec<_> = (0..9)
+        .map(|number| {
+            let mut job = TestJob::new(&format!("keyless-{number}"), 3, 900);
+            job.has_key = false;
+            job
+        })
+        .collect();
+
+    let all = submit_all(&cluster, &jobs);
+    tokio::pin!(all);
+    tokio::select! {
+        _ = &mut all => panic!("the jobs ended before the guards were killed"),
+        () = cluster.wait_starts(20) => {}
+    }
+    cluster.signal_guard(0, rustix::process::Signal::KILL);
+    cluster.signal_guard(1, rustix::process::Signal::KILL);
+    let outcomes = all.await;
+
+    assert!(outcomes.iter().any(|outcome| outcome == "unknown"));
+    cluster.check_promises();
+}
--- a/crates/cloverfold_coordinate/src/coordinator.rs
+++ b/crates/cloverfold_coordinate/src/coordinator.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::driver::drive_job;
-use crate::jobs::{AnswerReceiver, AnswerSender, Jobs, Joining};
+use crate::jobs::{AnswerReceiver, AnswerSender, JobAnswer, Jobs, Joining};
 use crate::messages::{JobState, Query, QueryReply, Submit, SubmitReply, Verdict};
 use crate::plugin::CoordinateMetrics;
 
@@ -99,6 +99,7 @@
 
     async fn decide_submit(&self, submit: Submit) -> Verdict {
         let key = submit.submission.key;
+        let is_sole_attempt = submit.is_sole_attempt;
         if !self.inner.claims.can_vote(&key).await {
             return Verdict::NotHere(ReasonCode::NoQuorum);
         }
@@ -123,23 +124,21 @@
             }
         };
         match wait_for_answer(rx).await {
-            Some(outcome) => Verdict::Answered((*outcome).clone()),
+            // What this guard knows alone proves nothing for a caller that was elsewhere too.
+            Some(answer) if answer.rests_on_sole_attempt && !is_sole_attempt => {
+                Verdict::NotHere(ReasonCode::Unavailable)
+            }
+            Some(answer) => Verdict::Answered(answer.outcome.clone()),
             None => Verdict::NotHere(ReasonCode::Unavailable),
         }
     }
 
     async fn run_job(self, submit: Submit, tx: AnswerSender) {
         let key = submit.submission.key;
-        let outcome = drive_job(self.clone(), submit).await;
-        self.inner.metrics.count_job(&outcome);
-        if !matches!(outcome, Outcome::Complete { .. }) {
-            let shown = format_key(&key);
-            log::warn!(key = shown; "job ended: {outcome:?}");
-        } else {
-            let shown = format_key(&key);
-            log::debug!(key = shown; "job complete");
-        }
-        let kept = outcome.clone();
+        let answer = drive_job(self.clone(), submit).await;
+        self.inner.metrics.count_job(&answer.outcome);
+        log_answer(&key, &answer.outcome);
+        let kept = answer.clone();
         let retention = self.inner.cell.answer_retention();
         let now = unix_now();
         self.inner
@@ -147,7 +146,7 @@
             .with(move |jobs| jobs.finish(key, &kept, now, retention))
             .await;
         // Callers may all have gone; the answer is kept for those who ask again.
-        tx.send_replace(Some(Arc::new(outcome)));
+        tx.send_replace(Some(Arc::new(answer)));
     }
 
     /// Says what is known of a submission.
@@ -162,7 +161,7 @@
         if let Some(rx) = known {
             let answer = rx.borrow().clone();
             return match answer {
-                Some(outcome) => JobState::Answered((*outcome).clone()),
+                Some(answer) => JobState::Answered(answer.outcome.clone()),
                 None => JobState::Running,
             };
         }
@@ -199,7 +198,15 @@
     }
 }
 
-async fn wait_for_answer(mut rx: AnswerReceiver) -> Option<Arc<Outcome>> {
+fn log_answer(key: &SubmissionKey, outcome: &Outcome) {
+    let key = format_key(key);
+    match outcome {
+        Outcome::Complete { .. } => log::debug!(key = key; "job complete"),
+        _ => log::warn!(key = key; "job ended: {outcome:?}"),
+    }
+}
+
+async fn wait_for_answer(mut rx: AnswerReceiver) -> Option<Arc<JobAnswer>> {
     let answer = rx.wait_for(Option::is_some).await.ok()?;
     answer.clone()
 }
--- a/crates/cloverfold_coordinate/src/driver.rs
+++ b/crates/cloverfold_coordinate/src/driver.rs
@@ -14,6 +14,7 @@
 
 use crate::assignment::JobLink;
 use crate::coordinator::Coordinator;
+use crate::jobs::JobAnswer;
 use crate::messages::Submit;
 
 /// Events that may wait for the driver; a sender waits when it is full.
@@ -22,22 +23,24 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Runs a job to its answer.
-pub(crate) async fn drive_job(coordinator: Coordinator, submit: Submit) -> Outcome {
-    let is_fresh_key = submit.is_fresh_key;
+pub(crate) async fn drive_job(coordinator: Coordinator, submit: Submit) -> JobAnswer {
+    let is_sole_attempt = submit.is_sole_attempt;
     let wanted = plan_job(&coordinator, &submit).await;
-    if is_fresh_key && let Some(reason) = wanted.refusal {
-        // Nobody else knows the key, so this guard alone can say that nothing runs under it.
-        return refuse(reason);
+    if is_sole_attempt && let Some(reason) = wanted.refusal {
+        // No other guard has the submission, so this one alone can say that nothing runs.
+        return JobAnswer::of_sole_attempt(refuse(reason));
     }
     match coordinator.claims().agree(submit.submission, wanted).await {
-        Ok(claim) if claim.digest != submit.digest => refuse(ReasonCode::KeyConflict),
-        Ok(claim) => match claim.refusal {
+        Ok(claim) if claim.digest != submit.digest => {
+            JobAnswer::proved(refuse(ReasonCode::KeyConflict))
+        }
+        Ok(claim) => JobAnswer::proved(match claim.refusal {
             Some(reason) => refuse(reason),
             None => drive_claim(coordinator, submit, &claim).await,
-        },
-        // Nobody else can have run the one attempt that a fresh key ever has.
-        Err(_) if is_fresh_key => refuse(ReasonCode::NoQuorum),
-        Err(cause) => explain_no_claim(cause),
+        }),
+        // Without a claim nothing was assigned here, and there is nowhere else.
+        Err(_) if is_sole_attempt => JobAnswer::of_sole_attempt(refuse(ReasonCode::NoQuorum)),
+        Err(cause) => JobAnswer::proved(explain_no_claim(cause)),
     }
 }
 
--- a/crates/cloverfold_coordinate/src/jobs.rs
+++ b/crates/cloverfold_coordinate/src/jobs.rs
@@ -13,9 +13,36 @@
 const ANSWER_OVERHEAD: usize = 256;
 
 /// The answer of a job, once it is there.
-pub(crate) type AnswerReceiver = watch::Receiver<Option<Arc<Outcome>>>;
+pub(crate) type AnswerReceiver = watch::Receiver<Option<Arc<JobAnswer>>>;
 /// Where the driver of a job puts its answer.
-pub(crate) type AnswerSender = watch::Sender<Option<Arc<Outcome>>>;
+pub(crate) type AnswerSender = watch::Sender<Option<Arc<JobAnswer>>>;
+
+/// The answer of a job with what it rests on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct JobAnswer {
+    /// What the caller is told.
+    pub(crate) outcome: Outcome,
+    /// Whether it is true only as long as no other guard had the submission.
+    pub(crate) rests_on_sole_attempt: bool,
+}
+
+impl JobAnswer {
+    /// An answer that rests on the group's claim, or says that nothing is known.
+    pub(crate) fn proved(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            rests_on_sole_attempt: false,
+        }
+    }
+
+    /// An answer that rests on this guard alone having had the submission.
+    pub(crate) fn of_sole_attempt(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            rests_on_sole_attempt: true,
+        }
+    }
+}
 
 /// Jobs by key.
 #[derive(Debug, Default)]
@@ -88,12 +115,13 @@
     pub(crate) fn finish(
         &mut self,
         key: SubmissionKey,
-        outcome: &Outcome,
+        answer: &JobAnswer,
         now: UnixTime,
         retention: Duration,
     ) {
         self.running -= 1;
-        if matches!(outcome, Outcome::Unknown { .. }) {
+        let outcome = &answer.outcome;
+        if answer.rests_on_sole_attempt || matches!(outcome, Outcome::Unknown { .. }) {
             self.slots.remove(&key);
             return;
         }
--- a/crates/cloverfold_coordinate/src/messages.rs
+++ b/crates/cloverfold_coordinate/src/messages.rs
@@ -14,8 +14,9 @@
     pub submission: Submission,
     /// Number of this request, which its answer repeats.
     pub attempt: u64,
-    /// Whether the entry made the key itself, so that nobody else can know it.
-    pub is_fresh_key: bool,
+    /// Whether no other guard can have this submission: the entry made the key itself, and no earlier try
+    /// was lost.
+    pub is_sole_attempt: bool,
     /// Customer that submits.
     pub customer: CustomerId,
     /// Service that runs the tasks.
--- a/crates/cloverfold_entry/src/api.rs
+++ b/crates/cloverfold_entry/src/api.rs
@@ -171,7 +171,7 @@
     Submit {
         submission: checked.submission,
         attempt: random_u64(),
-        is_fresh_key: checked.is_fresh_key,
+        is_sole_attempt: checked.is_fresh_key,
         customer: customer.to_owned(),
         service: checked.service,
         digest: checked.digest,
--- a/crates/cloverfold_entry/src/routing.rs
+++ b/crates/cloverfold_entry/src/routing.rs
@@ -46,9 +46,8 @@
     ///
     /// Going to the next member cannot start a task twice: the group agrees on one claim for the key, and a
     /// second coordinator joins the tasks where they are.
-    pub(crate) async fn submit(&self, submit: Submit) -> Outcome {
+    pub(crate) async fn submit(&self, mut submit: Submit) -> Outcome {
         let key = submit.submission.key;
-        let mut was_lost = false;
         let mut is_first = true;
         for round in 0..ROUNDS {
             if round > 0 {
@@ -62,11 +61,11 @@
                 match self.try_guard(guard, &submit).await {
                     Try::Answered(outcome) => return outcome,
                     Try::NotTaken => {}
-                    Try::Lost => was_lost = true,
+                    Try::Lost => submit.is_sole_attempt = false,
                 }
             }
         }
-        conclude_without_answer(was_lost || !submit.is_fresh_key)
+        conclude_without_answer(!submit.is_sole_attempt)
     }
 
     /// Draws a key for a caller that names none, if possible one whose whole group takes work now.
