Property tests of claims, fences, jobs and queues; end moves that go round

Cause: a property test over jobs with several coordinators looped for ever: a task that place X had passed to Y and Y back to X was followed round and round, since both fences say 'released'. Change: a job's progress notes the places that a task has left; a task that comes back to one can start nowhere, which proves that it never will; the next place is one that has not had the task. Conclusion: no two claims for a key, no second start, no false 'not run' over lost, repeated and reordered messages, restarts and leaving guards.

--- a/crates/cloverfold_coordinate/src/driver.rs
+++ b/crates/cloverfold_coordinate/src/driver.rs
@@ -8,7 +8,7 @@
 use cloverfold_claim::ClaimError;
 use cloverfold_core::{
     Candidate, Claim, JobAction, JobEvent, JobOptions, JobProgress, Outcome, Placement, ReasonCode,
-    TaskIndex, choose_placements,
+    TaskEnd, TaskIndex, choose_placements, rank_by_load,
 };
 use tokio::sync::mpsc;
 
@@ -125,11 +125,11 @@
         let Some(event) = events.recv().await else {
             return Outcome::unknown(ReasonCode::Unavailable, "the coordinator is stopping");
         };
-        let next_place = choose_next_place(&coordinator, &event).await;
+        let places = list_next_places(&coordinator, &event).await;
         let budget = coordinator.clone();
         let mut take_retry = || budget.take_retry();
         let mut options = JobOptions {
-            next_place,
+            places,
             take_retry: &mut take_retry,
         };
         actions = progress.absorb(event, &mut options);
@@ -158,23 +158,14 @@
     answer
 }
 
-/// Finds where a task can go that did not stay at its place.
-async fn choose_next_place(coordinator: &Coordinator, event: &JobEvent) -> Option<Placement> {
-    let from = match event {
-        JobEvent::Ended { place, end, .. } => {
-            if matches!(end, cloverfold_core::TaskEnd::Done(_)) {
-                coordinator.note_success();
-                return None;
-            }
-            *place
-        }
-        JobEvent::Verdict { place, .. } | JobEvent::PlaceLost { place, .. } => *place,
-    };
+/// Lists where a task can go that did not stay at its place.
+async fn list_next_places(coordinator: &Coordinator, event: &JobEvent) -> Vec<Placement> {
+    if let JobEvent::Ended { end, .. } = event
+        && matches!(end, TaskEnd::Done(_))
+    {
+        coordinator.note_success();
+        return Vec::new();
+    }
     let mut candidates = coordinator.membership().list_candidates().await;
-    candidates.retain(|candidate| candidate.placement.guard != from.guard);
-    let policy = coordinator.cell().placement;
-    let chosen = choose_placements(policy, &mut candidates, 1, draw_below);
-    let place = chosen.first().map(|index| candidates[*index].placement)?;
-    coordinator.membership().charge(vec![place.guard]);
-    Some(place)
+    rank_by_load(&mut candidates, draw_below)
 }
--- a/crates/cloverfold_core/src/choice.rs
+++ b/crates/cloverfold_core/src/choice.rs
@@ -58,6 +58,18 @@
     chosen
 }
 
+/// Orders candidates by how soon a new task would start there, ties drawn at random.
+pub fn rank_by_load(
+    candidates: &mut [Candidate],
+    mut draw: impl FnMut(usize) -> usize,
+) -> Vec<Placement> {
+    for index in (1..candidates.len()).rev() {
+        candidates.swap(index, draw(index + 1));
+    }
+    candidates.sort_by(compare_load);
+    candidates.iter().map(|one| one.placement).collect()
+}
+
 /// Orders guards by how soon a new task would start: free slots first, then waiting per slot.
 fn compare_load(a: &Candidate, b: &Candidate) -> std::cmp::Ordering {
     let a_scaled = u64::from(a.load) * u64::from(b.slots.max(1));
--- a/crates/cloverfold_core/src/job.rs
+++ b/crates/cloverfold_core/src/job.rs
@@ -10,7 +10,7 @@
 use crate::{Placement, TaskIndex};
 
 /// How often one task may be moved before the job gives up.
-const MAX_MOVES: u8 = 3;
+const MAX_MOVES: usize = 3;
 
 /// What the driver is to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -68,7 +68,7 @@
 /// What the driver offers for a decision about one event.
 pub struct JobOptions<'a> {
     /// Where a task can go next, best first.
-    pub next_place: Option<Placement>,
+    pub places: Vec<Placement>,
     /// Takes a retry out of the process's budget.
     pub take_retry: &'a mut dyn FnMut() -> bool,
 }
@@ -88,7 +88,25 @@
 struct TaskProgress {
     place: Placement,
     status: TaskStatus,
-    moves: u8,
+    /// Places that gave the task up, none of which will ever start it.
+    left: Vec<Placement>,
+}
+
+impl TaskProgress {
+    fn go_to(&mut self, place: Placement, status: TaskStatus) {
+        self.left.push(self.place);
+        self.place = place;
+        self.status = status;
+    }
+
+    /// Chooses a place that has not had the task, as long as it has not been moved too often.
+    fn choose_next(&self, places: &[Placement]) -> Option<Placement> {
+        if self.left.len() >= MAX_MOVES {
+            return None;
+        }
+        let is_new = |place: &&Placement| **place != self.place && !self.left.contains(place);
+        places.iter().find(is_new).copied()
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -115,7 +133,7 @@
             .map(|place| TaskProgress {
                 place,
                 status: TaskStatus::Assigned,
-                moves: 0,
+                left: Vec::new(),
             })
             .collect();
         let assign = |(task, progress): (usize, &TaskProgress)| JobAction::Assign {
@@ -237,14 +255,16 @@
             self.fail(ReasonCode::SiblingFailed, "the job was given up", actions);
             return;
         };
-        progress.place = place;
-        progress.moves += 1;
-        if is_failing {
-            progress.status = TaskStatus::Releasing;
+        if progress.left.contains(&place) || progress.place == place {
+            // Each place on the way has passed the task on to the next, so none will ever start it.
+            progress.status = TaskStatus::NeverStarted;
+            self.fail(ReasonCode::Unavailable, "no place kept a task", actions);
+        } else if is_failing {
+            progress.go_to(place, TaskStatus::Releasing);
             let to = None;
             actions.push(JobAction::Release { task, place, to });
         } else {
-            progress.status = TaskStatus::Assigned;
+            progress.go_to(place, TaskStatus::Assigned);
             actions.push(JobAction::Assign { task, place });
         }
     }
@@ -259,8 +279,8 @@
         let progress = self.task_mut(task);
         let place = progress.place;
         progress.status = TaskStatus::Releasing;
-        let can_move = reason != ReasonCode::DeadlinePassed && progress.moves < MAX_MOVES;
-        let to = options.next_place.filter(|_| can_move);
+        let can_move = reason != ReasonCode::DeadlinePassed;
+        let to = progress.choose_next(&options.places).filter(|_| can_move);
         if to.is_none() || self.failure.is_some() {
             self.task_mut(task).status = TaskStatus::Assigned;
             self.fail(reason, "a task could not be placed", actions);
@@ -277,14 +297,11 @@
         options: &mut JobOptions<'_>,
         actions: &mut Vec<JobAction>,
     ) {
-        if self.can_repeat(task, reason)
-            && let Some(place) = options.next_place
+        if self.can_repeat(reason)
+            && let Some(place) = self.task_mut(task).choose_next(&options.places)
             && (options.take_retry)()
         {
-            let progress = self.task_mut(task);
-            progress.place = place;
-            progress.moves += 1;
-            progress.status = TaskStatus::Assigned;
+            self.task_mut(task).go_to(place, TaskStatus::Assigned);
             actions.push(JobAction::Assign { task, place });
             return;
         }
@@ -293,13 +310,9 @@
     }
 
     /// A task is repeated only where its customer allows it and its place, not the task itself, failed.
-    fn can_repeat(&self, task: TaskIndex, reason: ReasonCode) -> bool {
+    fn can_repeat(&self, reason: ReasonCode) -> bool {
         let is_place_at_fault = matches!(reason, ReasonCode::GuardLost | ReasonCode::TargetLost);
-        let moves = self.tasks[usize::from(task)].moves;
-        self.repeat == Repeat::Allowed
-            && is_place_at_fault
-            && self.failure.is_none()
-            && moves < MAX_MOVES
+        self.repeat == Repeat::Allowed && is_place_at_fault && self.failure.is_none()
     }
 
     /// Notes the first failure and takes back every task that is still open.
--- /dev/null
+++ b/crates/cloverfold_core/tests/claims.rs
@@ -0,0 +1,365 @@
+//! Agreement on claims under lost, repeated and reordered messages and forgetful restarts.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use cloverfold_core::{
+    Cell, Claim, ClaimRequest, GuardId, Location, Placement, Proposer, ProposerStep, RecoveryPage,
+    Replica, Reply, Submission, SubmissionKey,
+};
+use proptest::prelude::*;
+
+const KEY: SubmissionKey = [7; 16];
+const NOW: Duration = Duration::from_secs(1_000);
+const RETENTION: Duration = Duration::from_secs(600);
+const PAGE_LIMIT: usize = 10;
+
+/// One step of a schedule; numbers choose among what there is.
+#[derive(Clone, Debug)]
+enum Action {
+    Propose { guard: usize, is_fast: bool },
+    Deliver(usize),
+    Repeat(usize),
+    Drop(usize),
+    Restart(usize),
+    AskRecovery(usize),
+}
+
+#[derive(Clone, Debug)]
+enum Packet {
+    Request {
+        proposer: usize,
+        to: usize,
+        request: ClaimRequest,
+    },
+    Reply {
+        proposer: usize,
+        reply: Reply,
+    },
+    Recover {
+        asking: Placement,
+        to: usize,
+    },
+    Page {
+        asking: Placement,
+        source: GuardId,
+        page: RecoveryPage,
+    },
+}
+
+struct ActiveProposer {
+    owner: Placement,
+    proposer: Proposer,
+    is_over: bool,
+}
+
+struct World {
+    cell: Cell,
+    group: Vec<GuardId>,
+    replicas: Vec<Replica>,
+    proposers: Vec<ActiveProposer>,
+    packets: Vec<Packet>,
+    chosen: Vec<Claim>,
+}
+
+fn submission() -> Submission {
+    Submission {
+        key: KEY,
+        submitted_at: NOW,
+    }
+}
+
+/// A claim that differs for every proposer.
+fn make_claim(number: usize) -> Claim {
+    Claim {
+        digest: [number as u8; 16],
+        submitted_at: NOW,
+        placements: Vec::new(),
+        tasks: Vec::new(),
+        refusal: None,
+    }
+}
+
+fn make_world(size: usize) -> World {
+    let locations = (1..=size as GuardId).map(|guard| Location {
+        guard,
+        hall: format!("hall-{guard}"),
+        rack: "rack".into(),
+    });
+    let cell = Cell::new(locations.collect(), size);
+    let lives: Vec<Placement> = (1..=size as GuardId)
+        .map(|guard| Placement {
+            guard,
+            incarnation: 1,
+        })
+        .collect();
+    let mut replicas: Vec<Replica> = lives.iter().map(|own| new_replica(*own)).collect();
+    for replica in &mut replicas {
+        assert!(replica.found(&lives));
+    }
+    World {
+        group: cell.choose_replica_group(&KEY),
+        cell,
+        replicas,
+        proposers: Vec::new(),
+        packets: Vec::new(),
+        chosen: Vec::new(),
+    }
+}
+
+fn new_replica(own: Placement) -> Replica {
+    Replica::new(own, NOW, RETENTION, Duration::ZERO)
+}
+
+impl World {
+    fn run(&mut self, action: &Action) {
+        match action {
+            Action::Propose { guard, is_fast } => {
+                self.propose(guard % self.replicas.len(), *is_fast)
+            }
+            Action::Deliver(number) => {
+                if let Some(index) = self.pick(*number) {
+                    let packet = self.packets.swap_remove(index);
+                    self.deliver(packet);
+                }
+            }
+            Action::Repeat(number) => {
+                if let Some(index) = self.pick(*number) {
+                    let packet = self.packets[index].clone();
+                    self.deliver(packet);
+                }
+            }
+            Action::Drop(number) => {
+                if let Some(index) = self.pick(*number) {
+                    self.packets.swap_remove(index);
+                }
+            }
+            Action::Restart(guard) => self.restart(guard % self.replicas.len()),
+            Action::AskRecovery(guard) => self.ask_recovery(guard % self.replicas.len()),
+        }
+    }
+
+    fn pick(&self, number: usize) -> Option<usize> {
+        (!self.packets.is_empty()).then(|| number % self.packets.len())
+    }
+
+    fn propose(&mut self, guard: usize, is_fast: bool) {
+        let replica = &self.replicas[guard];
+        if !replica.can_vote(&self.group) {
+            return;
+        }
+        let own = replica.own();
+        let number = self.proposers.len();
+        let claim = make_claim(number);
+        let may_be_fast = self.group[0] == own.guard && !replica.holds(&KEY);
+        let group = self.group.clone();
+        let proposer = if is_fast && may_be_fast {
+            Proposer::fast(group, own, number as u64, claim)
+        } else {
+            Proposer::prepared(group, own, 1, number as u64, claim)
+        };
+        let request = proposer.request();
+        self.proposers.push(ActiveProposer {
+            owner: own,
+            proposer,
+            is_over: false,
+        });
+        self.send_to_all(number, &request);
+    }
+
+    fn send_to_all(&mut self, proposer: usize, request: &ClaimRequest) {
+        for to in 0..self.replicas.len() {
+            let request = request.clone();
+            self.packets.push(Packet::Request {
+                proposer,
+                to,
+                request,
+            });
+        }
+    }
+
+    fn deliver(&mut self, packet: Packet) {
+        match packet {
+            Packet::Request {
+                proposer,
+                to,
+                request,
+            } => {
+                let reply = self.replicas[to].handle(&submission(), &self.group, request, NOW);
+                self.packets.push(Packet::Reply { proposer, reply });
+            }
+            Packet::Reply { proposer, reply } => self.absorb(proposer, reply),
+            Packet::Recover { asking, to } => {
+                let source = self.replicas[to].own().guard;
+                let page = self.replicas[to].serve_page(asking, None, PAGE_LIMIT, &self.cell);
+                self.packets.push(Packet::Page {
+                    asking,
+                    source,
+                    page,
+                });
+            }
+            Packet::Page {
+                asking,
+                source,
+                page,
+            } => {
+                let replica = &mut self.replicas[usize::from(asking.guard) - 1];
+                if replica.own() == asking && page.known_incarnation == asking.incarnation {
+                    let standing = page.standing.clone();
+                    replica.absorb_page(source, standing, page);
+                    replica.become_whole_by_copy(&self.cell);
+                }
+            }
+        }
+    }
+
+    fn absorb(&mut self, number: usize, reply: Reply) {
+        let active = &mut self.proposers[number];
+        let life = self.replicas[usize::from(active.owner.guard) - 1].own();
+        if active.is_over || life != active.owner {
+            return;
+        }
+        match active.proposer.absorb(reply) {
+            ProposerStep::Wait | ProposerStep::Expired => {}
+            ProposerStep::Send(request) => self.send_to_all(number, &request),
+            ProposerStep::Chosen(claim) => {
+                active.is_over = true;
+                self.chosen.push(claim);
+            }
+            ProposerStep::Outbid { round } => {
+                active.is_over = true;
+                self.propose_again(active_owner(life), round);
+            }
+        }
+    }
+
+    fn propose_again(&mut self, guard: usize, round: u32) {
+        const LAST_ROUND: u32 = 8;
+        if round > LAST_ROUND {
+            return;
+        }
+        let own = self.replicas[guard].own();
+        let number = self.proposers.len();
+        let claim = make_claim(number);
+        let proposer = Proposer::prepared(self.group.clone(), own, round, number as u64, claim);
+        let request = proposer.request();
+        self.proposers.push(ActiveProposer {
+            owner: own,
+            proposer,
+            is_over: false,
+        });
+        self.send_to_all(number, &request);
+    }
+
+    fn restart(&mut self, guard: usize) {
+        let mut own = self.replicas[guard].own();
+        own.incarnation += 1;
+        self.replicas[guard] = new_replica(own);
+    }
+
+    fn ask_recovery(&mut self, guard: usize) {
+        let asking = self.replicas[guard].own();
+        for to in 0..self.replicas.len() {
+            if to != guard {
+                self.packets.push(Packet::Recover { asking, to });
+            }
+        }
+    }
+}
+
+fn active_owner(life: Placement) -> usize {
+    usize::from(life.guard) - 1
+}
+
+fn any_action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        2 => (0..8_usize, any::<bool>())
+            .prop_map(|(guard, is_fast)| Action::Propose { guard, is_fast }),
+        16 => any::<usize>().prop_map(Action::Deliver),
+        2 => any::<usize>().prop_map(Action::Repeat),
+        1 => any::<usize>().prop_map(Action::Drop),
+        1 => (0..8_usize).prop_map(Action::Restart),
+        2 => (0..8_usize).prop_map(Action::AskRecovery),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 3_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_group_never_agrees_on_two_claims(
+        size in prop_oneof![Just(3_usize), Just(5)],
+        actions in prop::collection::vec(any_action(), 1..160),
+    ) {
+        let mut world = make_world(size);
+
+        for action in &actions {
+            world.run(action);
+        }
+
+        let first = world.chosen.first().cloned();
+        for claim in &world.chosen {
+            prop_assert_eq!(Some(claim), first.as_ref());
+        }
+    }
+}
+
+#[test]
+fn a_whole_group_agrees_in_one_round_trip_of_its_first_choice() {
+    let mut world = make_world(3);
+    let first = usize::from(world.group[0]) - 1;
+
+    world.run(&Action::Propose {
+        guard: first,
+        is_fast: true,
+    });
+    let requests = world.packets.len();
+    while !world.packets.is_empty() {
+        world.run(&Action::Deliver(0));
+    }
+
+    assert_eq!(requests, 3);
+    assert_eq!(world.chosen, vec![make_claim(0)]);
+}
+
+#[test]
+fn a_vote_of_an_ended_life_is_not_counted() {
+    let mut world = make_world(3);
+    let own = world.replicas[0].own();
+    let mut proposer = Proposer::prepared(world.group.clone(), own, 1, 0, make_claim(0));
+    let request = proposer.request();
+    let vote = |world: &mut World, guard: usize| {
+        let group = world.group.clone();
+        world.replicas[guard].handle(&submission(), &group, request.clone(), NOW)
+    };
+
+    let forgotten = vote(&mut world, 1);
+    world.restart(1);
+    let asking = world.replicas[1].own();
+    let cell = world.cell.clone();
+    world.replicas[2].serve_page(asking, None, PAGE_LIMIT, &cell);
+    let knowing = vote(&mut world, 2);
+
+    assert_eq!(proposer.absorb(forgotten), ProposerStep::Wait);
+    assert_eq!(proposer.absorb(knowing), ProposerStep::Wait);
+}
+
+#[test]
+fn a_restarted_member_votes_only_after_copying_from_enough_others() {
+    let mut world = make_world(3);
+    world.restart(0);
+    let asking = world.replicas[0].own();
+    let cell = world.cell.clone();
+    let group = world.group.clone();
+    let mut can_vote = vec![world.replicas[0].can_vote(&group)];
+
+    for source in [1, 2] {
+        let page = world.replicas[source].serve_page(asking, None, PAGE_LIMIT, &cell);
+        let standing = page.standing.clone();
+        world.replicas[0].absorb_page(source as GuardId + 1, standing, page);
+        can_vote.push(world.replicas[0].can_vote(&group));
+    }
+
+    assert_eq!(can_vote, [false, false, true]);
+}
--- /dev/null
+++ b/crates/cloverfold_core/tests/jobs.rs
@@ -0,0 +1,378 @@
+//! Jobs driven by several coordinators over fences that crash, leave and refuse.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use cloverfold_core::{
+    AssignVerdict, Claim, Fence, FenceLimits, Flow, JobAction, JobEvent, JobOptions, JobProgress,
+    Outcome, Placement, QueuedTask, ReasonCode, Repeat, TaskEnd, TaskId, TaskIndex, TaskState,
+};
+use proptest::prelude::*;
+
+const NOW: Duration = Duration::from_secs(1_000);
+const LATER: Duration = Duration::from_secs(2_000);
+const GUARDS: usize = 3;
+const TASKS: u16 = 4;
+const LIMITS: FenceLimits = FenceLimits {
+    slots: 1,
+    queue: 2,
+    answer_retention: Duration::from_secs(600),
+};
+
+#[derive(Clone, Debug)]
+enum Action {
+    Drive,
+    Deliver(usize),
+    Repeat(usize),
+    Drop(usize),
+    Start(usize),
+    Finish(usize, bool),
+    Crash(usize),
+    Leave(usize),
+    LoseSight(usize),
+    AskAgain(usize),
+}
+
+#[derive(Clone, Debug)]
+enum Packet {
+    Action { driver: usize, action: JobAction },
+    Event { driver: usize, event: JobEvent },
+}
+
+struct World {
+    claim: Claim,
+    fences: Vec<Fence<()>>,
+    lives: Vec<Placement>,
+    running: Vec<Vec<TaskId>>,
+    drivers: Vec<JobProgress>,
+    answers: Vec<Vec<Outcome>>,
+    packets: Vec<Packet>,
+    watching: BTreeSet<(usize, TaskIndex, Placement)>,
+    starts: BTreeMap<TaskIndex, usize>,
+    turn: usize,
+}
+
+fn make_world() -> World {
+    let lives: Vec<Placement> = (0..GUARDS)
+        .map(|index| Placement {
+            guard: index as u16,
+            incarnation: 1,
+        })
+        .collect();
+    World {
+        claim: Claim {
+            digest: [0; 16],
+            submitted_at: NOW,
+            placements: lives.clone(),
+            tasks: (0..TASKS).map(|task| task % GUARDS as u16).collect(),
+            refusal: None,
+        },
+        fences: lives
+            .iter()
+            .map(|life| Fence::new(life.incarnation, LIMITS))
+            .collect(),
+        lives,
+        running: vec![Vec::new(); GUARDS],
+        drivers: Vec::new(),
+        answers: Vec::new(),
+        packets: Vec::new(),
+        watching: BTreeSet::new(),
+        starts: BTreeMap::new(),
+        turn: 0,
+    }
+}
+
+fn task_id(index: TaskIndex) -> TaskId {
+    TaskId {
+        key: [1; 16],
+        index,
+    }
+}
+
+impl World {
+    fn run(&mut self, action: &Action) {
+        match action {
+            Action::Drive => self.drive(),
+            Action::Deliver(number) => {
+                if let Some(index) = self.pick(*number) {
+                    let packet = self.packets.swap_remove(index);
+                    self.deliver(packet);
+                }
+            }
+            Action::Repeat(number) => {
+                if let Some(index) = self.pick(*number) {
+                    let packet = self.packets[index].clone();
+                    self.deliver(packet);
+                }
+            }
+            Action::Drop(number) => {
+                if let Some(index) = self.pick(*number) {
+                    self.packets.swap_remove(index);
+                }
+            }
+            Action::Start(guard) => self.start(guard % GUARDS),
+            Action::Finish(guard, is_good) => self.finish(guard % GUARDS, *is_good),
+            Action::Crash(guard) => self.crash(guard % GUARDS),
+            Action::Leave(guard) => self.leave(guard % GUARDS),
+            Action::LoseSight(number) => self.lose_sight(*number),
+            Action::AskAgain(number) => self.ask_again(*number),
+        }
+    }
+
+    fn pick(&self, number: usize) -> Option<usize> {
+        (!self.packets.is_empty()).then(|| number % self.packets.len())
+    }
+
+    fn drive(&mut self) {
+        if self.drivers.len() >= 3 {
+            return;
+        }
+        let (progress, actions) = JobProgress::begin(&self.claim, Repeat::Never);
+        self.drivers.push(progress);
+        self.answers.push(Vec::new());
+        self.send(self.drivers.len() - 1, actions);
+    }
+
+    fn send(&mut self, driver: usize, actions: Vec<JobAction>) {
+        for action in actions {
+            match action {
+                JobAction::Answer(outcome) => self.answers[driver].push(outcome),
+                action => self.packets.push(Packet::Action { driver, action }),
+            }
+        }
+    }
+
+    fn deliver(&mut self, packet: Packet) {
+        match packet {
+            Packet::Event { driver, event } => {
+                self.turn += 1;
+                let mut places = self.lives.clone();
+                places.rotate_left(self.turn % GUARDS);
+                let mut take_retry = || true;
+                let mut options = JobOptions {
+                    places,
+                    take_retry: &mut take_retry,
+                };
+                let actions = self.drivers[driver].absorb(event, &mut options);
+                self.send(driver, actions);
+            }
+            Packet::Action { driver, action } => self.deliver_action(driver, action),
+        }
+    }
+
+    fn deliver_action(&mut self, driver: usize, action: JobAction) {
+        match action {
+            JobAction::Assign { task, place } => self.assign(driver, task, place),
+            JobAction::Release { task, place, to } => {
+                let guard = usize::from(place.guard);
+                let id = task_id(task);
+                let verdict = self.fences[guard].release(place.incarnation, id, to, LATER);
+                self.send_event(
+                    driver,
+                    JobEvent::Verdict {
+                        task,
+                        place,
+                        verdict,
+                    },
+                );
+                self.notify(guard, task);
+            }
+            JobAction::Answer(_) => unreachable!("answers are not sent"),
+        }
+    }
+
+    fn assign(&mut self, driver: usize, task: TaskIndex, place: Placement) {
+        let guard = usize::from(place.guard);
+        let queued = QueuedTask {
+            id: task_id(task),
+            flow: Flow {
+                service: "s".into(),
+                customer: "c".into(),
+            },
+            weight: 1.0,
+            deadline: LATER,
+            keep_until: LATER,
+            payload: (),
+        };
+        match self.fences[guard].assign(place.incarnation, queued, NOW) {
+            AssignVerdict::WrongIncarnation(_) => {
+                self.send_event(driver, JobEvent::PlaceLost { task, place });
+            }
+            AssignVerdict::Known(TaskState::Ended(end)) => {
+                self.send_event(driver, JobEvent::Ended { task, place, end });
+            }
+            AssignVerdict::Queued | AssignVerdict::Known(_) => {
+                self.watching.insert((driver, task, place));
+            }
+        }
+    }
+
+    fn send_event(&mut self, driver: usize, event: JobEvent) {
+        self.packets.push(Packet::Event { driver, event });
+    }
+
+    /// Tells the drivers that watch a task how it ended at a guard, if it has.
+    fn notify(&mut self, guard: usize, task: TaskIndex) {
+        let place = self.lives[guard];
+        let Some(TaskState::Ended(end)) = self.fences[guard].state_of(&task_id(task)).cloned()
+        else {
+            return;
+        };
+        for driver in 0..self.drivers.len() {
+            if self.watching.remove(&(driver, task, place)) {
+                let end = end.clone();
+                self.send_event(driver, JobEvent::Ended { task, place, end });
+            }
+        }
+    }
+
+    fn start(&mut self, guard: usize) {
+        let mut returned = Vec::new();
+        if let Some(task) = self.fences[guard].start_next(NOW, &mut returned) {
+            *self.starts.entry(task.id.index).or_default() += 1;
+            self.running[guard].push(task.id);
+        }
+    }
+
+    fn finish(&mut self, guard: usize, is_good: bool) {
+        let Some(id) = self.running[guard].pop() else {
+            return;
+        };
+        let end = if is_good {
+            TaskEnd::Done(vec![id.index as u8])
+        } else {
+            let reason = ReasonCode::TargetFailed;
+            TaskEnd::Failed {
+                reason,
+                detail: String::new(),
+            }
+        };
+        self.fences[guard].finish(&id, end, NOW);
+        self.notify(guard, id.index);
+    }
+
+    fn crash(&mut self, guard: usize) {
+        self.lives[guard].incarnation += 1;
+        self.fences[guard] = Fence::new(self.lives[guard].incarnation, LIMITS);
+        self.running[guard].clear();
+    }
+
+    fn leave(&mut self, guard: usize) {
+        for id in self.fences[guard].begin_leaving() {
+            self.notify(guard, id.index);
+        }
+    }
+
+    /// A driver takes a place for lost, rightly or not.
+    fn lose_sight(&mut self, number: usize) {
+        let watching: Vec<_> = self.watching.iter().copied().collect();
+        if !watching.is_empty() {
+            let (driver, task, place) = watching[number % watching.len()];
+            self.send_event(driver, JobEvent::PlaceLost { task, place });
+        }
+    }
+
+    /// A driver sends an assignment again after a lost connection.
+    fn ask_again(&mut self, number: usize) {
+        let watching: Vec<_> = self.watching.iter().copied().collect();
+        if !watching.is_empty() {
+            let (driver, task, place) = watching[number % watching.len()];
+            let action = JobAction::Assign { task, place };
+            self.packets.push(Packet::Action { driver, action });
+        }
+    }
+
+    /// Lets everything that is under way happen.
+    fn settle(&mut self) {
+        for round in 0..200 {
+            while !self.packets.is_empty() {
+                self.run(&Action::Deliver(round));
+            }
+            for guard in 0..GUARDS {
+                self.start(guard);
+                self.finish(guard, true);
+            }
+        }
+    }
+}
+
+fn any_action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        1 => Just(Action::Drive),
+        14 => any::<usize>().prop_map(Action::Deliver),
+        2 => any::<usize>().prop_map(Action::Repeat),
+        1 => any::<usize>().prop_map(Action::Drop),
+        4 => (0..GUARDS).prop_map(Action::Start),
+        3 => (0..GUARDS, prop::bool::weighted(0.9))
+            .prop_map(|(guard, is_good)| Action::Finish(guard, is_good)),
+        1 => (0..GUARDS).prop_map(Action::Crash),
+        1 => (0..GUARDS).prop_map(Action::Leave),
+        1 => any::<usize>().prop_map(Action::LoseSight),
+        1 => any::<usize>().prop_map(Action::AskAgain),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 3_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_task_starts_twice_and_every_answer_is_true(
+        actions in prop::collection::vec(any_action(), 1..140),
+    ) {
+        let mut world = make_world();
+        world.drive();
+
+        for action in &actions {
+            world.run(action);
+        }
+        world.settle();
+
+        for (task, count) in &world.starts {
+            prop_assert!(*count <= 1, "task {} started {} times", task, count);
+        }
+        for answers in &world.answers {
+            prop_assert!(answers.len() <= 1, "answered twice");
+        }
+        for outcome in world.answers.iter().flatten() {
+            match outcome {
+                Outcome::Complete { results } => {
+                    let expected: Vec<_> = (0..TASKS).map(|task| vec![task as u8]).collect();
+                    prop_assert_eq!(results, &expected);
+                }
+                Outcome::NotRun { .. } => prop_assert!(world.starts.is_empty()),
+                Outcome::Failed { .. } | Outcome::Unknown { .. } => {}
+            }
+        }
+    }
+
+    #[test]
+    fn a_job_without_faults_completes(order in prop::collection::vec(any::<usize>(), 0..60)) {
+        let mut world = make_world();
+        world.drive();
+
+        for number in order {
+            world.run(&Action::Deliver(number));
+            world.run(&Action::Start(number));
+        }
+        world.settle();
+
+        let is_complete = matches!(world.answers[0].as_slice(), [Outcome::Complete { .. }]);
+        prop_assert!(is_complete, "{:?}", world.answers[0]);
+    }
+}
+
+#[test]
+fn tasks_that_no_place_keeps_are_refused_as_not_run() {
+    let mut world = make_world();
+    for guard in 0..GUARDS {
+        world.leave(guard);
+    }
+    world.drive();
+
+    world.settle();
+
+    let is_refused = matches!(world.answers[0].as_slice(), [Outcome::NotRun { .. }]);
+    assert!(is_refused, "{:?}", world.answers[0]);
+}
--- /dev/null
+++ b/crates/cloverfold_core/tests/queueing.rs
@@ -0,0 +1,154 @@
+//! The queue's shares and the choice of places.
+
+use std::time::Duration;
+
+use cloverfold_core::{
+    Candidate, Cell, FairQueue, Fence, FenceLimits, Flow, Location, Placement, PlacementPolicy,
+    QueuedTask, RetryBudget, TaskEnd, TaskId, choose_placements,
+};
+use proptest::prelude::*;
+
+fn flow(customer: usize) -> Flow {
+    Flow {
+        service: "sms".into(),
+        customer: format!("customer-{customer}"),
+    }
+}
+
+proptest! {
+    #[test]
+    fn backlogged_flows_share_by_weight(weights in prop::collection::vec(1_u32..8, 2..6)) {
+        const TAKEN: usize = 2_000;
+        let mut queue = FairQueue::default();
+        for (customer, weight) in weights.iter().enumerate() {
+            for _ in 0..TAKEN {
+                queue.push(flow(customer), f64::from(*weight), customer);
+            }
+        }
+
+        let mut counts = vec![0_f64; weights.len()];
+        for _ in 0..TAKEN {
+            counts[queue.pop().expect("the flows are backlogged")] += 1.0;
+        }
+
+        let total: u32 = weights.iter().sum();
+        for (count, weight) in counts.iter().zip(&weights) {
+            let due = TAKEN as f64 * f64::from(*weight) / f64::from(total);
+            prop_assert!((count - due).abs() <= 0.05 * due + 1.0, "{counts:?} for {weights:?}");
+        }
+    }
+
+    #[test]
+    fn a_fence_with_a_free_slot_starts_what_waits(
+        steps in prop::collection::vec((0..3_u8, 0..40_u16), 1..120),
+        slots in 1..4_usize,
+    ) {
+        let now = Duration::from_secs(1);
+        let later = Duration::from_secs(100);
+        let limits = FenceLimits { slots, queue: 10, answer_retention: later };
+        let mut fence = Fence::new(1, limits);
+        let mut running = Vec::new();
+        for (step, index) in steps {
+            let id = TaskId { key: [0; 16], index };
+            match step {
+                0 => {
+                    let task = QueuedTask {
+                        id,
+                        flow: flow(usize::from(index % 3)),
+                        weight: 1.0,
+                        deadline: later,
+                        keep_until: later,
+                        payload: (),
+                    };
+                    fence.assign(1, task, now);
+                }
+                1 => {
+                    if let Some(id) = running.pop() {
+                        fence.finish(&id, TaskEnd::Done(Vec::new()), now);
+                    }
+                }
+                _ => {
+                    fence.release(1, id, None, later);
+                }
+            }
+            while let Some(task) = fence.start_next(now, &mut Vec::new()) {
+                running.push(task.id);
+            }
+            prop_assert_eq!(fence.running(), running.len());
+            prop_assert!(fence.running() <= slots && fence.queued() <= limits.queue);
+            prop_assert!(fence.running() == slots || fence.queued() == 0, "a slot idles");
+        }
+    }
+
+    #[test]
+    fn a_group_spreads_over_halls_and_moves_only_with_its_members(
+        key in any::<[u8; 16]>(),
+        lost in 0..11_usize,
+    ) {
+        let place = |index: usize| Location {
+            guard: index as u16,
+            hall: format!("hall-{}", index % 3),
+            rack: format!("rack-{}", index / 9),
+        };
+        let all: Vec<Location> = (0..11).map(place).collect();
+        let mut fewer = all.clone();
+        fewer.remove(lost);
+
+        let group = Cell::new(all.clone(), 3).choose_replica_group(&key);
+        let without = Cell::new(fewer, 3).choose_replica_group(&key);
+
+        let mut halls: Vec<_> = group.iter().map(|guard| &all[usize::from(*guard)].hall).collect();
+        halls.sort();
+        halls.dedup();
+        prop_assert_eq!(halls.len(), 3);
+        if !group.contains(&(lost as u16)) {
+            prop_assert_eq!(group, without);
+        }
+    }
+
+    #[test]
+    fn least_loaded_placement_fills_free_slots_first(
+        loads in prop::collection::vec(0..8_u32, 1..12),
+        count in 1..40_usize,
+        seed in any::<usize>(),
+    ) {
+        const SLOTS: u32 = 8;
+        let mut candidates: Vec<Candidate> = loads
+            .iter()
+            .enumerate()
+            .map(|(guard, load)| Candidate {
+                placement: Placement { guard: guard as u16, incarnation: 1 },
+                load: *load,
+                slots: SLOTS,
+            })
+            .collect();
+        let free: u32 = loads.iter().map(|load| SLOTS - load).sum();
+
+        let policy = PlacementPolicy::LeastLoaded;
+        let chosen = choose_placements(policy, &mut candidates, count, |bound| seed % bound);
+
+        prop_assert_eq!(chosen.len(), count);
+        if count as u32 <= free {
+            prop_assert!(candidates.iter().all(|candidate| candidate.load <= SLOTS));
+        }
+    }
+
+    #[test]
+    fn retries_stay_within_their_share(successes in 0..500_u32, wanted in 0..500_u32) {
+        const SHARE: f64 = 0.1;
+        const CAPACITY: f64 = 20.0;
+        let mut budget = RetryBudget::new(SHARE, CAPACITY);
+
+        let mut retries = 0;
+        for turn in 0..successes.max(wanted) {
+            if turn < successes {
+                budget.note_success();
+            }
+            if turn < wanted && budget.take_retry() {
+                retries += 1;
+            }
+        }
+
+        prop_assert!(f64::from(retries) <= CAPACITY + SHARE * f64::from(successes) + 1e-6);
+    }
+}
