One fast attempt per key and life; forget tasks that were not taken

Ruled out: recovery and the check of lives (mutating either fails at once). Change: the replica itself begins the fast attempt, after its own vote, in one decision. Beside it the fence no longer remembers what it did not take: a mutation showed that the release before a move already fences it, so refusals under overload cost no memory. Schedules have a fixed seed. Mutations that skip the check of lives, the recovery before voting, the fast rule or the fencing of an unknown release are each found.

--- a/crates/cloverfold_claim/src/claims.rs
+++ b/crates/cloverfold_claim/src/claims.rs
@@ -118,15 +118,15 @@
         group: &[GuardId],
         wanted: &Claim,
     ) -> Proposer {
-        let key = submission.key;
-        let holds = self.inner.replica.with(move |replica| replica.holds(&key));
-        let is_first_choice = group.first() == Some(&self.inner.own.guard);
-        if is_first_choice && !holds.await {
-            let attempt = self.next_attempt();
-            Proposer::fast(group.to_vec(), self.inner.own, attempt, wanted.clone())
-        } else {
-            self.prepared_proposer(group, 1, wanted.clone())
-        }
+        let fast = {
+            let (submission, group, claim) = (*submission, group.to_vec(), wanted.clone());
+            let (attempt, now) = (self.next_attempt(), unix_now());
+            let propose = move |replica: &mut Replica| {
+                replica.propose_fast(&submission, &group, attempt, claim, now)
+            };
+            self.inner.replica.with(propose).await
+        };
+        fast.unwrap_or_else(|| self.prepared_proposer(group, 1, wanted.clone()))
     }
 
     fn prepared_proposer(&self, group: &[GuardId], round: u32, wanted: Claim) -> Proposer {
--- a/crates/cloverfold_core/src/fence.rs
+++ b/crates/cloverfold_core/src/fence.rs
@@ -52,7 +52,7 @@
         /// One sentence for a person.
         detail: String,
     },
-    /// The task has not started here and will not, until a release says where it goes.
+    /// The task has not started and is not kept here; a release decides where it goes.
     Returned(ReasonCode),
     /// The task has not started here and was passed on, or cancelled where there is no new place.
     Released(Option<Placement>),
@@ -76,6 +76,8 @@
     Queued,
     /// It was known before; this is its state.
     Known(TaskState),
+    /// It cannot be taken, and nothing of it is kept.
+    NotTaken(ReasonCode),
     /// It was meant for another life of the guard, and nothing was done.
     WrongIncarnation(Incarnation),
 }
@@ -160,10 +162,10 @@
         self.entries.get(id).map(|entry| &entry.state)
     }
 
-    /// Takes a task in, unless it is known or meant for another life.
+    /// Takes a task in, unless it is known, meant for another life, or cannot be taken.
     ///
-    /// A task that cannot be queued is remembered as returned, so that a later copy of the same assignment
-    /// cannot start it after it was placed elsewhere.
+    /// What is not taken is not remembered: whoever wants to move the task releases it here first, which
+    /// fences it.
     pub fn assign(
         &mut self,
         incarnation: Incarnation,
@@ -177,9 +179,7 @@
             return AssignVerdict::Known(entry.state.clone());
         }
         if let Some(reason) = self.find_obstacle(&task, now) {
-            let state = TaskState::Ended(TaskEnd::Returned(reason));
-            self.remember(task.id, state.clone(), task.keep_until);
-            return AssignVerdict::Known(state);
+            return AssignVerdict::NotTaken(reason);
         }
         self.remember(task.id, TaskState::Queued, task.keep_until);
         self.queue.push(task.flow.clone(), task.weight, task);
@@ -204,7 +204,7 @@
 
     /// Takes the next task to start while a slot is free, and marks it as started.
     ///
-    /// Tasks whose deadline has passed are returned on the way and listed in `returned`.
+    /// Tasks whose deadline has passed are forgotten on the way and listed in `returned`.
     pub fn start_next(
         &mut self,
         now: UnixTime,
@@ -217,7 +217,7 @@
                 self.running += 1;
                 return Some(task);
             }
-            self.return_task(&task.id, ReasonCode::DeadlinePassed);
+            self.entries.remove(&task.id);
             returned.push(task.id);
         }
         None
@@ -229,11 +229,9 @@
         }
     }
 
-    fn return_task(&mut self, id: &TaskId, reason: ReasonCode) {
-        self.set_state(id, TaskState::Ended(TaskEnd::Returned(reason)));
-    }
-
     /// Notes how a running task ended and frees its slot.
+    ///
+    /// A task that the target proved not to have started is forgotten.
     pub fn finish(&mut self, id: &TaskId, end: TaskEnd, now: UnixTime) {
         let Some(entry) = self.entries.get_mut(id) else {
             return;
@@ -241,8 +239,12 @@
         if entry.state != TaskState::Running {
             return;
         }
-        entry.state = TaskState::Ended(end);
         self.running -= 1;
+        if matches!(end, TaskEnd::Returned(_)) {
+            self.entries.remove(id);
+            return;
+        }
+        entry.state = TaskState::Ended(end);
         let until = now + self.limits.answer_retention;
         self.results.push_back(KeptResult { id: *id, until });
     }
@@ -278,12 +280,12 @@
         ReleaseVerdict::Released(to)
     }
 
-    /// Begins to leave: nothing starts any more, and all that waits is returned and listed.
+    /// Begins to leave: nothing starts any more, and all that waits is forgotten and listed.
     pub fn begin_leaving(&mut self) -> Vec<TaskId> {
         self.is_leaving = true;
         let waiting = self.queue.drain_where(|_| true);
         for task in &waiting {
-            self.return_task(&task.id, ReasonCode::Leaving);
+            self.entries.remove(&task.id);
         }
         waiting.into_iter().map(|task| task.id).collect()
     }
--- a/crates/cloverfold_core/src/proposer.rs
+++ b/crates/cloverfold_core/src/proposer.rs
@@ -42,15 +42,15 @@
 impl Proposer {
     /// Begins the attempt of the group's first choice, which needs one round trip.
     ///
-    /// It is safe beside any other because a replica accepts the fast ballot only where nothing stands.
+    /// Only [`crate::Replica::propose_fast`] may begin one, after the proposer's own vote.
     /// `attempt` differs for every proposer of one life.
-    pub fn fast(group: Vec<GuardId>, own: Placement, attempt: u64, claim: Claim) -> Self {
+    pub(crate) fn fast(group: Vec<GuardId>, own: Placement, attempt: u64, claim: Claim) -> Self {
         let ballot = make_ballot(own, 0, attempt);
         Self::begin(group, ballot, claim, Phase::Accepting)
     }
 
-    /// Begins an attempt with a prepare phase; `round` is at least 1, `attempt` differs as for
-    /// [`Proposer::fast`].
+    /// Begins an attempt with a prepare phase; `round` is at least 1, `attempt` differs for every proposer of
+    /// one life.
     pub fn prepared(
         group: Vec<GuardId>,
         own: Placement,
--- a/crates/cloverfold_core/src/replica.rs
+++ b/crates/cloverfold_core/src/replica.rs
@@ -14,6 +14,7 @@
 
 use crate::cell::Cell;
 use crate::outcome::ReasonCode;
+use crate::proposer::Proposer;
 use crate::{BodyDigest, GuardId, Incarnation, Placement, SubmissionKey, TaskIndex, UnixTime};
 
 /// Order of attempts to fix a claim; a larger ballot overrules a smaller one.
@@ -301,6 +302,27 @@
         }
     }
 
+    /// Begins the fast attempt, if this replica is the first choice for the key and holds nothing of it.
+    ///
+    /// The replica votes for its own claim before anybody else hears of it. So there is one fast attempt for
+    /// a key in a life, and in a later life the copied records show whether it can have succeeded.
+    pub fn propose_fast(
+        &mut self,
+        submission: &Submission,
+        group: &[GuardId],
+        attempt: u64,
+        claim: Claim,
+        now: UnixTime,
+    ) -> Option<Proposer> {
+        let is_first_choice = group.first() == Some(&self.own.guard);
+        if !is_first_choice || self.holds(&submission.key) || !self.can_vote(group) {
+            return None;
+        }
+        let proposer = Proposer::fast(group.to_vec(), self.own, attempt, claim);
+        let reply = self.handle(submission, group, proposer.request(), now);
+        matches!(reply.body, ClaimReply::Accepted(_)).then_some(proposer)
+    }
+
     fn decide(&mut self, submission: &Submission, req: ClaimRequest, now: UnixTime) -> ClaimReply {
         let held = self.records.get(&submission.key);
         let is_new = held.is_none() && req != ClaimRequest::Read;
--- a/crates/cloverfold_core/tests/claims.rs
+++ b/crates/cloverfold_core/tests/claims.rs
@@ -1,6 +1,6 @@
 //! Agreement on claims under lost, repeated and reordered messages and forgetful restarts.
 
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, clippy::needless_pass_by_value)]
 
 use std::time::Duration;
 
@@ -9,8 +9,10 @@
     Replica, Reply, Submission, SubmissionKey,
 };
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const KEY: SubmissionKey = [7; 16];
+const SEED: u64 = 20_261_202;
 const NOW: Duration = Duration::from_secs(1_000);
 const RETENTION: Duration = Duration::from_secs(600);
 const PAGE_LIMIT: usize = 10;
@@ -116,7 +118,7 @@
     fn run(&mut self, action: &Action) {
         match action {
             Action::Propose { guard, is_fast } => {
-                self.propose(guard % self.replicas.len(), *is_fast)
+                self.propose(guard % self.replicas.len(), *is_fast);
             }
             Action::Deliver(number) => {
                 if let Some(index) = self.pick(*number) {
@@ -152,13 +154,15 @@
         let own = replica.own();
         let number = self.proposers.len();
         let claim = make_claim(number);
-        let may_be_fast = self.group[0] == own.guard && !replica.holds(&KEY);
         let group = self.group.clone();
-        let proposer = if is_fast && may_be_fast {
-            Proposer::fast(group, own, number as u64, claim)
+        let replica = &mut self.replicas[guard];
+        let fast = if is_fast {
+            replica.propose_fast(&submission(), &group, number as u64, claim.clone(), NOW)
         } else {
-            Proposer::prepared(group, own, 1, number as u64, claim)
+            None
         };
+        let proposer =
+            fast.unwrap_or_else(|| Proposer::prepared(group, own, 1, number as u64, claim));
         let request = proposer.request();
         self.proposers.push(ActiveProposer {
             owner: own,
@@ -284,8 +288,18 @@
     ]
 }
 
+/// The same schedules at every run; `PROPTEST_RNG_SEED` draws others.
+fn fixed_schedules(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 3_000, ..ProptestConfig::default() })]
+    #![proptest_config(fixed_schedules(10_000))]
 
     #[test]
     fn a_group_never_agrees_on_two_claims(
@@ -323,6 +337,20 @@
     assert_eq!(world.chosen, vec![make_claim(0)]);
 }
 
+#[test]
+fn two_fast_attempts_of_one_life_cannot_both_stand() {
+    let mut world = make_world(3);
+    let first = usize::from(world.group[0]) - 1;
+    let group = world.group.clone();
+
+    let replica = &mut world.replicas[first];
+    let one = replica.propose_fast(&submission(), &group, 0, make_claim(0), NOW);
+    let other = replica.propose_fast(&submission(), &group, 1, make_claim(1), NOW);
+
+    assert!(one.is_some());
+    assert!(other.is_none());
+}
+
 #[test]
 fn a_vote_of_an_ended_life_is_not_counted() {
     let mut world = make_world(3);
--- a/crates/cloverfold_core/tests/jobs.rs
+++ b/crates/cloverfold_core/tests/jobs.rs
@@ -1,16 +1,19 @@
 //! Jobs driven by several coordinators over fences that crash, leave and refuse.
 
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, clippy::needless_pass_by_value)]
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use cloverfold_core::{
     AssignVerdict, Claim, Fence, FenceLimits, Flow, JobAction, JobEvent, JobOptions, JobProgress,
-    Outcome, Placement, QueuedTask, ReasonCode, Repeat, TaskEnd, TaskId, TaskIndex, TaskState,
+    Outcome, Placement, QueuedTask, ReasonCode, ReleaseVerdict, Repeat, TaskEnd, TaskId, TaskIndex,
+    TaskState,
 };
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
+const SEED: u64 = 20_261_202;
 const NOW: Duration = Duration::from_secs(1_000);
 const LATER: Duration = Duration::from_secs(2_000);
 const GUARDS: usize = 3;
@@ -177,7 +180,11 @@
                         verdict,
                     },
                 );
-                self.notify(guard, task);
+                if let ReleaseVerdict::Released(to) = verdict
+                    && place == self.lives[guard]
+                {
+                    self.notify(guard, task, &TaskEnd::Released(to));
+                }
             }
             JobAction::Answer(_) => unreachable!("answers are not sent"),
         }
@@ -203,6 +210,10 @@
             AssignVerdict::Known(TaskState::Ended(end)) => {
                 self.send_event(driver, JobEvent::Ended { task, place, end });
             }
+            AssignVerdict::NotTaken(reason) => {
+                let end = TaskEnd::Returned(reason);
+                self.send_event(driver, JobEvent::Ended { task, place, end });
+            }
             AssignVerdict::Queued | AssignVerdict::Known(_) => {
                 self.watching.insert((driver, task, place));
             }
@@ -213,13 +224,9 @@
         self.packets.push(Packet::Event { driver, event });
     }
 
-    /// Tells the drivers that watch a task how it ended at a guard, if it has.
-    fn notify(&mut self, guard: usize, task: TaskIndex) {
+    /// Tells the drivers that watch a task how it ended at a guard.
+    fn notify(&mut self, guard: usize, task: TaskIndex, end: &TaskEnd) {
         let place = self.lives[guard];
-        let Some(TaskState::Ended(end)) = self.fences[guard].state_of(&task_id(task)).cloned()
-        else {
-            return;
-        };
         for driver in 0..self.drivers.len() {
             if self.watching.remove(&(driver, task, place)) {
                 let end = end.clone();
@@ -249,8 +256,8 @@
                 detail: String::new(),
             }
         };
-        self.fences[guard].finish(&id, end, NOW);
-        self.notify(guard, id.index);
+        self.fences[guard].finish(&id, end.clone(), NOW);
+        self.notify(guard, id.index, &end);
     }
 
     fn crash(&mut self, guard: usize) {
@@ -261,7 +268,7 @@
 
     fn leave(&mut self, guard: usize) {
         for id in self.fences[guard].begin_leaving() {
-            self.notify(guard, id.index);
+            self.notify(guard, id.index, &TaskEnd::Returned(ReasonCode::Leaving));
         }
     }
 
@@ -314,8 +321,18 @@
     ]
 }
 
+/// The same schedules at every run; `PROPTEST_RNG_SEED` draws others.
+fn fixed_schedules(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 3_000, ..ProptestConfig::default() })]
+    #![proptest_config(fixed_schedules(6_000))]
 
     #[test]
     fn no_task_starts_twice_and_every_answer_is_true(
--- a/crates/cloverfold_core/tests/queueing.rs
+++ b/crates/cloverfold_core/tests/queueing.rs
@@ -7,6 +7,10 @@
     QueuedTask, RetryBudget, TaskEnd, TaskId, choose_placements,
 };
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// The same cases at every run.
+const SEED: u64 = 20_261_202;
 
 fn flow(customer: usize) -> Flow {
     Flow {
@@ -16,6 +20,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn backlogged_flows_share_by_weight(weights in prop::collection::vec(1_u32..8, 2..6)) {
         const TAKEN: usize = 2_000;
--- a/crates/cloverfold_execute/src/execution.rs
+++ b/crates/cloverfold_execute/src/execution.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use cloverfold_core::{
-    AssignVerdict, Fence, FenceLimits, Flow, Incarnation, QueuedTask, ReleaseVerdict, TaskEnd,
-    TaskId, TaskState, UnixTime,
+    AssignVerdict, Fence, FenceLimits, Flow, Incarnation, QueuedTask, ReasonCode, ReleaseVerdict,
+    TaskEnd, TaskId, TaskState, UnixTime,
 };
 use cloverfold_membership::OwnLoad;
 use tokio::sync::mpsc;
@@ -72,6 +72,11 @@
                     // The channel has room for every task, and its other end is ours.
                     let _ = tx.try_send(TaskReport { index, end });
                 }
+                AssignVerdict::NotTaken(reason) => {
+                    let end = TaskEnd::Returned(reason);
+                    let index = task.index;
+                    let _ = tx.try_send(TaskReport { index, end });
+                }
                 AssignVerdict::Queued | AssignVerdict::Known(_) => {
                     self.watchers.entry(id).or_default().push(tx.clone());
                 }
@@ -85,11 +90,11 @@
     pub(crate) fn finish(
         &mut self,
         id: &TaskId,
-        end: TaskEnd,
+        end: &TaskEnd,
         now: UnixTime,
     ) -> Vec<QueuedTask<Bytes>> {
-        self.fence.finish(id, end, now);
-        self.notify(id);
+        self.fence.finish(id, end.clone(), now);
+        self.notify(id, end);
         self.start_waiting(now)
     }
 
@@ -105,7 +110,9 @@
             release.to,
             release.keep_until,
         );
-        self.notify(&id);
+        if let ReleaseVerdict::Released(to) = verdict {
+            self.notify(&id, &TaskEnd::Released(to));
+        }
         self.note_load();
         verdict
     }
@@ -113,7 +120,7 @@
     /// Returns all that waits, because the guard leaves.
     pub(crate) fn begin_leaving(&mut self) {
         for id in self.fence.begin_leaving() {
-            self.notify(&id);
+            self.notify(&id, &TaskEnd::Returned(ReasonCode::Leaving));
         }
         self.note_load();
     }
@@ -134,17 +141,14 @@
             starts.push(task);
         }
         for id in returned {
-            self.notify(&id);
+            self.notify(&id, &TaskEnd::Returned(ReasonCode::DeadlinePassed));
         }
         self.note_load();
         starts
     }
 
     /// Tells those who wait for a task that it ended here.
-    fn notify(&mut self, id: &TaskId) {
-        let Some(TaskState::Ended(end)) = self.fence.state_of(id) else {
-            return;
-        };
+    fn notify(&mut self, id: &TaskId, end: &TaskEnd) {
         for tx in self.watchers.remove(id).unwrap_or_default() {
             let report = TaskReport {
                 index: id.index,
--- a/crates/cloverfold_execute/src/runner.rs
+++ b/crates/cloverfold_execute/src/runner.rs
@@ -113,7 +113,7 @@
         let now = unix_now();
         let starts = self
             .execution
-            .with(move |execution| execution.finish(&id, end, now))
+            .with(move |execution| execution.finish(&id, &end, now))
             .await;
         self.spawn_starts(starts);
     }
