Let load reports ride on claim calls and assignments

Cause: load known from heartbeats alone is 200 to 400 ms old, and coordinators send to one guard together. Change: claim calls, their replies and assignments carry the sender's load report; no further message.

--- a/crates/cloverfold_claim/src/claims.rs
+++ b/crates/cloverfold_claim/src/claims.rs
@@ -9,13 +9,13 @@
     Cell, Claim, ClaimReply, ClaimRequest, GuardId, Placement, Proposer, ProposerStep, Replica,
     Reply, Submission, SubmissionKey,
 };
-use cloverfold_membership::Directory;
+use cloverfold_membership::{Directory, Membership};
 use cloverfold_net::Network;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 use crate::error::ClaimError;
-use crate::messages::ClaimCall;
+use crate::messages::{ClaimAnswer, ClaimCall};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 const MAX_ATTEMPTS: u32 = 6;
@@ -32,6 +32,7 @@
     pub(crate) cell: Cell,
     pub(crate) directory: Arc<Directory>,
     pub(crate) network: Network,
+    pub(crate) membership: Membership,
     pub(crate) replica: ControlState<Replica>,
     /// Number of the next attempt of this life.
     pub(crate) attempts: AtomicU64,
@@ -176,6 +177,7 @@
             let call = ClaimCall {
                 submission,
                 request: request.clone(),
+                member: self.inner.membership.own_report(),
             };
             let tx = tx.clone();
             let guard = *guard;
@@ -194,10 +196,24 @@
             return Some(self.handle(call).await);
         }
         let address = self.inner.directory.address_of(guard)?;
-        let reply = self.inner.network.call(address, &call, CALL_TIMEOUT).await;
-        reply
-            .inspect_err(|cause| log::debug!("claim call: {cause}"))
-            .ok()
+        match self.inner.network.call(address, &call, CALL_TIMEOUT).await {
+            Ok(answer) => {
+                self.inner.membership.absorb(answer.member);
+                Some(answer.reply)
+            }
+            Err(cause) => {
+                log::debug!("claim call: {cause}");
+                None
+            }
+        }
+    }
+
+    /// Answers another guard's request.
+    pub(crate) async fn serve(&self, call: ClaimCall) -> ClaimAnswer {
+        self.inner.membership.absorb(call.member);
+        let reply = self.handle(call).await;
+        let member = self.inner.membership.own_report();
+        ClaimAnswer { reply, member }
     }
 
     /// Answers a request as this guard's replica.
--- a/crates/cloverfold_claim/src/messages.rs
+++ b/crates/cloverfold_claim/src/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between replicas.
 
 use cloverfold_core::{
-    ClaimRequest, Placement, RecoveryPage, Reply, Standing, Submission, SubmissionKey,
+    ClaimRequest, MemberReport, Placement, RecoveryPage, Reply, Standing, Submission, SubmissionKey,
 };
 use cloverfold_net::Message;
 use serde::{Deserialize, Serialize};
@@ -13,12 +13,23 @@
     pub submission: Submission,
     /// What is asked.
     pub request: ClaimRequest,
+    /// The sender's state, which rides along.
+    pub member: Option<MemberReport>,
+}
+
+/// A replica's reply with the state of its guard.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ClaimAnswer {
+    /// The reply.
+    pub reply: Reply,
+    /// The replica's guard.
+    pub member: Option<MemberReport>,
 }
 
 impl Message for ClaimCall {
     const KIND: u16 = 10;
     const NAME: &'static str = "claim";
-    type Reply = Reply;
+    type Reply = ClaimAnswer;
 }
 
 /// Asks for the records that a restarted guard shares with the receiver.
--- a/crates/cloverfold_claim/src/plugin.rs
+++ b/crates/cloverfold_claim/src/plugin.rs
@@ -6,7 +6,7 @@
 
 use cloverfold_app::{App, BuildError, Plugin, unix_now};
 use cloverfold_core::{Placement, Replica};
-use cloverfold_membership::Directory;
+use cloverfold_membership::{Directory, Membership};
 use cloverfold_net::{Peer, PeerRole};
 use cloverfold_settings::CellSettings;
 use prometheus_client::metrics::gauge::Gauge;
@@ -20,7 +20,7 @@
 pub(crate) const CLOCK_MARGIN: Duration = Duration::from_secs(5);
 const GAUGE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Adds [`Claims`]; needs [`CellSettings`] and [`Directory`].
+/// Adds [`Claims`]; needs [`CellSettings`], [`Directory`] and [`Membership`].
 pub struct ClaimPlugin {
     /// The guard that this process is.
     pub own: Placement,
@@ -36,6 +36,7 @@
                 cell: cell.build_cell(),
                 directory: app.resource::<Directory>()?,
                 network: app.network(),
+                membership: (*app.resource::<Membership>()?).clone(),
                 replica: app.control().own(replica),
                 attempts: AtomicU64::new(0),
             }),
@@ -55,7 +56,7 @@
     app.router()
         .register(&[PeerRole::Guard], move |_peer: Peer, call: ClaimCall| {
             let claims = served.clone();
-            async move { claims.handle(call).await }
+            async move { claims.serve(call).await }
         });
     let served = claims.clone();
     app.router()
--- a/crates/cloverfold_coordinate/src/assignment.rs
+++ b/crates/cloverfold_coordinate/src/assignment.rs
@@ -1,6 +1,6 @@
 //! Keeps an assignment going over lost connections, until its tasks have ended or their place is lost.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -39,7 +39,7 @@
 impl JobLink {
     /// Gives tasks to a place and passes on how each ends.
     pub(crate) async fn run_assignment(self, place: Placement, tasks: Vec<TaskIndex>) {
-        let mut open: BTreeMap<TaskIndex, ()> = tasks.into_iter().map(|task| (task, ())).collect();
+        let mut open: BTreeSet<TaskIndex> = tasks.into_iter().collect();
         let mut reached_at = Instant::now();
         let mut is_first = true;
         while !open.is_empty() {
@@ -67,7 +67,7 @@
                 }
             }
         }
-        for task in open.into_keys() {
+        for task in open {
             self.send(JobEvent::PlaceLost { task, place }).await;
         }
     }
@@ -76,7 +76,7 @@
     async fn follow_assignment(
         &self,
         place: Placement,
-        open: &mut BTreeMap<TaskIndex, ()>,
+        open: &mut BTreeSet<TaskIndex>,
         reached_at: &mut Instant,
     ) -> Option<Break> {
         let assign = self.build_assign(place, open);
@@ -96,9 +96,7 @@
                 Ok(Some(AssignReply::WrongIncarnation(_))) => return Some(Break::Superseded),
                 Ok(Some(AssignReply::Ended { reports, member })) => {
                     *reached_at = Instant::now();
-                    self.coordinator
-                        .membership()
-                        .absorb(member.into_iter().collect());
+                    self.coordinator.membership().absorb(member);
                     for report in reports {
                         open.remove(&report.index);
                         self.report_end(report.index, place, report.end).await;
@@ -111,9 +109,9 @@
         }
     }
 
-    fn build_assign(&self, place: Placement, open: &BTreeMap<TaskIndex, ()>) -> Assign {
+    fn build_assign(&self, place: Placement, open: &BTreeSet<TaskIndex>) -> Assign {
         let submit = &self.submit;
-        let tasks = open.keys().map(|task| AssignedTask {
+        let tasks = open.iter().map(|task| AssignedTask {
             index: *task,
             payload: submit.tasks[usize::from(*task)].clone(),
         });
@@ -125,6 +123,7 @@
             deadline: submit.deadline,
             keep_until: self.coordinator.keep_until(&submit.submission),
             tasks: tasks.collect(),
+            member: self.coordinator.membership().own_report(),
         }
     }
 
@@ -177,9 +176,7 @@
             match network.call(address, &release, RELEASE_TIMEOUT).await {
                 Ok(reply) => {
                     let verdict = reply.verdict;
-                    self.coordinator
-                        .membership()
-                        .absorb(reply.member.into_iter().collect());
+                    self.coordinator.membership().absorb(reply.member);
                     let event = JobEvent::Verdict {
                         task,
                         place,
--- a/crates/cloverfold_execute/src/messages.rs
+++ b/crates/cloverfold_execute/src/messages.rs
@@ -33,6 +33,8 @@
     pub keep_until: UnixTime,
     /// The tasks.
     pub tasks: Vec<AssignedTask>,
+    /// The coordinator's state, which rides along.
+    pub member: Option<MemberReport>,
 }
 
 impl Message for Assign {
--- a/crates/cloverfold_execute/src/runner.rs
+++ b/crates/cloverfold_execute/src/runner.rs
@@ -33,6 +33,7 @@
 impl Runner {
     /// Handles an assignment until each of its tasks has ended here.
     pub(crate) async fn handle_assign(self, assign: Assign, mut sink: ReplySink) {
+        self.membership.absorb(assign.member);
         let customer = self.cell.find_customer(&assign.customer);
         let weight = customer.map_or(1.0, |customer| customer.weight);
         let now = unix_now();
--- a/crates/cloverfold_membership/src/membership.rs
+++ b/crates/cloverfold_membership/src/membership.rs
@@ -118,7 +118,11 @@
     /// Takes in reports, from heartbeats or from messages that carried them.
     ///
     /// The connection to a guard that turns out to have restarted is forgotten, since nothing answers on it.
-    pub fn absorb(&self, reports: Vec<MemberReport>) {
+    pub fn absorb(&self, reports: impl IntoIterator<Item = MemberReport>) {
+        let reports: Vec<MemberReport> = reports.into_iter().collect();
+        if reports.is_empty() {
+            return;
+        }
         let now = self.started.elapsed();
         let network = self.network.clone();
         let directory = self.directory.clone();
