Pass a task on from a guard without a free slot

Cause: a task that meets a full guard waits there while others are free. Change: the guard passes it on at once to a guard with a free slot, drawn in proportion to free slots; its fence holds where the task went, so no second place can get it, and the coordinator follows.

--- a/crates/cloverfold_app/src/clock.rs
+++ b/crates/cloverfold_app/src/clock.rs
@@ -15,3 +15,8 @@
 pub fn random_u64() -> u64 {
     rand::random()
 }
+
+/// Returns a random number below `bound`, which is above 0.
+pub fn draw_below(bound: usize) -> usize {
+    (random_u64() % bound as u64) as usize
+}
--- a/crates/cloverfold_app/src/lib.rs
+++ b/crates/cloverfold_app/src/lib.rs
@@ -26,7 +26,7 @@
 mod resources;
 
 pub use app::{App, BuildError, Plugin, Running};
-pub use clock::{random_u64, unix_now};
+pub use clock::{draw_below, random_u64, unix_now};
 pub use control::{Control, ControlState};
 pub use lifecycle::{Lifecycle, Phase};
 pub use logging::{LoggingError, start_logging};
--- a/crates/cloverfold_coordinate/src/assignment.rs
+++ b/crates/cloverfold_coordinate/src/assignment.rs
@@ -1,11 +1,11 @@
 //! Keeps an assignment going over lost connections, until its tasks have ended or their place is lost.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cloverfold_app::random_u64;
-use cloverfold_core::{JobEvent, Placement, TaskEnd, TaskIndex};
+use cloverfold_core::{GuardId, JobEvent, Placement, TaskEnd, TaskIndex};
 use cloverfold_execute::{Assign, AssignReply, AssignedTask, Release};
 use cloverfold_net::CallError;
 use tokio::sync::mpsc;
@@ -28,6 +28,19 @@
     pub(crate) events: mpsc::Sender<JobEvent>,
 }
 
+/// A task on its way to a place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct PlacedTask {
+    pub(crate) index: TaskIndex,
+    /// Guards that had the task before.
+    pub(crate) left: Vec<GuardId>,
+    /// Whether the place may pass the task on.
+    pub(crate) may_pass_on: bool,
+}
+
+/// Tasks that have not ended at their place, by number.
+type OpenTasks = BTreeMap<TaskIndex, PlacedTask>;
+
 /// Why an assignment no longer brings reports.
 enum Break {
     /// The life that was meant is over.
@@ -38,8 +51,8 @@
 
 impl JobLink {
     /// Gives tasks to a place and passes on how each ends.
-    pub(crate) async fn run_assignment(self, place: Placement, tasks: Vec<TaskIndex>) {
-        let mut open: BTreeSet<TaskIndex> = tasks.into_iter().collect();
+    pub(crate) async fn run_assignment(self, place: Placement, tasks: Vec<PlacedTask>) {
+        let mut open: OpenTasks = tasks.into_iter().map(|task| (task.index, task)).collect();
         let mut reached_at = Instant::now();
         let mut is_first = true;
         while !open.is_empty() {
@@ -67,7 +80,7 @@
                 }
             }
         }
-        for task in open {
+        for task in open.into_keys() {
             self.send(JobEvent::PlaceLost { task, place }).await;
         }
     }
@@ -76,7 +89,7 @@
     async fn follow_assignment(
         &self,
         place: Placement,
-        open: &mut BTreeSet<TaskIndex>,
+        open: &mut OpenTasks,
         reached_at: &mut Instant,
     ) -> Option<Break> {
         let assign = self.build_assign(place, open);
@@ -109,11 +122,13 @@
         }
     }
 
-    fn build_assign(&self, place: Placement, open: &BTreeSet<TaskIndex>) -> Assign {
+    fn build_assign(&self, place: Placement, open: &OpenTasks) -> Assign {
         let submit = &self.submit;
-        let tasks = open.iter().map(|task| AssignedTask {
-            index: *task,
-            payload: submit.tasks[usize::from(*task)].clone(),
+        let tasks = open.values().map(|task| AssignedTask {
+            index: task.index,
+            payload: submit.tasks[usize::from(task.index)].clone(),
+            left: task.left.clone(),
+            may_pass_on: task.may_pass_on,
         });
         Assign {
             place,
--- a/crates/cloverfold_coordinate/src/driver.rs
+++ b/crates/cloverfold_coordinate/src/driver.rs
@@ -4,15 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cloverfold_app::{random_u64, unix_now};
+use cloverfold_app::{draw_below, unix_now};
 use cloverfold_claim::ClaimError;
 use cloverfold_core::{
     Candidate, Claim, JobAction, JobEvent, JobOptions, JobProgress, Outcome, Placement, ReasonCode,
-    TaskEnd, TaskIndex, choose_placements, rank_by_load,
+    TaskEnd, choose_placements, rank_by_load,
 };
 use tokio::sync::mpsc;
 
-use crate::assignment::JobLink;
+use crate::assignment::{JobLink, PlacedTask};
 use crate::coordinator::Coordinator;
 use crate::jobs::JobAnswer;
 use crate::messages::Submit;
@@ -83,10 +83,6 @@
     }
 }
 
-fn draw_below(bound: usize) -> usize {
-    (random_u64() % bound as u64) as usize
-}
-
 fn refuse(reason: ReasonCode) -> Outcome {
     let (detail, retry_after) = match reason {
         ReasonCode::KeyConflict => (
@@ -138,11 +134,26 @@
 
 /// Sends what the progress asks for; returns the answer when it is there.
 fn carry_out(link: &JobLink, actions: Vec<JobAction>) -> Option<Outcome> {
-    let mut batches: BTreeMap<Placement, Vec<TaskIndex>> = BTreeMap::new();
+    let mut batches: BTreeMap<Placement, Vec<PlacedTask>> = BTreeMap::new();
     let mut answer = None;
     for action in actions {
         match action {
-            JobAction::Assign { task, place } => batches.entry(place).or_default().push(task),
+            JobAction::Assign {
+                task,
+                place,
+                left,
+                may_pass_on,
+            } => {
+                if !left.is_empty() {
+                    link.coordinator.metrics().moves.inc();
+                }
+                let placed = PlacedTask {
+                    index: task,
+                    left,
+                    may_pass_on,
+                };
+                batches.entry(place).or_default().push(placed);
+            }
             JobAction::Release { task, place, to } => {
                 link.coordinator.metrics().releases.inc();
                 tokio::spawn(link.clone().run_release(task, place, to));
--- a/crates/cloverfold_coordinate/src/plugin.rs
+++ b/crates/cloverfold_coordinate/src/plugin.rs
@@ -31,6 +31,7 @@
 pub(crate) struct CoordinateMetrics {
     jobs: Family<OutcomeLabel, Counter>,
     pub(crate) repeated_assigns: Counter,
+    pub(crate) moves: Counter,
     pub(crate) releases: Counter,
     pub(crate) retries: Counter,
 }
@@ -49,6 +50,11 @@
             "Assignments sent again after a lost connection",
             self.repeated_assigns.clone(),
         );
+        registry.register(
+            "task_moves",
+            "Assignments of tasks that another guard had passed on",
+            self.moves.clone(),
+        );
         registry.register(
             "releases",
             "Tasks asked back before their start",
--- a/crates/cloverfold_core/src/choice.rs
+++ b/crates/cloverfold_core/src/choice.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Placement;
+use crate::{GuardId, Placement};
 
 /// A guard that may take tasks, with what is known of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +58,39 @@
     chosen
 }
 
+/// Chooses a guard with a free slot that has not had the task, and charges the task to it.
+///
+/// A guard is drawn with a chance in proportion to its free slots, since several guards may choose by the same
+/// reports at a time.
+pub fn choose_free_place(
+    candidates: &mut [Candidate],
+    avoid: &[GuardId],
+    draw: impl FnOnce(usize) -> usize,
+) -> Option<Placement> {
+    let count_free = |one: &Candidate| {
+        let is_avoided = avoid.contains(&one.placement.guard);
+        if is_avoided {
+            0
+        } else {
+            one.slots.saturating_sub(one.load) as usize
+        }
+    };
+    let total: usize = candidates.iter().map(count_free).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut place = draw(total);
+    for candidate in candidates {
+        let free = count_free(candidate);
+        if place < free {
+            candidate.load += 1;
+            return Some(candidate.placement);
+        }
+        place -= free;
+    }
+    None
+}
+
 /// Orders candidates by how soon a new task would start there, ties drawn at random.
 pub fn rank_by_load(
     candidates: &mut [Candidate],
--- a/crates/cloverfold_core/src/fence.rs
+++ b/crates/cloverfold_core/src/fence.rs
@@ -165,11 +165,12 @@
     /// Takes a task in, unless it is known, meant for another life, or cannot be taken.
     ///
     /// What is not taken is not remembered: whoever wants to move the task releases it here first, which
-    /// fences it.
+    /// fences it. A task that would have to wait is passed on to `pass_to` instead, where there is such a place.
     pub fn assign(
         &mut self,
         incarnation: Incarnation,
         task: QueuedTask<P>,
+        pass_to: Option<Placement>,
         now: UnixTime,
     ) -> AssignVerdict {
         if incarnation != self.incarnation {
@@ -178,6 +179,11 @@
         if let Some(entry) = self.entries.get(&task.id) {
             return AssignVerdict::Known(entry.state.clone());
         }
+        if pass_to.is_some() && now < task.deadline && !self.can_start_now() {
+            let state = TaskState::Ended(TaskEnd::Released(pass_to));
+            self.remember(task.id, state.clone(), task.keep_until);
+            return AssignVerdict::Known(state);
+        }
         if let Some(reason) = self.find_obstacle(&task, now) {
             return AssignVerdict::NotTaken(reason);
         }
@@ -186,6 +192,11 @@
         AssignVerdict::Queued
     }
 
+    /// Tells whether a task that came now would start at once.
+    pub fn can_start_now(&self) -> bool {
+        !self.is_leaving && self.running + self.queue.len() < self.limits.slots
+    }
+
     fn find_obstacle(&self, task: &QueuedTask<P>, now: UnixTime) -> Option<ReasonCode> {
         if self.is_leaving {
             Some(ReasonCode::Leaving)
--- a/crates/cloverfold_core/src/job.rs
+++ b/crates/cloverfold_core/src/job.rs
@@ -7,7 +7,7 @@
 use crate::fence::{ReleaseVerdict, TaskEnd};
 use crate::outcome::{Outcome, ReasonCode, Repeat};
 use crate::replica::Claim;
-use crate::{Placement, TaskIndex};
+use crate::{GuardId, Placement, TaskIndex};
 
 /// How often one task may be moved before the job gives up.
 const MAX_MOVES: usize = 3;
@@ -21,6 +21,10 @@
         task: TaskIndex,
         /// The place.
         place: Placement,
+        /// Guards that had the task before; the place may pass it on to others.
+        left: Vec<GuardId>,
+        /// Whether the place may pass the task on.
+        may_pass_on: bool,
     },
     /// Ask a place to give up a task.
     Release {
@@ -93,6 +97,16 @@
 }
 
 impl TaskProgress {
+    /// Asks the present place to run the task, or to pass it on if it has not been moved too often.
+    fn assign(&self, task: TaskIndex) -> JobAction {
+        JobAction::Assign {
+            task,
+            place: self.place,
+            left: self.left.iter().map(|place| place.guard).collect(),
+            may_pass_on: self.left.len() < MAX_MOVES,
+        }
+    }
+
     fn go_to(&mut self, place: Placement, status: TaskStatus) {
         self.left.push(self.place);
         self.place = place;
@@ -136,10 +150,7 @@
                 left: Vec::new(),
             })
             .collect();
-        let assign = |(task, progress): (usize, &TaskProgress)| JobAction::Assign {
-            task: task as TaskIndex,
-            place: progress.place,
-        };
+        let assign = |(task, progress): (usize, &TaskProgress)| progress.assign(task as TaskIndex);
         let actions = tasks.iter().enumerate().map(assign).collect();
         let progress = Self {
             repeat,
@@ -236,8 +247,9 @@
                 self.task_mut(task).status = TaskStatus::Spoiled;
             }
             ReleaseVerdict::Started => {
-                self.task_mut(task).status = TaskStatus::Assigned;
-                actions.push(JobAction::Assign { task, place });
+                let progress = self.task_mut(task);
+                progress.status = TaskStatus::Assigned;
+                actions.push(progress.assign(task));
             }
             ReleaseVerdict::WrongIncarnation(_) => {
                 let detail = lost_detail(place);
@@ -265,7 +277,7 @@
             actions.push(JobAction::Release { task, place, to });
         } else {
             progress.go_to(place, TaskStatus::Assigned);
-            actions.push(JobAction::Assign { task, place });
+            actions.push(progress.assign(task));
         }
     }
 
@@ -301,8 +313,9 @@
             && let Some(place) = self.task_mut(task).choose_next(&options.places)
             && (options.take_retry)()
         {
-            self.task_mut(task).go_to(place, TaskStatus::Assigned);
-            actions.push(JobAction::Assign { task, place });
+            let progress = self.task_mut(task);
+            progress.go_to(place, TaskStatus::Assigned);
+            actions.push(progress.assign(task));
             return;
         }
         self.task_mut(task).status = TaskStatus::Spoiled;
--- a/crates/cloverfold_core/src/lib.rs
+++ b/crates/cloverfold_core/src/lib.rs
@@ -25,7 +25,7 @@
 mod retry_budget;
 
 pub use cell::{Cell, Location, quorum_of};
-pub use choice::{Candidate, PlacementPolicy, choose_placements, rank_by_load};
+pub use choice::{Candidate, PlacementPolicy, choose_free_place, choose_placements, rank_by_load};
 pub use fair_queue::{FairQueue, Flow};
 pub use fence::{
     AssignVerdict, Fence, FenceLimits, QueuedTask, ReleaseVerdict, TaskEnd, TaskId, TaskState,
--- a/crates/cloverfold_core/tests/jobs.rs
+++ b/crates/cloverfold_core/tests/jobs.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use cloverfold_core::{
-    AssignVerdict, Claim, Fence, FenceLimits, Flow, JobAction, JobEvent, JobOptions, JobProgress,
-    Outcome, Placement, QueuedTask, ReasonCode, ReleaseVerdict, Repeat, TaskEnd, TaskId, TaskIndex,
-    TaskState,
+    AssignVerdict, Claim, Fence, FenceLimits, Flow, GuardId, JobAction, JobEvent, JobOptions,
+    JobProgress, Outcome, Placement, QueuedTask, ReasonCode, ReleaseVerdict, Repeat, TaskEnd,
+    TaskId, TaskIndex, TaskState,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -167,7 +167,12 @@
 
     fn deliver_action(&mut self, driver: usize, action: JobAction) {
         match action {
-            JobAction::Assign { task, place } => self.assign(driver, task, place),
+            JobAction::Assign {
+                task,
+                place,
+                left,
+                may_pass_on,
+            } => self.assign(driver, task, place, &left, may_pass_on),
             JobAction::Release { task, place, to } => {
                 let guard = usize::from(place.guard);
                 let id = task_id(task);
@@ -190,7 +195,18 @@
         }
     }
 
-    fn assign(&mut self, driver: usize, task: TaskIndex, place: Placement) {
+    fn assign(
+        &mut self,
+        driver: usize,
+        task: TaskIndex,
+        place: Placement,
+        left: &[GuardId],
+        may_pass_on: bool,
+    ) {
+        self.turn += 1;
+        let other = self.lives[self.turn % GUARDS];
+        let is_other = other.guard != place.guard && !left.contains(&other.guard);
+        let pass_to = (may_pass_on && is_other).then_some(other);
         let guard = usize::from(place.guard);
         let queued = QueuedTask {
             id: task_id(task),
@@ -203,7 +219,7 @@
             keep_until: LATER,
             payload: (),
         };
-        match self.fences[guard].assign(place.incarnation, queued, NOW) {
+        match self.fences[guard].assign(place.incarnation, queued, pass_to, NOW) {
             AssignVerdict::WrongIncarnation(_) => {
                 self.send_event(driver, JobEvent::PlaceLost { task, place });
             }
@@ -286,7 +302,12 @@
         let watching: Vec<_> = self.watching.iter().copied().collect();
         if !watching.is_empty() {
             let (driver, task, place) = watching[number % watching.len()];
-            let action = JobAction::Assign { task, place };
+            let action = JobAction::Assign {
+                task,
+                place,
+                left: Vec::new(),
+                may_pass_on: true,
+            };
             self.packets.push(Packet::Action { driver, action });
         }
     }
--- a/crates/cloverfold_core/tests/queueing.rs
+++ b/crates/cloverfold_core/tests/queueing.rs
@@ -70,7 +70,7 @@
                         keep_until: later,
                         payload: (),
                     };
-                    fence.assign(1, task, now);
+                    fence.assign(1, task, None, now);
                 }
                 1 => {
                     if let Some(id) = running.pop() {
--- a/crates/cloverfold_execute/src/execution.rs
+++ b/crates/cloverfold_execute/src/execution.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cloverfold_app::draw_below;
 use cloverfold_core::{
-    AssignVerdict, Fence, FenceLimits, Flow, Incarnation, QueuedTask, ReasonCode, ReleaseVerdict,
-    TaskEnd, TaskId, TaskState, UnixTime,
+    AssignVerdict, Candidate, Fence, FenceLimits, Flow, Incarnation, QueuedTask, ReasonCode,
+    ReleaseVerdict, TaskEnd, TaskId, TaskState, UnixTime, choose_free_place,
 };
 use cloverfold_membership::OwnLoad;
 use tokio::sync::mpsc;
@@ -46,7 +47,15 @@
     }
 
     /// Takes an assignment in and starts what has a slot.
-    pub(crate) fn assign(&mut self, assign: Assign, weight: f64, now: UnixTime) -> Assigned {
+    ///
+    /// `others` are guards that tasks without a free slot here may be passed on to.
+    pub(crate) fn assign(
+        &mut self,
+        assign: Assign,
+        weight: f64,
+        mut others: Vec<Candidate>,
+        now: UnixTime,
+    ) -> Assigned {
         let (tx, reports) = mpsc::channel(assign.tasks.len().max(1));
         let flow = Flow {
             service: assign.service,
@@ -65,7 +74,13 @@
                 keep_until: assign.keep_until,
                 payload: Bytes::from(task.payload),
             };
-            match self.fence.assign(assign.place.incarnation, queued, now) {
+            let pass_to = if task.may_pass_on && !self.fence.can_start_now() {
+                choose_free_place(&mut others, &task.left, draw_below)
+            } else {
+                None
+            };
+            let incarnation = assign.place.incarnation;
+            match self.fence.assign(incarnation, queued, pass_to, now) {
                 AssignVerdict::WrongIncarnation(own) => return Assigned::WrongIncarnation(own),
                 AssignVerdict::Known(TaskState::Ended(end)) => {
                     let index = task.index;
--- a/crates/cloverfold_execute/src/messages.rs
+++ b/crates/cloverfold_execute/src/messages.rs
@@ -1,8 +1,8 @@
 //! Messages from a coordinator to the guard of a target.
 
 use cloverfold_core::{
-    CustomerId, Incarnation, MemberReport, Placement, ReleaseVerdict, ServiceId, SubmissionKey,
-    TaskEnd, TaskIndex, UnixTime,
+    CustomerId, GuardId, Incarnation, MemberReport, Placement, ReleaseVerdict, ServiceId,
+    SubmissionKey, TaskEnd, TaskIndex, UnixTime,
 };
 use cloverfold_net::Message;
 use serde::{Deserialize, Serialize};
@@ -14,6 +14,10 @@
     pub index: TaskIndex,
     /// What the target is given.
     pub payload: Vec<u8>,
+    /// Guards that had the task before.
+    pub left: Vec<GuardId>,
+    /// Whether the guard may pass the task on rather than let it wait.
+    pub may_pass_on: bool,
 }
 
 /// Gives tasks of one job to a guard, or asks again how they go.
--- a/crates/cloverfold_execute/src/runner.rs
+++ b/crates/cloverfold_execute/src/runner.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use cloverfold_app::{ControlState, unix_now};
-use cloverfold_core::{QueuedTask, ReasonCode, ReleaseVerdict, TaskEnd, TaskId, format_key};
+use cloverfold_core::{
+    Candidate, Placement, QueuedTask, ReasonCode, ReleaseVerdict, TaskEnd, TaskId, format_key,
+};
 use cloverfold_membership::Membership;
 use cloverfold_net::ReplySink;
 use cloverfold_settings::CellSettings;
@@ -36,10 +38,11 @@
         self.membership.absorb(assign.member);
         let customer = self.cell.find_customer(&assign.customer);
         let weight = customer.map_or(1.0, |customer| customer.weight);
+        let others = self.list_others(assign.place).await;
         let now = unix_now();
         let assigned = self
             .execution
-            .with(move |execution| execution.assign(assign, weight, now))
+            .with(move |execution| execution.assign(assign, weight, others, now))
             .await;
         let (mut reports, starts) = match assigned {
             Assigned::WrongIncarnation(own) => {
@@ -63,6 +66,13 @@
         sink.finish().await;
     }
 
+    /// Lists the guards beside this one that can take work.
+    async fn list_others(&self, own: Placement) -> Vec<Candidate> {
+        let mut others = self.membership.list_candidates().await;
+        others.retain(|candidate| candidate.placement.guard != own.guard);
+        others
+    }
+
     /// Handles a release; a task that runs is cancelled where the job is given up.
     pub(crate) async fn handle_release(self, release: Release) -> ReleaseReply {
         let id = TaskId {
--- a/crates/cloverfold_load/src/report.rs
+++ b/crates/cloverfold_load/src/report.rs
@@ -155,7 +155,7 @@
     pub useful_starts: u64,
     /// Starts at targets whose job did not complete.
     pub wasted_sends: u64,
-    /// Assignments sent again and tasks asked back.
+    /// Assignments sent again, tasks that a guard passed on, and tasks asked back.
     pub wasted_calls: u64,
     /// Submissions sent to a further guard, and tasks tried again.
     pub retries: u64,
@@ -178,6 +178,7 @@
             useful_starts,
             wasted_sends: starts.saturating_sub(useful_starts),
             wasted_calls: count("cloverfold_repeated_assigns_total")
+                + count("cloverfold_task_moves_total")
                 + count("cloverfold_releases_total"),
             retries: count("cloverfold_reroutes_total") + count("cloverfold_task_retries_total"),
             probes: 0,
--- a/crates/cloverfold_membership/src/plugin.rs
+++ b/crates/cloverfold_membership/src/plugin.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use cloverfold_app::{App, BuildError, Lifecycle, Phase, Plugin, random_u64};
+use cloverfold_app::{App, BuildError, Lifecycle, Phase, Plugin, draw_below};
 use cloverfold_core::{GuardId, Placement};
 use cloverfold_net::{Network, Peer, PeerRole};
 use cloverfold_settings::CellSettings;
@@ -117,7 +117,7 @@
         let mut peers = self.list_peers();
         let mut drawn = Vec::with_capacity(count);
         while drawn.len() < count && !peers.is_empty() {
-            let index = (random_u64() % peers.len() as u64) as usize;
+            let index = draw_below(peers.len());
             drawn.push(peers.swap_remove(index));
         }
         drawn
