Let one guard lead its cell, and jobs wait for slots unclaimed

Change: the lead is first choice for every key; it counts its own tasks in flight, admits jobs in fair order as slots come free, and only then has the claim agreed on. Without the lead any member of the key's group coordinates as before. New connections assume a round trip of 20 ms, not 333 ms, and a starting guard announces itself to all. Conclusion: exact knowledge at one place beats fresher reports at many; its cost in processor time is to be measured, since it bounds the size of a cell.

--- a/crates/cloverfold/src/bin/cloverfold/solo.rs
+++ b/crates/cloverfold/src/bin/cloverfold/solo.rs
@@ -30,6 +30,9 @@
     /// placement policy; an unknown name lists them all
     #[argh(option, default = "String::from(\"least_loaded\")")]
     placement: String,
+    /// spread the jobs' coordination over all guards, as a baseline
+    #[argh(switch)]
+    no_lead: bool,
     /// stay up for your own requests instead
     #[argh(switch)]
     serve: bool,
@@ -48,6 +51,7 @@
             let config = SoloConfig {
                 guards: self.guards,
                 placement: parse_placement(&self.placement)?,
+                has_lead: !self.no_lead,
                 ..SoloConfig::default()
             };
             let system = SoloSystem::start(config).await?;
@@ -94,6 +98,7 @@
         "entries: {entries:?}; settings and keys: {}",
         system.folder().display()
     );
+    println!("metrics pages: {:?}", system.metrics_addresses());
     println!("try, and end with Ctrl-C:");
     println!(
         "  curl -s http://{}/v1/jobs -H 'Cloverfold-Customer: {}' -H 'Authorization: Bearer {}' \\",
--- a/crates/cloverfold/tests/system/guard_faults.rs
+++ b/crates/cloverfold/tests/system/guard_faults.rs
@@ -106,7 +106,11 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn another_member_takes_over_from_a_dead_coordinator() {
-    let mut cluster = Cluster::start(Shape::default()).await;
+    let shape = Shape {
+        cell: json!({ "has_lead": false }),
+        ..Shape::default()
+    };
+    let mut cluster = Cluster::start(shape).await;
     let victim = 1;
     let names = (0..10).map(|number| cluster.name_job_for(victim, &format!("take-{number}")));
     let jobs: Vec<_> = names.map(|name| TestJob::new(&name, 1, 1_200)).collect();
@@ -142,6 +146,8 @@
         .map(|number| TestJob::new(&format!("restart-{number}"), 2, 700))
         .collect();
 
+    let victim = cluster.group_of(&jobs[0])[1];
+
     let outcomes = {
         let all = submit_all(&cluster, &jobs);
         tokio::pin!(all);
@@ -149,14 +155,14 @@
             _ = &mut all => panic!("the jobs ended before the restart"),
             () = cluster.wait_starts(20) => {}
         }
-        cluster.signal_guard(3, rustix::process::Signal::KILL);
+        cluster.signal_guard(victim, rustix::process::Signal::KILL);
         all.await
     };
-    cluster.kill_guard(3);
-    cluster.start_guard(3);
+    cluster.kill_guard(victim);
+    cluster.start_guard(victim);
     cluster.wait_ready().await;
     let records = cluster
-        .read_guard_metric(3, "cloverfold_claim_records")
+        .read_guard_metric(victim, "cloverfold_claim_records")
         .await;
     let again = submit_all(&cluster, &jobs).await;
 
--- a/crates/cloverfold_coordinate/src/assignment.rs
+++ b/crates/cloverfold_coordinate/src/assignment.rs
@@ -7,6 +7,7 @@
 use cloverfold_app::random_u64;
 use cloverfold_core::{GuardId, JobEvent, Placement, TaskEnd, TaskIndex};
 use cloverfold_execute::{Assign, AssignReply, AssignedTask, Release};
+use cloverfold_membership::Charge;
 use cloverfold_net::CallError;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -29,8 +30,9 @@
 }
 
 /// A task on its way to a place.
-#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct PlacedTask {
+    /// Counts the task at its place until it has ended there.
+    pub(crate) _charge: Charge,
     pub(crate) index: TaskIndex,
     /// Guards that had the task before.
     pub(crate) left: Vec<GuardId>,
--- a/crates/cloverfold_coordinate/src/coordinator.rs
+++ b/crates/cloverfold_coordinate/src/coordinator.rs
@@ -13,6 +13,7 @@
 use cloverfold_settings::CellSettings;
 use tokio::time::sleep;
 
+use crate::admitter::Admitter;
 use crate::driver::drive_job;
 use crate::jobs::{AnswerReceiver, AnswerSender, JobAnswer, Jobs, Joining};
 use crate::messages::{JobState, Query, QueryReply, Submit, SubmitReply, Verdict};
@@ -28,6 +29,7 @@
 }
 
 pub(crate) struct Inner {
+    pub(crate) admitter: Admitter,
     pub(crate) claims: Claims,
     pub(crate) membership: Membership,
     pub(crate) directory: Arc<Directory>,
@@ -40,6 +42,15 @@
 }
 
 impl Coordinator {
+    /// Tells whether this guard coordinates all jobs, and so knows where slots are free.
+    pub(crate) fn is_lead(&self) -> bool {
+        self.inner.cell.find_lead() == Some(self.inner.claims.own().guard)
+    }
+
+    pub(crate) fn admitter(&self) -> &Admitter {
+        &self.inner.admitter
+    }
+
     pub(crate) fn claims(&self) -> &Claims {
         &self.inner.claims
     }
--- a/crates/cloverfold_coordinate/src/driver.rs
+++ b/crates/cloverfold_coordinate/src/driver.rs
@@ -7,11 +7,13 @@
 use cloverfold_app::{draw_below, unix_now};
 use cloverfold_claim::ClaimError;
 use cloverfold_core::{
-    Candidate, Claim, JobAction, JobEvent, JobOptions, JobProgress, Outcome, Placement, ReasonCode,
-    TaskEnd, choose_placements, rank_by_load,
+    Claim, Flow, JobAction, JobEvent, JobOptions, JobProgress, Outcome, Placement, ReasonCode,
+    TaskEnd, rank_by_load,
 };
+use cloverfold_membership::Charge;
 use tokio::sync::mpsc;
 
+use crate::admitter::Grant;
 use crate::assignment::{JobLink, PlacedTask};
 use crate::coordinator::Coordinator;
 use crate::jobs::JobAnswer;
@@ -25,7 +27,7 @@
 /// Runs a job to its answer.
 pub(crate) async fn drive_job(coordinator: Coordinator, submit: Submit) -> JobAnswer {
     let is_sole_attempt = submit.is_sole_attempt;
-    let wanted = plan_job(&coordinator, &submit).await;
+    let JobPlan { wanted, grant } = plan_job(&coordinator, &submit).await;
     if is_sole_attempt && let Some(reason) = wanted.refusal {
         // No other guard has the submission, so this one alone can say that nothing runs.
         return JobAnswer::of_sole_attempt(refuse(reason));
@@ -36,7 +38,7 @@
         }
         Ok(claim) => JobAnswer::proved(match claim.refusal {
             Some(reason) => refuse(reason),
-            None => drive_claim(coordinator, submit, &claim).await,
+            None => drive_claim(coordinator, submit, &claim, grant).await,
         }),
         // Without a claim nothing was assigned here, and there is nowhere else.
         Err(_) if is_sole_attempt => JobAnswer::of_sole_attempt(refuse(ReasonCode::NoQuorum)),
@@ -44,39 +46,64 @@
     }
 }
 
-/// Chooses where each task runs, or decides that nothing can run.
-async fn plan_job(coordinator: &Coordinator, submit: &Submit) -> Claim {
-    let mut claim = Claim {
+/// A claim that this guard would like, with the slots for its tasks.
+struct JobPlan {
+    wanted: Claim,
+    grant: Option<Grant>,
+}
+
+/// Waits for slots and chooses where each task runs, or decides that nothing can run.
+async fn plan_job(coordinator: &Coordinator, submit: &Submit) -> JobPlan {
+    let mut wanted = Claim {
         digest: submit.digest,
         submitted_at: submit.submission.submitted_at,
         placements: Vec::new(),
         tasks: Vec::new(),
         refusal: None,
     };
+    match admit_job(coordinator, submit).await {
+        Ok(grant) => {
+            fill_places(&mut wanted, &grant.charges);
+            JobPlan {
+                wanted,
+                grant: Some(grant),
+            }
+        }
+        Err(reason) => {
+            wanted.refusal = Some(reason);
+            JobPlan {
+                wanted,
+                grant: None,
+            }
+        }
+    }
+}
+
+async fn admit_job(coordinator: &Coordinator, submit: &Submit) -> Result<Grant, ReasonCode> {
     if unix_now() >= submit.deadline {
-        claim.refusal = Some(ReasonCode::DeadlinePassed);
-        return claim;
+        return Err(ReasonCode::DeadlinePassed);
     }
-    let mut candidates = coordinator.membership().list_candidates().await;
-    let policy = coordinator.cell().placement;
-    let chosen = choose_placements(policy, &mut candidates, submit.tasks.len(), draw_below);
-    if chosen.is_empty() {
-        claim.refusal = Some(ReasonCode::Unavailable);
-        return claim;
+    let flow = Flow {
+        service: submit.service.clone(),
+        customer: submit.customer.clone(),
+    };
+    let customer = coordinator.cell().find_customer(&submit.customer);
+    let weight = customer.map_or(1.0, |customer| customer.weight);
+    let admitter = coordinator.admitter();
+    let grant = admitter
+        .admit(flow, weight, submit.tasks.len(), submit.deadline)
+        .await?;
+    if grant.charges.is_empty() {
+        return Err(ReasonCode::Unavailable);
     }
-    fill_places(&mut claim, &candidates, &chosen);
-    let guards = chosen
-        .iter()
-        .map(|index| candidates[*index].placement.guard);
-    coordinator.membership().charge(guards.collect());
-    claim
+    Ok(grant)
 }
 
-fn fill_places(claim: &mut Claim, candidates: &[Candidate], chosen: &[usize]) {
+fn fill_places(claim: &mut Claim, charges: &[Charge]) {
     let mut index_of = BTreeMap::new();
-    for choice in chosen {
-        let index = *index_of.entry(*choice).or_insert_with(|| {
-            claim.placements.push(candidates[*choice].placement);
+    for charge in charges {
+        let index = *index_of.entry(charge.place()).or_insert_with(|| {
+            claim.placements.push(charge.place());
             claim.placements.len() as u16 - 1
         });
         claim.tasks.push(index);
@@ -106,8 +133,17 @@
     Outcome::unknown(reason, format!("{cause}, so nobody can say what was run"))
 }
 
-async fn drive_claim(coordinator: Coordinator, submit: Submit, claim: &Claim) -> Outcome {
+async fn drive_claim(
+    coordinator: Coordinator,
+    submit: Submit,
+    claim: &Claim,
+    grant: Option<Grant>,
+) -> Outcome {
     let (mut progress, mut actions) = JobProgress::begin(claim, submit.repeat);
+    let (mut planned, mut hold) = match grant {
+        Some(grant) => (grant.charges, Some(grant.hold)),
+        None => (Vec::new(), None),
+    };
     let (tx, mut events) = mpsc::channel(EVENT_QUEUE);
     let link = JobLink {
         coordinator: coordinator.clone(),
@@ -118,9 +154,16 @@
         if let Some(outcome) = carry_out(&link, actions) {
             return outcome;
         }
+        // From here on each assignment holds the charges of its own tasks.
+        planned.clear();
         let Some(event) = events.recv().await else {
             return Outcome::unknown(ReasonCode::Unavailable, "the coordinator is stopping");
         };
+        if is_done(&event)
+            && let Some(hold) = &mut hold
+        {
+            hold.release_one();
+        }
         let places = list_next_places(&coordinator, &event).await;
         let budget = coordinator.clone();
         let mut take_retry = || budget.take_retry();
@@ -148,9 +191,10 @@
                     link.coordinator.metrics().moves.inc();
                 }
                 let placed = PlacedTask {
+                    _charge: link.coordinator.membership().charge(place),
                     index: task,
                     left,
-                    may_pass_on,
+                    may_pass_on: may_pass_on && !link.coordinator.is_lead(),
                 };
                 batches.entry(place).or_default().push(placed);
             }
@@ -169,11 +213,19 @@
     answer
 }
 
+fn is_done(event: &JobEvent) -> bool {
+    matches!(
+        event,
+        JobEvent::Ended {
+            end: TaskEnd::Done(_),
+            ..
+        }
+    )
+}
+
 /// Lists where a task can go that did not stay at its place.
 async fn list_next_places(coordinator: &Coordinator, event: &JobEvent) -> Vec<Placement> {
-    if let JobEvent::Ended { end, .. } = event
-        && matches!(end, TaskEnd::Done(_))
-    {
+    if is_done(event) {
         coordinator.note_success();
         return Vec::new();
     }
--- a/crates/cloverfold_coordinate/src/lib.rs
+++ b/crates/cloverfold_coordinate/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`cloverfold_core::JobProgress`]; [`Coordinator`] carries them out. Any member of the group may drive a
 //! job, also beside another: the claim and the start fences keep each task to one start.
 
+mod admitter;
 mod assignment;
 mod coordinator;
 mod driver;
--- a/crates/cloverfold_coordinate/src/plugin.rs
+++ b/crates/cloverfold_coordinate/src/plugin.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 
+use crate::admitter::{Admitter, WaitingRoom};
 use crate::coordinator::{Coordinator, Inner};
 use crate::jobs::Jobs;
 use crate::messages::{Query, Submit};
@@ -75,10 +76,16 @@
     fn build(self, app: &mut App) -> Result<(), BuildError> {
         let metrics = CoordinateMetrics::default();
         metrics.register(app);
+        let membership = (*app.resource::<Membership>()?).clone();
+        let policy = app.resource::<CellSettings>()?.placement;
+        let room = app.control().own(WaitingRoom::default());
+        let admitter = Admitter::new(room, membership.clone(), policy);
+        app.add_task(admitter.clone().run());
         let coordinator = Coordinator {
             inner: Arc::new(Inner {
+                admitter,
                 claims: (*app.resource::<Claims>()?).clone(),
-                membership: (*app.resource::<Membership>()?).clone(),
+                membership,
                 directory: app.resource::<Directory>()?,
                 network: app.network(),
                 cell: app.resource::<CellSettings>()?,
--- /dev/null
+++ b/crates/cloverfold_core/src/admission.rs
@@ -0,0 +1,141 @@
+//! When a job may take slots.
+//!
+//! A coordinator that knows the load of its cell lets a job wait here, unclaimed, until slots are free for it.
+//! A waiting job has cost no message and can still be refused as not run.
+
+use std::collections::HashMap;
+
+use crate::fair_queue::{FairQueue, Flow};
+use crate::outcome::ReasonCode;
+
+/// A job waits for as many slots as it has tasks, but for no larger share of all slots than this.
+const LARGEST_NEED_SHARE: usize = 8;
+
+/// Number of a waiting job, unique in its process.
+pub type TicketId = u64;
+
+/// Slots of the cell as its coordinator knows them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Capacity {
+    /// Slots without a task.
+    pub free: usize,
+    /// All slots.
+    pub total: usize,
+}
+
+/// A job that asks for slots.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ticket {
+    /// Number of the job.
+    pub id: TicketId,
+    /// Customer and service.
+    pub flow: Flow,
+    /// Weight of the flow, above 0.
+    pub weight: f64,
+    /// Number of tasks.
+    pub tasks: usize,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ActiveFlow {
+    tasks: usize,
+    weight: f64,
+}
+
+/// The waiting jobs of a coordinator, and the tasks of the admitted ones by flow.
+#[derive(Clone, Debug, Default)]
+pub struct Admission {
+    waiting: FairQueue<Ticket>,
+    waiting_tasks: usize,
+    weights: HashMap<Flow, f64>,
+    active: HashMap<Flow, ActiveFlow>,
+}
+
+impl Admission {
+    /// Returns the number of tasks of waiting jobs.
+    pub fn waiting_tasks(&self) -> usize {
+        self.waiting_tasks
+    }
+
+    /// Lets a job wait, unless `limit` tasks wait already.
+    ///
+    /// # Errors
+    ///
+    /// Says that the queue is full.
+    pub fn push(&mut self, ticket: Ticket, limit: usize) -> Result<(), ReasonCode> {
+        if self.waiting_tasks >= limit {
+            return Err(ReasonCode::QueueFull);
+        }
+        self.waiting_tasks += ticket.tasks;
+        self.weights.insert(ticket.flow.clone(), ticket.weight);
+        self.waiting
+            .push(ticket.flow.clone(), ticket.weight, ticket);
+        Ok(())
+    }
+
+    /// Takes the next job that may have slots now, and counts its tasks as active.
+    ///
+    /// With free slots jobs go in fair order, and a larger job is not overtaken for long by smaller ones.
+    /// Without, a flow that has less than its share is let in all the same, since the queues at the targets
+    /// serve it before the backlog of those that have more.
+    pub fn admit_next(&mut self, capacity: Capacity) -> Option<Ticket> {
+        let (_, first) = self.waiting.peek()?;
+        let is_free = capacity.free >= limit_need(first.tasks, capacity.total);
+        let ticket = if is_free {
+            self.waiting.pop()
+        } else {
+            let shares = self.compute_shares(capacity.total);
+            let active = &self.active;
+            self.waiting.pop_where(|flow, ticket| {
+                let has = active.get(flow).map_or(0, |one| one.tasks);
+                let share = shares.get(flow).copied().unwrap_or(0.0);
+                (has + limit_need(ticket.tasks, capacity.total)) as f64 <= share
+            })
+        }?;
+        self.waiting_tasks -= ticket.tasks;
+        let active = self.active.entry(ticket.flow.clone()).or_default();
+        active.tasks += ticket.tasks;
+        active.weight = ticket.weight;
+        Some(ticket)
+    }
+
+    /// Notes that tasks of an admitted job no longer take slots.
+    pub fn note_ended(&mut self, flow: &Flow, tasks: usize) {
+        if let Some(active) = self.active.get_mut(flow) {
+            active.tasks = active.tasks.saturating_sub(tasks);
+            if active.tasks == 0 {
+                self.active.remove(flow);
+            }
+        }
+    }
+
+    /// Takes a waiting job out; returns whether it was still waiting.
+    pub fn withdraw(&mut self, id: TicketId) -> bool {
+        let taken = self.waiting.drain_where(|ticket| ticket.id == id);
+        self.waiting_tasks -= taken.iter().map(|ticket| ticket.tasks).sum::<usize>();
+        !taken.is_empty()
+    }
+
+    /// Divides all slots by weight among the flows that have or want some.
+    fn compute_shares(&self, total: usize) -> HashMap<Flow, f64> {
+        let mut weights: HashMap<Flow, f64> = self
+            .active
+            .iter()
+            .map(|(flow, active)| (flow.clone(), active.weight))
+            .collect();
+        for flow in self.waiting.waiting_flows() {
+            let weight = self.weights.get(flow).copied().unwrap_or(1.0);
+            weights.insert(flow.clone(), weight);
+        }
+        let sum: f64 = weights.values().sum();
+        let share = |weight: f64| total as f64 * weight / sum;
+        weights
+            .into_iter()
+            .map(|(flow, weight)| (flow, share(weight)))
+            .collect()
+    }
+}
+
+fn limit_need(tasks: usize, total: usize) -> usize {
+    tasks.min((total / LARGEST_NEED_SHARE).max(1))
+}
--- a/crates/cloverfold_core/src/cell.rs
+++ b/crates/cloverfold_core/src/cell.rs
@@ -23,6 +23,7 @@
 pub struct Cell {
     locations: Vec<Location>,
     group_size: usize,
+    lead: Option<GuardId>,
 }
 
 impl Cell {
@@ -31,9 +32,16 @@
         Self {
             locations,
             group_size,
+            lead: None,
         }
     }
 
+    /// Makes one guard the first choice for every key, so that it knows what is in flight in the whole cell.
+    pub fn with_lead(mut self, lead: GuardId) -> Self {
+        self.lead = Some(lead);
+        self
+    }
+
     /// Returns where each guard of the cell stands.
     pub fn locations(&self) -> &[Location] {
         &self.locations
@@ -46,7 +54,7 @@
 
     /// Chooses the guards that hold a key, first choice first.
     ///
-    /// Guards are ranked by rendezvous hashing, so the loss or arrival of one guard moves only that guard's share
+    /// The lead, where the cell has one, is the first choice. The other guards are ranked by rendezvous hashing, so the loss or arrival of one guard moves only that guard's share
     /// of keys. From the ranking each next member is taken from a hall not yet used, then from a rack not
     /// yet used, then from what is left.
     pub fn choose_replica_group(&self, key: &SubmissionKey) -> Vec<GuardId> {
@@ -63,7 +71,10 @@
 
     fn rank_guards(&self, key: &SubmissionKey) -> Vec<&Location> {
         let mut ranked: Vec<&Location> = self.locations.iter().collect();
-        ranked.sort_by_cached_key(|location| std::cmp::Reverse(score_guard(key, location.guard)));
+        ranked.sort_by_cached_key(|location| {
+            let is_lead = self.lead == Some(location.guard);
+            std::cmp::Reverse((is_lead, score_guard(key, location.guard)))
+        });
         ranked
     }
 }
--- a/crates/cloverfold_core/src/fair_queue.rs
+++ b/crates/cloverfold_core/src/fair_queue.rs
@@ -78,15 +78,53 @@
 
     /// Takes the next item in fair order.
     pub fn pop(&mut self) -> Option<T> {
+        let flow = self.order_waiting_flows().into_iter().next()?;
+        self.pop_from(&flow)
+    }
+
+    /// Returns the item that [`FairQueue::pop`] would take, with its flow.
+    pub fn peek(&self) -> Option<(Flow, &T)> {
+        let flow = self.order_waiting_flows().into_iter().next()?;
+        let item = self.flows.get(&flow)?.items.front()?;
+        Some((flow, item))
+    }
+
+    /// Takes the first item in fair order among the flows' first items for which `is_wanted` holds.
+    pub fn pop_where(&mut self, is_wanted: impl Fn(&Flow, &T) -> bool) -> Option<T> {
+        let is_wanted_flow = |flow: &Flow| {
+            let first = self.flows.get(flow).and_then(|state| state.items.front());
+            first.is_some_and(|item| is_wanted(flow, item))
+        };
+        let flow = self
+            .order_waiting_flows()
+            .into_iter()
+            .find(is_wanted_flow)?;
+        self.pop_from(&flow)
+    }
+
+    /// Lists the flows in which something waits.
+    pub fn waiting_flows(&self) -> impl Iterator<Item = &Flow> {
         let waiting = self.flows.iter().filter(|(_, one)| !one.items.is_empty());
+        waiting.map(|(flow, _)| flow)
+    }
+
+    fn order_waiting_flows(&self) -> Vec<Flow> {
+        let mut waiting: Vec<_> = self
+            .flows
+            .iter()
+            .filter(|(_, one)| !one.items.is_empty())
+            .collect();
         // Ties go by name, so that equal states always decide alike.
-        let next = waiting.min_by(|(a_flow, a), (b_flow, b)| {
+        waiting.sort_by(|(a_flow, a), (b_flow, b)| {
             a.next_tag
                 .total_cmp(&b.next_tag)
                 .then_with(|| a_flow.cmp(b_flow))
         });
-        let flow = next.map(|(flow, _)| flow.clone())?;
-        let state = self.flows.get_mut(&flow)?;
+        waiting.into_iter().map(|(flow, _)| flow.clone()).collect()
+    }
+
+    fn pop_from(&mut self, flow: &Flow) -> Option<T> {
+        let state = self.flows.get_mut(flow)?;
         let item = state.items.pop_front()?;
         self.virtual_time = self.virtual_time.max(state.next_tag);
         state.next_tag += 1.0 / state.weight;
--- a/crates/cloverfold_core/src/lib.rs
+++ b/crates/cloverfold_core/src/lib.rs
@@ -12,6 +12,7 @@
 //! assert_eq!(cell.choose_replica_group(&key).len(), 3);
 //! ```
 
+mod admission;
 mod cell;
 mod choice;
 mod fair_queue;
@@ -24,6 +25,7 @@
 mod replica;
 mod retry_budget;
 
+pub use admission::{Admission, Capacity, Ticket, TicketId};
 pub use cell::{Cell, Location, quorum_of};
 pub use choice::{Candidate, PlacementPolicy, choose_free_place, choose_placements, rank_by_load};
 pub use fair_queue::{FairQueue, Flow};
--- a/crates/cloverfold_core/src/members.rs
+++ b/crates/cloverfold_core/src/members.rs
@@ -5,7 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::choice::Candidate;
+use crate::admission::Capacity;
+use crate::choice::{Candidate, PlacementPolicy, choose_placements};
 use crate::{GuardId, Incarnation, Placement};
 
 /// Phase of a guard's life as it reports it itself.
@@ -47,14 +48,18 @@
     report: MemberReport,
     /// When the report came, by the process's monotonic clock.
     heard_at: Duration,
-    /// Tasks that this process sent there since the report.
-    charged: u32,
+    /// Tasks that the report shows beyond those that this process had there when it came.
+    foreign: u32,
 }
 
-/// The newest report of each guard, with this process's own assignments added.
+/// The newest report of each guard, and what this process itself has in flight there.
+///
+/// Its own tasks are known exactly; reports only show the tasks of other coordinators. So a process that places
+/// all tasks of a cell needs no report to know the load.
 #[derive(Clone, Debug, Default)]
 pub struct MemberTable {
     members: BTreeMap<GuardId, Member>,
+    in_flight: BTreeMap<GuardId, u32>,
 }
 
 impl MemberTable {
@@ -68,10 +73,11 @@
         let is_new_life =
             |held: &Member| held.report.placement.incarnation != report.placement.incarnation;
         let has_restarted = held.is_some_and(is_new_life);
+        let load = report.running + report.queued;
         let member = Member {
             report,
             heard_at: now,
-            charged: 0,
+            foreign: load.saturating_sub(self.in_flight_at(guard)),
         };
         self.members.insert(guard, member);
         has_restarted
@@ -93,11 +99,42 @@
         member.is_some_and(|member| now.saturating_sub(member.heard_at) <= silence)
     }
 
-    /// Notes that this process sent tasks to a guard, until the guard's next report shows them.
-    pub fn charge(&mut self, guard: GuardId, tasks: u32) {
-        if let Some(member) = self.members.get_mut(&guard) {
-            member.charged += tasks;
+    /// Returns the number of tasks that this process has at a guard.
+    pub fn in_flight_at(&self, guard: GuardId) -> u32 {
+        self.in_flight.get(&guard).copied().unwrap_or(0)
+    }
+
+    /// Notes that this process sends a task to a guard.
+    pub fn charge(&mut self, guard: GuardId) {
+        *self.in_flight.entry(guard).or_default() += 1;
+    }
+
+    /// Notes that a charged task has ended at its guard.
+    pub fn discharge(&mut self, guard: GuardId) {
+        if let Some(count) = self.in_flight.get_mut(&guard) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Places tasks on the guards that were heard within the given silence, and charges them.
+    pub fn place(
+        &mut self,
+        policy: PlacementPolicy,
+        count: usize,
+        now: Duration,
+        silence: Duration,
+        draw: impl FnMut(usize) -> usize,
+    ) -> Vec<Placement> {
+        let mut candidates = self.list_candidates(now, silence);
+        let chosen = choose_placements(policy, &mut candidates, count, draw);
+        let places: Vec<Placement> = chosen
+            .into_iter()
+            .map(|index| candidates[index].placement)
+            .collect();
+        for place in &places {
+            self.charge(place.guard);
         }
+        places
     }
 
     /// Forgets that a guard was heard, because it could not be reached.
@@ -108,6 +145,16 @@
         }
     }
 
+    /// Counts the slots of the guards that were heard within the given silence.
+    pub fn count_capacity(&self, now: Duration, silence: Duration) -> Capacity {
+        let mut capacity = Capacity::default();
+        for candidate in self.list_candidates(now, silence) {
+            capacity.total += candidate.slots as usize;
+            capacity.free += candidate.slots.saturating_sub(candidate.load) as usize;
+        }
+        capacity
+    }
+
     /// Lists the live guards that were heard within the given silence.
     pub fn list_candidates(&self, now: Duration, silence: Duration) -> Vec<Candidate> {
         let usable = self.members.values().filter(|member| {
@@ -116,7 +163,7 @@
         });
         let describe = |member: &Member| Candidate {
             placement: member.report.placement,
-            load: member.report.running + member.report.queued + member.charged,
+            load: self.in_flight_at(member.report.placement.guard) + member.foreign,
             slots: member.report.slots,
         };
         usable.map(describe).collect()
--- a/crates/cloverfold_membership/src/lib.rs
+++ b/crates/cloverfold_membership/src/lib.rs
@@ -15,6 +15,6 @@
 mod messages;
 mod plugin;
 
-pub use membership::{Directory, Membership, OwnLoad};
+pub use membership::{Charge, Directory, Membership, OwnLoad};
 pub use messages::Heartbeat;
 pub use plugin::MembershipPlugin;
--- a/crates/cloverfold_membership/src/membership.rs
+++ b/crates/cloverfold_membership/src/membership.rs
@@ -5,12 +5,14 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use cloverfold_app::{Control, ControlState, Lifecycle, Phase};
+use cloverfold_app::{Control, ControlState, Lifecycle, Phase, draw_below};
 use cloverfold_core::{
-    Candidate, GuardId, Incarnation, MemberPhase, MemberReport, MemberTable, Placement,
+    Candidate, Capacity, GuardId, Incarnation, MemberPhase, MemberReport, MemberTable, Placement,
+    PlacementPolicy,
 };
 use cloverfold_net::{Network, PeerAddress};
 use cloverfold_settings::CellSettings;
+use tokio::sync::Notify;
 
 /// A guard from which nothing was heard for this long gets no new task.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -72,6 +74,31 @@
     pub(crate) sequence: AtomicU64,
 }
 
+/// A task that this process has at a place; dropped when the task has ended there.
+pub struct Charge {
+    place: Placement,
+    table: ControlState<MemberTable>,
+    changed: Arc<Notify>,
+}
+
+impl Charge {
+    /// Returns the place.
+    pub fn place(&self) -> Placement {
+        self.place
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        let guard = self.place.guard;
+        let changed = self.changed.clone();
+        self.table.post(move |table| {
+            table.discharge(guard);
+            changed.notify_one();
+        });
+    }
+}
+
 /// Shared knowledge of the cell's guards.
 #[derive(Clone)]
 pub struct Membership {
@@ -79,6 +106,7 @@
     table: ControlState<MemberTable>,
     network: Network,
     directory: Arc<Directory>,
+    changed: Arc<Notify>,
     own: Option<Arc<OwnMember>>,
 }
 
@@ -94,6 +122,7 @@
             table: control.own(MemberTable::default()),
             network,
             directory,
+            changed: Arc::default(),
             own,
         }
     }
@@ -126,7 +155,9 @@
         let now = self.started.elapsed();
         let network = self.network.clone();
         let directory = self.directory.clone();
+        let changed = self.changed.clone();
         self.table.post(move |table| {
+            changed.notify_one();
             for report in reports {
                 let guard = report.placement.guard;
                 if table.absorb(report, now)
@@ -166,13 +197,54 @@
             .await
     }
 
-    /// Notes that this process sends tasks to guards; one entry per task.
-    pub fn charge(&self, guards: Vec<GuardId>) {
-        self.table.post(move |table| {
-            for guard in guards {
-                table.charge(guard, 1);
-            }
-        });
+    /// Counts the slots of the guards that can take work.
+    pub async fn count_capacity(&self) -> Capacity {
+        let own = self.own_report();
+        let now = self.started.elapsed();
+        self.table
+            .with(move |table| {
+                if let Some(own) = own {
+                    table.absorb(own, now);
+                }
+                table.count_capacity(now, SILENCE_LIMIT)
+            })
+            .await
+    }
+
+    /// Waits until a task of this process may have ended or a guard's state may have changed.
+    pub async fn wait_for_change(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Places tasks by the cell's policy, one charge for each.
+    pub async fn place_tasks(&self, policy: PlacementPolicy, count: usize) -> Vec<Charge> {
+        let own = self.own_report();
+        let now = self.started.elapsed();
+        let places = self
+            .table
+            .with(move |table| {
+                if let Some(own) = own {
+                    table.absorb(own, now);
+                }
+                table.place(policy, count, now, SILENCE_LIMIT, draw_below)
+            })
+            .await;
+        let charge = |place| Charge {
+            place,
+            table: self.table.clone(),
+            changed: self.changed.clone(),
+        };
+        places.into_iter().map(charge).collect()
+    }
+
+    /// Notes that this process sends a task to a place, until the charge is dropped.
+    pub fn charge(&self, place: Placement) -> Charge {
+        self.table.post(move |table| table.charge(place.guard));
+        Charge {
+            place,
+            table: self.table.clone(),
+            changed: self.changed.clone(),
+        }
     }
 
     /// Notes that a guard could not be reached, so that it gets nothing new until it is heard again.
--- a/crates/cloverfold_membership/src/plugin.rs
+++ b/crates/cloverfold_membership/src/plugin.rs
@@ -67,7 +67,7 @@
             membership,
             own: self.own.map(|(placement, _)| placement.guard),
         };
-        app.add_drain_step(gossip.clone().announce_leaving());
+        app.add_drain_step(gossip.clone().announce_phase());
         app.add_task(gossip.run(app.lifecycle()));
         Ok(())
     }
@@ -84,6 +84,7 @@
 
 impl Gossip {
     async fn run(self, lifecycle: Lifecycle) {
+        self.clone().announce_phase().await;
         while lifecycle.phase() != Phase::Stopped {
             for guard in self.draw_peers(FANOUT) {
                 tokio::spawn(self.clone().exchange(guard));
@@ -94,8 +95,8 @@
         }
     }
 
-    /// Tells every peer at once, since new work must stop within seconds.
-    async fn announce_leaving(self) {
+    /// Tells every peer at once: a joining guard is to get work, and a leaving one none, within seconds.
+    async fn announce_phase(self) {
         if self.own.is_none() {
             return;
         }
--- a/crates/cloverfold_net/src/network.rs
+++ b/crates/cloverfold_net/src/network.rs
@@ -27,6 +27,8 @@
     pub keep_alive: Duration,
     /// How long a new connection may take.
     pub connect_timeout: Duration,
+    /// Round trip that a new connection assumes; a lost first packet is sent again after three times as long.
+    pub initial_rtt: Duration,
     /// Requests that one peer may have open here.
     pub streams_per_peer: u32,
     /// Requests that all peers together may have open here.
@@ -39,6 +41,7 @@
             idle_timeout: Duration::from_millis(2_500),
             keep_alive: Duration::from_millis(800),
             connect_timeout: Duration::from_millis(1_000),
+            initial_rtt: Duration::from_millis(20),
             streams_per_peer: 1_024,
             requests: 16_384,
         }
@@ -301,6 +304,7 @@
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(Some(idle_timeout));
     transport.keep_alive_interval(Some(config.keep_alive));
+    transport.initial_rtt(config.initial_rtt);
     transport.max_concurrent_bidi_streams(VarInt::from_u32(config.streams_per_peer));
     transport.max_concurrent_uni_streams(VarInt::from_u32(0));
     transport.stream_receive_window(VarInt::from_u32(1024 * 1024));
--- a/crates/cloverfold_settings/src/cell.rs
+++ b/crates/cloverfold_settings/src/cell.rs
@@ -27,6 +27,11 @@
     /// For how long answers and results are kept, in milliseconds.
     #[serde(default = "default_retention_ms")]
     pub answer_retention_ms: u64,
+    /// The guard that coordinates all jobs while it serves; the first of the list where none is named.
+    pub lead: Option<GuardId>,
+    /// Whether one guard leads; without, keys are spread over all guards.
+    #[serde(default = "default_has_lead")]
+    pub has_lead: bool,
     /// How tasks are placed.
     #[serde(default)]
     pub placement: PlacementPolicy,
@@ -81,6 +86,10 @@
     600_000
 }
 
+fn default_has_lead() -> bool {
+    true
+}
+
 fn default_weight() -> f64 {
     1.0
 }
@@ -93,7 +102,17 @@
             hall: place.hall.clone(),
             rack: place.rack.clone(),
         };
-        Cell::new(self.guards.iter().map(locate).collect(), self.replicas)
+        let cell = Cell::new(self.guards.iter().map(locate).collect(), self.replicas);
+        match self.find_lead() {
+            Some(lead) => cell.with_lead(lead),
+            None => cell,
+        }
+    }
+
+    /// Returns the guard that coordinates all jobs while it serves, if the cell has one.
+    pub fn find_lead(&self) -> Option<GuardId> {
+        let first = self.guards.first().map(|place| place.id);
+        self.lead.or(first).filter(|_| self.has_lead)
     }
 
     /// Returns for how long after its first submission a key is known.
--- a/crates/cloverfold_solo/src/system.rs
+++ b/crates/cloverfold_solo/src/system.rs
@@ -35,6 +35,8 @@
     pub customers: Vec<SoloCustomer>,
     /// How tasks are placed, as in the cell's settings.
     pub placement: &'static str,
+    /// Whether one guard coordinates all jobs.
+    pub has_lead: bool,
 }
 
 impl Default for SoloConfig {
@@ -46,6 +48,7 @@
             entries: 3,
             customers: names.map(SoloCustomer::named).into(),
             placement: "least_loaded",
+            has_lead: true,
         }
     }
 }
@@ -133,7 +136,10 @@
     async fn start_guards(&mut self) -> Result<CellSettings, SoloError> {
         let peers = find_free_addresses(self.config.guards)?;
         let https = find_free_addresses(self.config.guards)?;
-        let extra = json!({ "placement": self.config.placement });
+        let extra = json!({
+            "placement": self.config.placement,
+            "has_lead": self.config.has_lead,
+        });
         let cell = self
             .installation
             .write_cell(&peers, &self.config.customers, extra)?;
