Operator's commands: leave and status; count bytes between processes

Cause: a planned stop could only be asked for by a signal on the box, and nothing showed the bytes a node spends. Change: 'cloverfold leave' tells a guard to drain and exit, 'cloverfold status' shows how whole each guard's memory is; gauges of datagram bytes.

--- a/crates/cloverfold/src/bin/cloverfold/main.rs
+++ b/crates/cloverfold/src/bin/cloverfold/main.rs
@@ -2,8 +2,8 @@
 
 mod check;
 mod entry;
-mod found;
 mod keys;
+mod operator;
 mod solo;
 
 use argh::FromArgs;
@@ -21,10 +21,12 @@
 enum Command {
     Check(check::Check),
     Entry(entry::Entry),
-    Found(found::Found),
+    Found(operator::Found),
     HashKey(keys::HashKey),
     Keys(keys::Keys),
+    Leave(operator::LeaveCommand),
     Solo(solo::Solo),
+    Status(operator::Status),
 }
 
 fn main() -> Result<()> {
@@ -35,7 +37,9 @@
         Command::Found(command) => command.run(),
         Command::HashKey(command) => command.run(),
         Command::Keys(command) => command.run(),
+        Command::Leave(command) => command.run(),
         Command::Solo(command) => command.run(),
+        Command::Status(command) => command.run(),
     }
 }
 
--- a/crates/cloverfold/tests/system/cluster.rs
+++ b/crates/cloverfold/tests/system/cluster.rs
@@ -405,6 +405,22 @@
         wait_until("tasks start", async || self.count_starts() >= count).await;
     }
 
+    /// Runs an operator's command on the cell's file and returns what it prints.
+    pub fn run_operator(&self, command: &[&str], args: &[&str]) -> String {
+        let output = Command::new(env!("CARGO_BIN_EXE_cloverfold"))
+            .args(command)
+            .arg(self.installation.cell_file())
+            .args(args)
+            .arg("--keys")
+            .arg(self.installation.key_folder())
+            .args(["--name", OPERATOR])
+            .output()
+            .unwrap();
+        let stderr = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{stderr}");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+
     /// Returns one series of a guard's metrics.
     pub async fn read_guard_metric(&self, index: usize, series: &str) -> f64 {
         let http = self.guard_https[index];
--- a/crates/cloverfold/tests/system/drain.rs
+++ b/crates/cloverfold/tests/system/drain.rs
@@ -116,3 +116,34 @@
     assert_eq!(answer.outcome, "complete");
     cluster.check_promises();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_lead_told_to_leave_ends_its_jobs_and_others_take_over() {
+    let mut cluster = Cluster::start(Shape::default()).await;
+    let job = TestJob::new("led", 10, 700);
+    let lead = cluster.group_of(&job)[0];
+
+    let answer = {
+        let request = cluster.submit(0, &job);
+        tokio::pin!(request);
+        tokio::select! {
+            _ = &mut request => panic!("the job ended before the stop"),
+            () = cluster.wait_starts(10) => {}
+        }
+        let told = cluster.run_operator(&["leave"], &[&(lead + 1).to_string()]);
+        assert!(told.contains("is leaving"), "{told}");
+        request.await.unwrap()
+    };
+    let ended_well = cluster.wait_guard_end(lead).await;
+    let later = cluster
+        .submit(1, &TestJob::new("unled", 10, 30))
+        .await
+        .unwrap();
+    let status = cluster.run_operator(&["status"], &[]);
+
+    assert!(ended_well);
+    assert_eq!(answer.outcome, "complete");
+    assert_eq!(later.outcome, "complete");
+    assert_eq!(status.matches(" whole ").count(), 4, "{status}");
+    cluster.check_promises();
+}
--- a/crates/cloverfold_app/src/app.rs
+++ b/crates/cloverfold_app/src/app.rs
@@ -16,6 +16,7 @@
 use crate::lifecycle::{Lifecycle, Phase};
 use crate::ops_http::{HttpServer, OpsState, build_ops_router};
 use crate::resources::Resources;
+use crate::traffic::TrafficGauges;
 
 type BoxedFuture = Pin<Box<dyn Future<Output = ()> + Send>>;
 type ReadyCheck = Box<dyn Fn() -> Result<(), String> + Send + Sync>;
@@ -77,6 +78,8 @@
         })?;
         let mut registry = Registry::with_prefix("cloverfold");
         network.metrics().register(&mut registry);
+        let gauges = TrafficGauges::register(&mut registry);
+        let tasks: Vec<BoxedFuture> = vec![Box::pin(gauges.follow(network.clone()))];
         Ok(Self {
             name: name.into(),
             network,
@@ -87,7 +90,7 @@
             registry,
             http_routes: HttpRouter::new(),
             ready_checks: Vec::new(),
-            tasks: Vec::new(),
+            tasks,
             drain_steps: Vec::new(),
         })
     }
--- a/crates/cloverfold_app/src/lib.rs
+++ b/crates/cloverfold_app/src/lib.rs
@@ -24,6 +24,7 @@
 mod logging;
 mod ops_http;
 mod resources;
+mod traffic;
 
 pub use app::{App, BuildError, Plugin, Running};
 pub use clock::{draw_below, random_u64, unix_now};
--- a/crates/cloverfold_membership/src/lib.rs
+++ b/crates/cloverfold_membership/src/lib.rs
@@ -16,5 +16,5 @@
 mod plugin;
 
 pub use membership::{Charge, Directory, Membership, OwnLoad};
-pub use messages::Heartbeat;
+pub use messages::{Heartbeat, Leave};
 pub use plugin::MembershipPlugin;
--- a/crates/cloverfold_membership/src/messages.rs
+++ b/crates/cloverfold_membership/src/messages.rs
@@ -16,3 +16,13 @@
     const NAME: &'static str = "heartbeat";
     type Reply = Vec<MemberReport>;
 }
+
+/// Tells a guard to stop as planned: it takes no new work, ends what is in flight, and exits.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Leave;
+
+impl Message for Leave {
+    const KIND: u16 = 2;
+    const NAME: &'static str = "leave";
+    type Reply = ();
+}
--- a/crates/cloverfold_membership/src/plugin.rs
+++ b/crates/cloverfold_membership/src/plugin.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::membership::{Directory, Membership, OwnLoad, OwnMember};
-use crate::messages::Heartbeat;
+use crate::messages::{Heartbeat, Leave};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -54,6 +54,14 @@
             },
         );
 
+        let lifecycle = app.lifecycle();
+        app.router()
+            .register(&[PeerRole::Operator], move |peer: Peer, _leave: Leave| {
+                log::info!(operator = peer.name; "told to leave");
+                lifecycle.advance_to(Phase::Draining);
+                async {}
+            });
+
         let live = Gauge::<i64>::default();
         app.registry().register(
             "members_live",
--- a/crates/cloverfold_net/src/lib.rs
+++ b/crates/cloverfold_net/src/lib.rs
@@ -36,6 +36,6 @@
 pub use keys::{AUTHORITY_NAME, KeyFiles, make_key_set};
 pub use message::Message;
 pub use metrics::NetMetrics;
-pub use network::{Network, NetworkConfig, Replies};
+pub use network::{Network, NetworkConfig, Replies, Traffic};
 pub use peer::{Peer, PeerAddress, PeerRole};
 pub use router::{ReplySink, Router};
--- a/crates/cloverfold_net/src/network.rs
+++ b/crates/cloverfold_net/src/network.rs
@@ -62,6 +62,31 @@
     metrics: NetMetrics,
     permits: Arc<Semaphore>,
     connections: Mutex<HashMap<PeerAddress, ConnectionCell>>,
+    traffic: Mutex<TrafficCount>,
+}
+
+/// Bytes of all connections, both those that stand and those that are over.
+#[derive(Default)]
+struct TrafficCount {
+    open: Vec<Connection>,
+    over: Traffic,
+}
+
+/// Bytes in UDP datagrams, headers below UDP not counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub sent: u64,
+    /// Bytes received.
+    pub received: u64,
+}
+
+impl Traffic {
+    fn add(&mut self, connection: &Connection) {
+        let stats = connection.stats();
+        self.sent += stats.udp_tx.bytes;
+        self.received += stats.udp_rx.bytes;
+    }
 }
 
 impl Network {
@@ -99,6 +124,7 @@
             metrics,
             permits: Arc::new(Semaphore::new(config.requests)),
             connections: Mutex::default(),
+            traffic: Mutex::default(),
         };
         Ok(Self {
             inner: Arc::new(inner),
@@ -116,8 +142,10 @@
         while let Some(incoming) = self.inner.endpoint.accept().await {
             let router = router.clone();
             let permits = permits.clone();
+            let network = self.clone();
             tokio::spawn(async move {
                 if let Ok(connection) = incoming.await {
+                    network.track(connection.clone());
                     serve_connection(connection, router, permits).await;
                 }
             });
@@ -229,10 +257,34 @@
             .endpoint
             .connect(peer.address, &peer.name)
             .map_err(|e| e.to_string())?;
-        tokio::time::timeout(self.inner.config.connect_timeout, connecting)
+        let connection = tokio::time::timeout(self.inner.config.connect_timeout, connecting)
             .await
             .map_err(|_| "the handshake timed out".to_owned())?
-            .map_err(|e| e.to_string())
+            .map_err(|e| e.to_string())?;
+        self.track(connection.clone());
+        Ok(connection)
+    }
+
+    fn track(&self, connection: Connection) {
+        let lock = self.inner.traffic.lock();
+        let mut traffic = lock.unwrap_or_else(PoisonError::into_inner);
+        traffic.open.push(connection);
+    }
+
+    /// Counts the bytes of all connections since the start.
+    pub fn count_traffic(&self) -> Traffic {
+        let lock = self.inner.traffic.lock();
+        let mut traffic = lock.unwrap_or_else(PoisonError::into_inner);
+        let is_over = |connection: &mut Connection| connection.close_reason().is_some();
+        let over: Vec<Connection> = traffic.open.extract_if(.., is_over).collect();
+        for connection in &over {
+            traffic.over.add(connection);
+        }
+        let mut total = traffic.over;
+        for connection in &traffic.open {
+            total.add(connection);
+        }
+        total
     }
 }
 
