Benches of real processes at four sizes and of the pure decisions

Change: a package of benches: 'capacity' starts real processes with 5, 11, 22 and 44 guards, idle and at 70 %, and reads processor time, memory and datagram bytes; 'decisions' times the pure logic.

--- /dev/null
+++ b/benches/benches/capacity.rs
@@ -0,0 +1,207 @@
+//! What real processes spend at several sizes: processor time, memory, bytes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cloverfold_benches::{ProcessSystem, Role, Usage, read_usage};
+use cloverfold_load::{LoadCustomer, LoadPlan, MetricsTotals, read_metrics, run_load};
+use cloverfold_solo::SERVICE;
+use eyre::Result;
+use tokio::time::sleep;
+
+const ENTRIES: usize = 3;
+const LENGTH: Duration = Duration::from_secs(8);
+const SIZES: [usize; 4] = [5, 11, 22, 44];
+
+/// Load of one run.
+struct Load {
+    name: &'static str,
+    /// Share of all slots.
+    share: f64,
+    job_size: (usize, usize),
+}
+
+const LOADS: [Load; 3] = [
+    Load {
+        name: "idle",
+        share: 0.0,
+        job_size: (1, 1),
+    },
+    Load {
+        name: "70 %, jobs of 1-4",
+        share: 0.7,
+        job_size: (1, 4),
+    },
+    Load {
+        name: "70 %, jobs of 20-60",
+        share: 0.7,
+        job_size: (20, 60),
+    },
+];
+
+/// What one process had used at a time.
+struct Snapshot {
+    usage: Usage,
+    metrics: MetricsTotals,
+}
+
+#[derive(Default)]
+struct RoleSum {
+    processes: f64,
+    processor_s: f64,
+    resident_mib: f64,
+    kib_sent: f64,
+    kib_received: f64,
+    starts: f64,
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    // The test runner lists benches with a flag that asks for no run.
+    if std::env::args().any(|arg| arg == "--list") {
+        return Ok(());
+    }
+    println!(
+        "guards  load                  role   starts/s  cpu %   cpu us/start  MiB    KiB/s out  KiB/s in  p50    p99"
+    );
+    for guards in SIZES {
+        let system = ProcessSystem::start(guards, ENTRIES).await?;
+        for load in &LOADS {
+            measure(&system, load).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn measure(system: &ProcessSystem, load: &Load) -> Result<()> {
+    let before = take_snapshots(system).await?;
+    let ratios = put_load_on(system, load).await?;
+    let after = take_snapshots(system).await?;
+    let starts: f64 = before
+        .iter()
+        .zip(&after)
+        .map(|(before, after)| after.count_since(before, "cloverfold_task_starts_total"))
+        .sum();
+    for role in [Role::Lead, Role::Guard, Role::Entry] {
+        let sum = sum_role(system, role, &before, &after);
+        print_row(system, load, role, &sum, starts, &ratios);
+    }
+    Ok(())
+}
+
+async fn put_load_on(system: &ProcessSystem, load: &Load) -> Result<String> {
+    if load.share == 0.0 {
+        sleep(LENGTH).await;
+        return Ok("-      -".into());
+    }
+    let report = run_load(&build_plan(system, load)).await?;
+    let total = report.total();
+    Ok(format!(
+        "{:.3}  {:.3}",
+        total.ratio_at(0.5),
+        total.ratio_at(0.99)
+    ))
+}
+
+fn build_plan(system: &ProcessSystem, load: &Load) -> LoadPlan {
+    let mut plan = LoadPlan {
+        entries: system.entry_addresses(),
+        service: SERVICE.into(),
+        customers: Vec::new(),
+        task_duration: (Duration::from_millis(50), Duration::from_millis(500)),
+        network_delay: Duration::ZERO,
+        length: LENGTH,
+        warm_up: Duration::from_secs(1),
+        seed: 1,
+    };
+    let callers = system.callers();
+    let tasks_per_s = load.share * system.slots() as f64 / plan.mean_duration().as_secs_f64();
+    let mean_size = (load.job_size.0 + load.job_size.1) as f64 / 2.0;
+    let jobs_per_s = tasks_per_s / mean_size / callers.len() as f64;
+    let customers = callers.into_iter().map(|caller| LoadCustomer {
+        caller,
+        jobs_per_s,
+        job_size: load.job_size,
+    });
+    plan.customers = customers.collect();
+    plan
+}
+
+async fn take_snapshots(system: &ProcessSystem) -> Result<Vec<Snapshot>> {
+    // The gauges of bytes are brought up to date every half second.
+    sleep(Duration::from_millis(600)).await;
+    let mut snapshots = Vec::new();
+    for (_, pid, http) in system.list_processes() {
+        let pages: [SocketAddr; 1] = [http];
+        snapshots.push(Snapshot {
+            usage: read_usage(pid)?,
+            metrics: read_metrics(system.client(), &pages).await?,
+        });
+    }
+    Ok(snapshots)
+}
+
+impl Snapshot {
+    fn count_since(&self, before: &Self, series: &str) -> f64 {
+        self.metrics.sum_of(series) - before.metrics.sum_of(series)
+    }
+}
+
+fn sum_role(
+    system: &ProcessSystem,
+    role: Role,
+    before: &[Snapshot],
+    after: &[Snapshot],
+) -> RoleSum {
+    const KIB: f64 = 1024.0;
+    let mut sum = RoleSum::default();
+    for (index, (own, _, _)) in system.list_processes().into_iter().enumerate() {
+        if own != role {
+            continue;
+        }
+        let (before, after) = (&before[index], &after[index]);
+        let processor = after.usage.processor - before.usage.processor;
+        sum.processes += 1.0;
+        sum.processor_s += processor.as_secs_f64();
+        sum.resident_mib += after.usage.resident_kib as f64 / KIB;
+        sum.kib_sent += after.count_since(before, "cloverfold_peer_sent_bytes") / KIB;
+        sum.kib_received += after.count_since(before, "cloverfold_peer_received_bytes") / KIB;
+        sum.starts += after.count_since(before, "cloverfold_task_starts_total");
+    }
+    sum
+}
+
+/// Prints the mean of a role's processes; starts are those that the role's work is in proportion to.
+fn print_row(
+    system: &ProcessSystem,
+    load: &Load,
+    role: Role,
+    sum: &RoleSum,
+    all_starts: f64,
+    ratios: &str,
+) {
+    let length = LENGTH.as_secs_f64();
+    let starts = match role {
+        Role::Lead => all_starts,
+        Role::Guard => sum.starts / sum.processes,
+        Role::Entry => all_starts / sum.processes,
+    };
+    let processor_s = sum.processor_s / sum.processes;
+    let per_start = if starts > 0.0 {
+        format!("{:.0}", processor_s * 1e6 / starts)
+    } else {
+        "-".into()
+    };
+    println!(
+        "{:<7} {:<21} {:<6} {:>8.1}  {:>5.2}   {:>12}  {:>5.1}  {:>9.1}  {:>8.1}  {ratios}",
+        system.guards(),
+        load.name,
+        format!("{role:?}"),
+        starts / length,
+        processor_s / length * 100.0,
+        per_start,
+        sum.resident_mib / sum.processes,
+        sum.kib_sent / sum.processes / length,
+        sum.kib_received / sum.processes / length,
+    );
+}
--- /dev/null
+++ b/benches/benches/decisions.rs
@@ -0,0 +1,122 @@
+//! How the time of one decision grows with the number of boxes.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use cloverfold_core::{
+    Admission, Capacity, Cell, Flow, Location, MemberPhase, MemberReport, MemberTable, Placement,
+    PlacementPolicy, Ticket,
+};
+
+const BOXES: [usize; 4] = [10, 100, 1_000, 8_000];
+const TEAMS: usize = 120;
+const ROUNDS: u32 = 200;
+const NOW: Duration = Duration::from_secs(1);
+
+fn main() {
+    // The test runner lists benches with a flag that asks for no run.
+    if std::env::args().any(|arg| arg == "--list") {
+        return;
+    }
+    println!(
+        "boxes   choose group us   place 1 task us   place 100 tasks us   admit 1 of 120 teams us"
+    );
+    for boxes in BOXES {
+        let cell = make_cell(boxes);
+        let group = time(|round| {
+            black_box(cell.choose_replica_group(&[round as u8; 16]));
+        });
+        let mut table = make_table(boxes);
+        let place_one = time(|round| place(&mut table, 1, round));
+        let place_many = time(|round| place(&mut table, 100, round));
+        let mut admission = make_admission();
+        let capacity = Capacity {
+            free: boxes * 8,
+            total: boxes * 8,
+        };
+        let admit = time(|round| {
+            black_box(admission.admit_next(capacity));
+            admission
+                .push(make_ticket(u64::from(round) + 10_000), usize::MAX)
+                .unwrap_or_else(|_| unreachable!("the limit is never met"));
+        });
+        println!(
+            "{boxes:<7} {:>15.1}   {:>15.1}   {:>18.1}   {:>23.1}",
+            micros(group),
+            micros(place_one),
+            micros(place_many),
+            micros(admit),
+        );
+    }
+}
+
+fn time(mut decide: impl FnMut(u32)) -> Duration {
+    let began = Instant::now();
+    for round in 0..ROUNDS {
+        decide(round);
+    }
+    began.elapsed() / ROUNDS
+}
+
+fn micros(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e6
+}
+
+fn make_cell(boxes: usize) -> Cell {
+    let place = |index: usize| Location {
+        guard: index as u16,
+        hall: format!("hall-{}", index % 12),
+        rack: format!("rack-{}", index / 36),
+    };
+    Cell::new((0..boxes).map(place).collect(), 3)
+}
+
+fn make_table(boxes: usize) -> MemberTable {
+    let mut table = MemberTable::default();
+    for index in 0..boxes {
+        let report = MemberReport {
+            placement: Placement {
+                guard: index as u16,
+                incarnation: 1,
+            },
+            sequence: 1,
+            phase: MemberPhase::Live,
+            running: index as u32 % 8,
+            queued: 0,
+            slots: 8,
+        };
+        table.absorb(report, NOW);
+    }
+    table
+}
+
+fn place(table: &mut MemberTable, count: usize, round: u32) {
+    let policy = PlacementPolicy::LeastLoaded;
+    let silence = Duration::from_secs(2);
+    let draw = |bound: usize| round as usize % bound;
+    for place in table.place(policy, count, NOW, silence, draw) {
+        table.discharge(place.guard);
+    }
+}
+
+fn make_ticket(id: u64) -> Ticket {
+    Ticket {
+        id,
+        flow: Flow {
+            service: "sms".into(),
+            customer: format!("team-{}", id as usize % TEAMS),
+        },
+        weight: 1.0,
+        tasks: 4,
+    }
+}
+
+fn make_admission() -> Admission {
+    let mut admission = Admission::default();
+    for id in 0..1_000 {
+        admission
+            .push(make_ticket(id), usize::MAX)
+            .unwrap_or_else(|_| unreachable!("the limit is never met"));
+    }
+    admission
+}
--- /dev/null
+++ b/benches/src/process_system.rs
@@ -0,0 +1,203 @@
+//! A system of real processes on this machine, with sample targets in the bench's own process.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use cloverfold_claim::found_cell;
+use cloverfold_load::{CallerClient, CallerKey, read_metrics};
+use cloverfold_process::{list_guard_addresses, open_operator_network};
+use cloverfold_solo::{GuardAddresses, Installation, OPERATOR, SoloCustomer, find_free_addresses};
+use cloverfold_target::SampleTarget;
+use eyre::{Result, bail};
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::time::sleep;
+
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+const SLOTS: usize = 8;
+const CUSTOMERS: [&str; 4] = ["pharmacy", "clinic", "station", "depot"];
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// The guard that coordinates all jobs.
+    Lead,
+    /// Any other guard.
+    Guard,
+    /// An entry.
+    Entry,
+}
+
+struct Process {
+    role: Role,
+    http: SocketAddr,
+    child: Child,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself, and then there is nothing to end.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Running processes; all are ended when it is dropped.
+pub struct ProcessSystem {
+    _folder: TempDir,
+    _targets: Vec<SampleTarget>,
+    guards: usize,
+    processes: Vec<Process>,
+    client: CallerClient,
+}
+
+impl ProcessSystem {
+    /// Starts guards and entries and waits until they are ready.
+    ///
+    /// # Errors
+    ///
+    /// Says what could not start; the release binaries must have been built.
+    pub async fn start(guards: usize, entries: usize) -> Result<Self> {
+        let folder = tempfile::tempdir()?;
+        let installation = Installation::create(folder.path(), guards, entries)?;
+        let peers = find_free_addresses(guards)?;
+        let customers: Vec<_> = CUSTOMERS
+            .iter()
+            .map(|name| SoloCustomer::named(name))
+            .collect();
+        let cell = installation.write_cell(&peers, &customers, json!({}))?;
+        let mut targets = Vec::new();
+        let mut processes = Vec::new();
+        for (index, peer) in peers.into_iter().enumerate() {
+            let target = SampleTarget::start((Ipv4Addr::LOCALHOST, 0).into()).await?;
+            let http = find_free_addresses(1)?[0];
+            let addresses = GuardAddresses {
+                public: peer,
+                peer,
+                http,
+                target: target.address(),
+            };
+            let file = installation.write_guard(index + 1, &addresses, SLOTS, json!({}))?;
+            let role = if index == 0 { Role::Lead } else { Role::Guard };
+            processes.push(spawn(role, "cloverfold-guard", &[file.as_path()], http)?);
+            targets.push(target);
+        }
+        for (index, http) in find_free_addresses(entries)?.into_iter().enumerate() {
+            let file = installation.write_entry(index + 1, http, json!({}))?;
+            let args = [Path::new("entry"), file.as_path()];
+            processes.push(spawn(Role::Entry, "cloverfold", &args, http)?);
+        }
+        let system = Self {
+            _folder: folder,
+            _targets: targets,
+            guards,
+            processes,
+            client: CallerClient::new()?,
+        };
+        system.wait_pages("/healthz").await?;
+        let network = open_operator_network(&installation.key_folder(), OPERATOR)?;
+        found_cell(&network, &list_guard_addresses(&cell)).await?;
+        network.close().await;
+        system.wait_pages("/readyz").await?;
+        system.wait_acquainted().await?;
+        Ok(system)
+    }
+
+    /// Returns the number of guards.
+    pub fn guards(&self) -> usize {
+        self.guards
+    }
+
+    /// Returns the number of slots.
+    pub fn slots(&self) -> usize {
+        self.guards * SLOTS
+    }
+
+    /// Lists the customers.
+    pub fn callers(&self) -> Vec<CallerKey> {
+        let customers = CUSTOMERS.iter();
+        customers
+            .map(|name| SoloCustomer::named(name).caller)
+            .collect()
+    }
+
+    /// Lists the callers' addresses.
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        let entries = self.processes.iter().filter(|one| one.role == Role::Entry);
+        entries.map(|one| one.http).collect()
+    }
+
+    /// Lists role, process number and metrics address of each process.
+    pub fn list_processes(&self) -> Vec<(Role, u32, SocketAddr)> {
+        let processes = self.processes.iter();
+        processes
+            .map(|one| (one.role, one.child.id(), one.http))
+            .collect()
+    }
+
+    /// Returns the client that reads pages.
+    pub fn client(&self) -> &CallerClient {
+        &self.client
+    }
+
+    async fn wait_pages(&self, path: &str) -> Result<()> {
+        let until = Instant::now() + READY_TIMEOUT;
+        for process in &self.processes {
+            let is_ready = async || {
+                let page = self.client.get_text(process.http, path).await;
+                page.is_ok_and(|(status, _)| status == 200)
+            };
+            while !is_ready().await {
+                if Instant::now() > until {
+                    bail!("{:?} at {} shows no {path}", process.role, process.http);
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until every guard takes every other for able to work.
+    async fn wait_acquainted(&self) -> Result<()> {
+        let until = Instant::now() + READY_TIMEOUT;
+        let guards: Vec<_> = self
+            .processes
+            .iter()
+            .filter(|one| one.role != Role::Entry)
+            .map(|one| one.http)
+            .collect();
+        let expected = (self.guards * self.guards) as f64;
+        loop {
+            let metrics = read_metrics(&self.client, &guards).await?;
+            if metrics.sum_of("cloverfold_members_live") >= expected {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                bail!("the guards do not all know each other");
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+fn spawn(role: Role, binary: &str, args: &[&Path], http: SocketAddr) -> Result<Process> {
+    let child = Command::new(find_binary(binary)?)
+        .args(args)
+        .stdin(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()?;
+    Ok(Process { role, http, child })
+}
+
+/// The binaries stand beside the folder of the bench's own executable.
+fn find_binary(name: &str) -> Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let folder = own.parent().and_then(Path::parent);
+    let binary = folder.unwrap_or(Path::new("")).join(name);
+    if !binary.exists() {
+        bail!("{name} is not built; run `cargo build --release` first");
+    }
+    Ok(binary)
+}
