--- a/crates/cloverfold/tests/system/guard_faults.rs
+++ b/crates/cloverfold/tests/system/guard_faults.rs
@@ -249,7 +249,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeatable_job_survives_the_death_of_a_guard() {
     let cluster = Cluster::start(Shape::default()).await;
-    let mut job = TestJob::new("repeatable", 10, 800);
+    // As many tasks as there are slots, so that every guard has some.
+    let mut job = TestJob::new("repeatable", 40, 800);
     job.repeat = Some("allowed");
 
     let group = cluster.group_of(&job);
@@ -258,14 +259,14 @@
     tokio::pin!(request);
     tokio::select! {
         _ = &mut request => panic!("the job ended before the guard was killed"),
-        () = cluster.wait_starts(10) => {}
+        () = cluster.wait_starts(40) => {}
     }
     cluster.signal_guard(victim, rustix::process::Signal::KILL);
     let answer = request.await.unwrap();
 
     assert_eq!(answer.outcome, "complete");
     assert!(
-        cluster.count_starts() > 10,
+        cluster.count_starts() > 40,
         "tasks of the dead guard ran again"
     );
     cluster.check_promises();
