--- a/crates/cloverfold/src/bin/cloverfold/solo.rs
+++ b/crates/cloverfold/src/bin/cloverfold/solo.rs
@@ -5,7 +5,7 @@
 use argh::FromArgs;
 use cloverfold_app::start_logging;
 use cloverfold_settings::LogSettings;
-use cloverfold_solo::{SoloConfig, SoloSystem, measure_load};
+use cloverfold_solo::{SoloConfig, SoloLoad, SoloSystem, measure_load};
 use eyre::{Result, bail};
 
 /// Run every role in this process, put sample jobs on, and report.
@@ -33,6 +33,12 @@
     /// spread the jobs' coordination over all guards, as a baseline
     #[argh(switch)]
     no_lead: bool,
+    /// how many times its part the first customer submits
+    #[argh(option, default = "1.0")]
+    overload: f64,
+    /// serve waiting work in the order of arrival, as a baseline
+    #[argh(switch)]
+    fifo: bool,
     /// stay up for your own requests instead
     #[argh(switch)]
     serve: bool,
@@ -52,6 +58,7 @@
                 guards: self.guards,
                 placement: parse_placement(&self.placement)?,
                 has_lead: !self.no_lead,
+                queueing: if self.fifo { "fifo" } else { "fair" },
                 ..SoloConfig::default()
             };
             let system = SoloSystem::start(config).await?;
@@ -77,9 +84,14 @@
             self.seconds,
             self.placement,
         );
-        let length = Duration::from_secs(self.seconds);
-        let sizes = (1, self.tasks);
-        let measured = measure_load(system, self.load, sizes, length, self.seed).await?;
+        let load = SoloLoad {
+            share: self.load,
+            overload: self.overload,
+            job_size: (1, self.tasks),
+            length: Duration::from_secs(self.seconds),
+            seed: self.seed,
+        };
+        let measured = measure_load(system, &load).await?;
         print!("{}{}", measured.load, measured.waste);
         Ok(())
     }
--- a/crates/cloverfold_coordinate/src/driver.rs
+++ b/crates/cloverfold_coordinate/src/driver.rs
@@ -7,8 +7,8 @@
 use cloverfold_app::{draw_below, unix_now};
 use cloverfold_claim::ClaimError;
 use cloverfold_core::{
-    Claim, Flow, JobAction, JobEvent, JobOptions, JobProgress, Outcome, Placement, ReasonCode,
-    TaskEnd, TaskIndex, rank_by_load,
+    Claim, JobAction, JobEvent, JobOptions, JobProgress, Outcome, Placement, ReasonCode, TaskEnd,
+    TaskIndex, rank_by_load,
 };
 use cloverfold_membership::Charge;
 use tokio::sync::mpsc;
@@ -83,12 +83,10 @@
     if unix_now() >= submit.deadline {
         return Err(ReasonCode::DeadlinePassed);
     }
-    let flow = Flow {
-        service: submit.service.clone(),
-        customer: submit.customer.clone(),
-    };
-    let customer = coordinator.cell().find_customer(&submit.customer);
-    let weight = customer.map_or(1.0, |customer| customer.weight);
+    let flow = coordinator
+        .cell()
+        .flow_of(&submit.service, &submit.customer);
+    let weight = coordinator.cell().weight_of(&submit.customer);
     let admitter = coordinator.admitter();
     let grant = admitter
         .admit(flow, weight, submit.tasks.len(), submit.deadline)
--- a/crates/cloverfold_execute/src/execution.rs
+++ b/crates/cloverfold_execute/src/execution.rs
@@ -52,15 +52,12 @@
     pub(crate) fn assign(
         &mut self,
         assign: Assign,
+        flow: &Flow,
         weight: f64,
         mut others: Vec<Candidate>,
         now: UnixTime,
     ) -> Assigned {
         let (tx, reports) = mpsc::channel(assign.tasks.len().max(1));
-        let flow = Flow {
-            service: assign.service,
-            customer: assign.customer,
-        };
         for task in assign.tasks {
             let id = TaskId {
                 key: assign.key,
--- a/crates/cloverfold_execute/src/runner.rs
+++ b/crates/cloverfold_execute/src/runner.rs
@@ -36,13 +36,13 @@
     /// Handles an assignment until each of its tasks has ended here.
     pub(crate) async fn handle_assign(self, assign: Assign, mut sink: ReplySink) {
         self.membership.absorb(assign.member);
-        let customer = self.cell.find_customer(&assign.customer);
-        let weight = customer.map_or(1.0, |customer| customer.weight);
+        let flow = self.cell.flow_of(&assign.service, &assign.customer);
+        let weight = self.cell.weight_of(&assign.customer);
         let others = self.list_others(assign.place).await;
         let now = unix_now();
         let assigned = self
             .execution
-            .with(move |execution| execution.assign(assign, weight, others, now))
+            .with(move |execution| execution.assign(assign, &flow, weight, others, now))
             .await;
         let (mut reports, starts) = match assigned {
             Assigned::WrongIncarnation(own) => {
--- a/crates/cloverfold_net/src/network.rs
+++ b/crates/cloverfold_net/src/network.rs
@@ -168,6 +168,15 @@
         })
     }
 
+    /// Returns the address that is listened on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub fn local_address(&self) -> std::io::Result<SocketAddr> {
+        self.inner.endpoint.local_addr()
+    }
+
     /// Returns the metrics of this endpoint.
     pub fn metrics(&self) -> &NetMetrics {
         &self.inner.metrics
--- a/crates/cloverfold_settings/src/cell.rs
+++ b/crates/cloverfold_settings/src/cell.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cloverfold_core::{Cell, GuardId, Location, PlacementPolicy};
+use cloverfold_core::{Cell, Flow, GuardId, Location, PlacementPolicy};
 use serde::Deserialize;
 use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq;
@@ -35,6 +35,9 @@
     /// How tasks are placed.
     #[serde(default)]
     pub placement: PlacementPolicy,
+    /// In which order waiting work goes.
+    #[serde(default)]
+    pub queueing: Queueing,
     /// The guards.
     pub guards: Vec<GuardPlace>,
     /// The services.
@@ -43,6 +46,17 @@
     pub customers: Vec<CustomerSettings>,
 }
 
+/// In which order waiting work goes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Queueing {
+    /// In proportion to the customers' weights.
+    #[default]
+    Fair,
+    /// In the order of arrival, as a baseline.
+    Fifo,
+}
+
 /// One guard and where it is reached.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -125,6 +139,29 @@
         Duration::from_millis(self.answer_retention_ms)
     }
 
+    /// Returns the flow in which a customer's work at a service waits.
+    pub fn flow_of(&self, service: &str, customer: &str) -> Flow {
+        match self.queueing {
+            Queueing::Fair => Flow {
+                service: service.into(),
+                customer: customer.into(),
+            },
+            // One flow for all is a queue in the order of arrival.
+            Queueing::Fifo => Flow {
+                service: String::new(),
+                customer: String::new(),
+            },
+        }
+    }
+
+    /// Returns the weight of a customer's flow.
+    pub fn weight_of(&self, customer: &str) -> f64 {
+        match self.queueing {
+            Queueing::Fair => self.find_customer(customer).map_or(1.0, |one| one.weight),
+            Queueing::Fifo => 1.0,
+        }
+    }
+
     /// Finds a customer by name.
     pub fn find_customer(&self, name: &str) -> Option<&CustomerSettings> {
         self.customers.iter().find(|one| one.name == name)
--- a/crates/cloverfold_settings/src/lib.rs
+++ b/crates/cloverfold_settings/src/lib.rs
@@ -19,7 +19,8 @@
 mod guard;
 
 pub use cell::{
-    CellSettings, CustomerSettings, GuardPlace, ServiceSettings, hash_caller_key, verify_caller_key,
+    CellSettings, CustomerSettings, GuardPlace, Queueing, ServiceSettings, hash_caller_key,
+    verify_caller_key,
 };
 pub use common::{KeySettings, LogLevel, LogSettings};
 pub use document::{Check, Fault, FaultList, SettingsError, parse_settings, read_settings};
--- /dev/null
+++ b/crates/cloverfold_settings/tests/settings.rs
@@ -0,0 +1,132 @@
+//! Faults in settings files are named with file, line and field.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::Path;
+
+use cloverfold_settings::{
+    CellSettings, CustomerSettings, EntrySettings, GuardSettings, hash_caller_key, parse_settings,
+    verify_caller_key,
+};
+
+const CELL: &str = include_str!("../../../examples/settings/cell.jsonc");
+const GUARD: &str = include_str!("../../../examples/settings/guard.jsonc");
+const ENTRY: &str = include_str!("../../../examples/settings/entry.jsonc");
+
+/// Returns the example with one text replaced, and the line on which it stood.
+fn spoil(example: &str, from: &str, to: &str) -> (String, usize) {
+    let position = example.find(from).unwrap();
+    let line = example[..position].matches('\n').count() + 1;
+    (example.replacen(from, to, 1), line)
+}
+
+#[test]
+fn the_examples_are_in_order() {
+    parse_settings::<CellSettings>(Path::new("cell.jsonc"), CELL).unwrap();
+    parse_settings::<GuardSettings>(Path::new("guard.jsonc"), GUARD).unwrap();
+    parse_settings::<EntrySettings>(Path::new("entry.jsonc"), ENTRY).unwrap();
+}
+
+#[test]
+fn faults_of_a_guard_are_placed() {
+    let cases = [
+        ("\"id\": 1", "\"id\": \"one\"", "id: invalid type"),
+        ("\"id\": 1", "\"id\": -1", "id: invalid value"),
+        (
+            "\"slots\": 8",
+            "\"slots\": 0",
+            "target.slots: must be at least 1",
+        ),
+        (
+            "\"slots\": 8",
+            "\"slots\": 65",
+            "target.connections: must be at least",
+        ),
+        (
+            "\"slots\": 8",
+            "\"slotz\": 8",
+            "target.slotz: unknown field",
+        ),
+        (
+            "\"queue_limit\": 512",
+            "\"queue_limit\": 0",
+            "queue_limit: must be",
+        ),
+        (
+            "\"127.0.0.1:7101\"",
+            "\"somewhere\"",
+            "peer_address: invalid socket",
+        ),
+        ("\"info\"", "\"loud\"", "log.level: unknown variant"),
+    ];
+    for (from, to, expected) in cases {
+        let (text, _) = spoil(GUARD, from, to);
+
+        let refused = parse_settings::<GuardSettings>(Path::new("guard.jsonc"), &text);
+
+        let message = refused.unwrap_err().to_string();
+        assert!(message.contains(expected), "{message}");
+        assert!(message.starts_with("guard.jsonc:"), "{message}");
+    }
+}
+
+#[test]
+fn the_line_is_that_of_the_field() {
+    let (text, line) = spoil(GUARD, "\"slots\": 8", "\"slots\": 0");
+
+    let refused = parse_settings::<GuardSettings>(Path::new("guard.jsonc"), &text);
+
+    let message = refused.unwrap_err().to_string();
+    assert!(
+        message.starts_with(&format!("guard.jsonc:{line}: ")),
+        "{message}"
+    );
+}
+
+#[test]
+fn all_impossible_values_of_a_cell_are_listed_at_once() {
+    let text = CELL
+        .replace("\"replicas\": 3", "\"replicas\": 2")
+        .replace("\"id\": 2", "\"id\": 1")
+        .replace("\"lead\": 1", "\"lead\": 9")
+        .replace("\"weight\": 2.5", "\"weight\": -1");
+
+    let refused = parse_settings::<CellSettings>(Path::new("cell.jsonc"), &text);
+
+    let message = refused.unwrap_err().to_string();
+    for expected in [
+        "replicas:",
+        "guards[1].id:",
+        "lead:",
+        "customers[1].weight:",
+    ] {
+        assert!(message.contains(expected), "{expected} in {message}");
+    }
+    assert_eq!(message.lines().count(), 4, "{message}");
+}
+
+#[test]
+fn text_that_is_no_json_is_placed() {
+    let (text, line) = spoil(ENTRY, "\"name\": \"entry-1\",", "\"name\": ,");
+
+    let refused = parse_settings::<EntrySettings>(Path::new("entry.jsonc"), &text);
+
+    let message = refused.unwrap_err().to_string();
+    assert!(
+        message.starts_with(&format!("entry.jsonc:{line}:")),
+        "{message}"
+    );
+}
+
+#[test]
+fn only_the_right_key_is_taken() {
+    let customer = CustomerSettings {
+        name: "pharmacy".into(),
+        key_sha256: hash_caller_key("right"),
+        weight: 1.0,
+    };
+
+    assert!(verify_caller_key(&customer, "right"));
+    assert!(!verify_caller_key(&customer, "wrong"));
+    assert!(!verify_caller_key(&customer, ""));
+}
--- a/crates/cloverfold_solo/src/lib.rs
+++ b/crates/cloverfold_solo/src/lib.rs
@@ -11,6 +11,6 @@
 
 pub use error::SoloError;
 pub use installation::{GuardAddresses, Installation, OPERATOR, SERVICE, SoloCustomer};
-pub use measure::{Measurement, measure_load};
+pub use measure::{Measurement, SoloLoad, measure_load};
 pub use ports::find_free_addresses;
 pub use system::{SoloConfig, SoloSystem};
--- a/crates/cloverfold_solo/src/measure.rs
+++ b/crates/cloverfold_solo/src/measure.rs
@@ -25,38 +25,44 @@
     pub waste: WasteReport,
 }
 
-/// Puts a share of the system's capacity on as load, spread evenly over its customers.
+/// Load on a solo system.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SoloLoad {
+    /// Share of the system's capacity, spread evenly over its customers.
+    pub share: f64,
+    /// How many times its part the first customer submits.
+    pub overload: f64,
+    /// Least and most tasks of a job.
+    pub job_size: (usize, usize),
+    /// How long jobs arrive.
+    pub length: Duration,
+    /// Seed of the arrivals.
+    pub seed: u64,
+}
+
+/// Puts a load on and gathers what it showed.
 ///
 /// # Errors
 ///
 /// Says that a metrics page could not be read.
-pub async fn measure_load(
-    system: &SoloSystem,
-    share: f64,
-    job_size: (usize, usize),
-    length: Duration,
-    seed: u64,
-) -> Result<Measurement, SoloError> {
-    let plan = build_plan(system, share, job_size, length, seed);
+pub async fn measure_load(system: &SoloSystem, load: &SoloLoad) -> Result<Measurement, SoloError> {
+    let plan = build_plan(system, load);
     let client = CallerClient::new()?;
     let processes = system.metrics_addresses();
     let before = read_metrics(&client, &processes).await?;
     let starts_before = system.count_starts();
-    let load = run_load(&plan).await?;
+    let report = run_load(&plan).await?;
     tokio::time::sleep(SETTLE).await;
     let after = read_metrics(&client, &processes).await?;
     let starts = system.count_starts() - starts_before;
-    let waste = WasteReport::gather(&after.since(&before), starts, load.total().useful_tasks);
-    Ok(Measurement { load, waste })
+    let waste = WasteReport::gather(&after.since(&before), starts, report.total().useful_tasks);
+    Ok(Measurement {
+        load: report,
+        waste,
+    })
 }
 
-fn build_plan(
-    system: &SoloSystem,
-    share: f64,
-    job_size: (usize, usize),
-    length: Duration,
-    seed: u64,
-) -> LoadPlan {
+fn build_plan(system: &SoloSystem, load: &SoloLoad) -> LoadPlan {
     let config = system.config();
     let mut plan = LoadPlan {
         entries: system.entry_addresses(),
@@ -64,18 +70,23 @@
         customers: Vec::new(),
         task_duration: (SHORTEST_TASK, LONGEST_TASK),
         network_delay: Duration::ZERO,
-        length,
+        length: load.length,
         warm_up: WARM_UP,
-        seed,
+        seed: load.seed,
     };
     let slots = (config.guards * config.slots) as f64;
-    let tasks_per_s = share * slots / plan.mean_duration().as_secs_f64();
-    let mean_size = (job_size.0 + job_size.1) as f64 / 2.0;
+    let tasks_per_s = load.share * slots / plan.mean_duration().as_secs_f64();
+    let mean_size = (load.job_size.0 + load.job_size.1) as f64 / 2.0;
     let jobs_per_s = tasks_per_s / mean_size / config.customers.len() as f64;
-    let customers = config.customers.iter().map(|customer| LoadCustomer {
+    let customers = config.customers.iter().enumerate();
+    let customers = customers.map(|(index, customer)| LoadCustomer {
         caller: customer.caller.clone(),
-        jobs_per_s,
-        job_size,
+        jobs_per_s: if index == 0 {
+            jobs_per_s * load.overload
+        } else {
+            jobs_per_s
+        },
+        job_size: load.job_size,
     });
     plan.customers = customers.collect();
     plan
--- a/crates/cloverfold_solo/src/system.rs
+++ b/crates/cloverfold_solo/src/system.rs
@@ -37,6 +37,8 @@
     pub placement: &'static str,
     /// Whether one guard coordinates all jobs.
     pub has_lead: bool,
+    /// In which order waiting work goes, as in the cell's settings.
+    pub queueing: &'static str,
 }
 
 impl Default for SoloConfig {
@@ -49,6 +51,7 @@
             customers: names.map(SoloCustomer::named).into(),
             placement: "packed",
             has_lead: true,
+            queueing: "fair",
         }
     }
 }
@@ -139,6 +142,7 @@
         let extra = json!({
             "placement": self.config.placement,
             "has_lead": self.config.has_lead,
+            "queueing": self.config.queueing,
         });
         let cell = self
             .installation
