Check that the lead is one of the cell's guards

Cause: the check was never written, though meant to be; the test that lists all faults of a cell at once found it. Change: the check.

--- a/crates/cloverfold_settings/src/cell.rs
+++ b/crates/cloverfold_settings/src/cell.rs
@@ -198,6 +198,12 @@
             "answer_retention_ms",
             "must not be over retention_ms",
         );
+        let is_guard = |lead| self.guards.iter().any(|place| place.id == lead);
+        faults.add_if(
+            self.lead.is_some_and(|lead| !is_guard(lead)),
+            "lead",
+            "must be the id of one of the guards",
+        );
         self.check_guards(faults);
         self.check_names(faults);
         for (index, customer) in self.customers.iter().enumerate() {
