Read as a newcomer: one place for what stood twice

Cause: two roles read their settings and opened their endpoint in the same lines, four looks at the member table repeated how the own state gets into it, six tests the same submit-wait-disturb. A release towards a guard that no directory names now tells its job that the place is lost, which would otherwise have waited for ever. A test of a job that finds no slot in time. Conclusion: behaviour as before but for the release.

--- a/crates/cloverfold/tests/system/cluster.rs
+++ b/crates/cloverfold/tests/system/cluster.rs
@@ -61,6 +61,7 @@
     pub first_submitted_unix_ms: u64,
     /// Whether the caller names a key.
     pub has_key: bool,
+    pub deadline_ms: Option<u64>,
 }
 
 impl TestJob {
@@ -73,6 +74,7 @@
             repeat: None,
             first_submitted_unix_ms: unix_ms(),
             has_key: true,
+            deadline_ms: None,
         }
     }
 
@@ -83,7 +85,7 @@
             service: SERVICE.into(),
             tasks: (0..self.tasks).map(task).collect(),
             repeat: self.repeat,
-            deadline_ms: None,
+            deadline_ms: self.deadline_ms,
             first_submitted_unix_ms: self.has_key.then_some(self.first_submitted_unix_ms),
             idempotency_key: self.has_key.then(|| self.name.clone()),
         }
@@ -381,6 +383,23 @@
         answer
     }
 
+    /// Submits a job, does something to the system once so many tasks have started, and returns the answer.
+    pub async fn submit_disturbed(
+        &self,
+        job: &TestJob,
+        starts: usize,
+        disturb: impl FnOnce(),
+    ) -> JobAnswer {
+        let request = self.submit(0, job);
+        tokio::pin!(request);
+        tokio::select! {
+            _ = &mut request => panic!("the job ended before anything was done"),
+            () = self.wait_starts(starts) => {}
+        }
+        disturb();
+        request.await.unwrap()
+    }
+
     fn note_job(&self, job: &TestJob) {
         let mut records = self.records.lock().unwrap();
         if !records.iter().any(|one| one.job == job.name) {
--- a/crates/cloverfold/tests/system/drain.rs
+++ b/crates/cloverfold/tests/system/drain.rs
@@ -52,17 +52,11 @@
     let mut cluster = Cluster::start(shape).await;
     let job = TestJob::new("queued", 12, 300);
 
-    let answer = {
-        let request = cluster.submit(0, &job);
-        tokio::pin!(request);
-        tokio::select! {
-            _ = &mut request => panic!("the job ended before the stop"),
-            () = cluster.wait_starts(3) => {}
-        }
+    let disturb = || {
         let group = cluster.group_of(&job);
         cluster.signal_guard(group[2], Signal::TERM);
-        request.await.unwrap()
     };
+    let answer = cluster.submit_disturbed(&job, 3, disturb).await;
     let victim = cluster.group_of(&job)[2];
     let ended_well = cluster.wait_guard_end(victim).await;
 
@@ -78,16 +72,8 @@
     let job = TestJob::new("coordinated", 10, 700);
     let victim = cluster.group_of(&job)[0];
 
-    let answer = {
-        let request = cluster.submit(0, &job);
-        tokio::pin!(request);
-        tokio::select! {
-            _ = &mut request => panic!("the job ended before the stop"),
-            () = cluster.wait_starts(10) => {}
-        }
-        cluster.signal_guard(victim, Signal::TERM);
-        request.await.unwrap()
-    };
+    let disturb = || cluster.signal_guard(victim, Signal::TERM);
+    let answer = cluster.submit_disturbed(&job, 10, disturb).await;
     let ended_well = cluster.wait_guard_end(victim).await;
 
     assert!(ended_well);
@@ -100,16 +86,8 @@
     let mut cluster = Cluster::start(Shape::default()).await;
     let job = TestJob::new("entered", 8, 700);
 
-    let answer = {
-        let request = cluster.submit(0, &job);
-        tokio::pin!(request);
-        tokio::select! {
-            _ = &mut request => panic!("the job ended before the stop"),
-            () = cluster.wait_starts(8) => {}
-        }
-        cluster.signal_entry(0, Signal::TERM);
-        request.await.unwrap()
-    };
+    let disturb = || cluster.signal_entry(0, Signal::TERM);
+    let answer = cluster.submit_disturbed(&job, 8, disturb).await;
     let ended_well = cluster.wait_entry_end(0).await;
 
     assert!(ended_well);
@@ -123,17 +101,11 @@
     let job = TestJob::new("led", 10, 700);
     let lead = cluster.group_of(&job)[0];
 
-    let answer = {
-        let request = cluster.submit(0, &job);
-        tokio::pin!(request);
-        tokio::select! {
-            _ = &mut request => panic!("the job ended before the stop"),
-            () = cluster.wait_starts(10) => {}
-        }
+    let disturb = || {
         let told = cluster.run_operator(&["leave"], &[&(lead + 1).to_string()]);
         assert!(told.contains("is leaving"), "{told}");
-        request.await.unwrap()
     };
+    let answer = cluster.submit_disturbed(&job, 10, disturb).await;
     let ended_well = cluster.wait_guard_end(lead).await;
     let later = cluster
         .submit(1, &TestJob::new("unled", 10, 30))
--- a/crates/cloverfold/tests/system/guard_faults.rs
+++ b/crates/cloverfold/tests/system/guard_faults.rs
@@ -255,14 +255,10 @@
 
     let group = cluster.group_of(&job);
     let victim = (0..5).find(|index| !group.contains(index)).unwrap();
-    let request = cluster.submit(0, &job);
-    tokio::pin!(request);
-    tokio::select! {
-        _ = &mut request => panic!("the job ended before the guard was killed"),
-        () = cluster.wait_starts(40) => {}
-    }
-    cluster.signal_guard(victim, rustix::process::Signal::KILL);
-    let answer = request.await.unwrap();
+    let disturb = || {
+        cluster.signal_guard(victim, rustix::process::Signal::KILL);
+    };
+    let answer = cluster.submit_disturbed(&job, 40, disturb).await;
 
     assert_eq!(answer.outcome, "complete");
     assert!(
--- a/crates/cloverfold/tests/system/link_faults.rs
+++ b/crates/cloverfold/tests/system/link_faults.rs
@@ -73,16 +73,12 @@
     let cluster = Cluster::start(Shape::default()).await;
     let job = TestJob::new("broken", 10, 500);
 
-    let request = cluster.submit(0, &job);
-    tokio::pin!(request);
-    tokio::select! {
-        _ = &mut request => panic!("the job ended before the cut"),
-        () = cluster.wait_starts(10) => {}
-    }
-    for link in &cluster.target_links {
-        link.cut();
-    }
-    let answer = request.await.unwrap();
+    let disturb = || {
+        for link in &cluster.target_links {
+            link.cut();
+        }
+    };
+    let answer = cluster.submit_disturbed(&job, 10, disturb).await;
     sleep(Duration::from_millis(300)).await;
 
     assert_eq!(answer.outcome, "failed");
--- a/crates/cloverfold/tests/system/whole_path.rs
+++ b/crates/cloverfold/tests/system/whole_path.rs
@@ -70,3 +70,32 @@
     assert_eq!(cluster.count_starts(), 2);
     cluster.check_promises();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_finds_no_slot_before_its_deadline_is_truly_not_run() {
+    let shape = Shape {
+        guards: 3,
+        slots: 1,
+        ..Shape::default()
+    };
+    let cluster = Cluster::start(shape).await;
+    let first = TestJob::new("holding", 3, 1_200);
+    let mut hurried = TestJob::new("hurried", 2, 20);
+    hurried.deadline_ms = Some(200);
+
+    let holding = cluster.submit(0, &first);
+    let refused = async {
+        cluster.wait_starts(3).await;
+        cluster.submit(1, &hurried).await.unwrap()
+    };
+    let (holding, refused) = tokio::join!(holding, refused);
+    hurried.deadline_ms = None;
+    let again = cluster.submit(0, &hurried).await.unwrap();
+
+    assert_eq!(holding.unwrap().outcome, "complete");
+    assert_eq!(refused.outcome, "not_run");
+    assert_eq!(refused.error_code(), Some("deadline_passed"));
+    assert_eq!(again.outcome, "not_run", "a refused key stays refused");
+    assert_eq!(cluster.count_starts(), 3);
+    cluster.check_promises();
+}
--- a/crates/cloverfold_coordinate/src/assignment.rs
+++ b/crates/cloverfold_coordinate/src/assignment.rs
@@ -168,7 +168,7 @@
         };
         let since = Instant::now();
         let Some(address) = self.coordinator.directory().address_of(place.guard) else {
-            return;
+            return self.send(JobEvent::PlaceLost { task, place }).await;
         };
         loop {
             let network = self.coordinator.network();
--- a/crates/cloverfold_membership/src/membership.rs
+++ b/crates/cloverfold_membership/src/membership.rs
@@ -173,8 +173,12 @@
         });
     }
 
-    /// Lists what is known of every guard, this one freshly.
-    pub async fn list_reports(&self) -> Vec<MemberReport> {
+    /// Decides on the table with this guard's present state in it.
+    async fn look<R, F>(&self, decide: F) -> R
+    where
+        R: Send + 'static,
+        F: FnOnce(&mut MemberTable, Duration) -> R + Send + 'static,
+    {
         let own = self.own_report();
         let now = self.started.elapsed();
         self.table
@@ -182,36 +186,25 @@
                 if let Some(own) = own {
                     table.absorb(own, now);
                 }
-                table.reports()
+                decide(table, now)
             })
             .await
     }
 
+    /// Lists what is known of every guard, this one freshly.
+    pub async fn list_reports(&self) -> Vec<MemberReport> {
+        self.look(|table, _now| table.reports()).await
+    }
+
     /// Lists the guards that can take work, with their load.
     pub async fn list_candidates(&self) -> Vec<Candidate> {
-        let own = self.own_report();
-        let now = self.started.elapsed();
-        self.table
-            .with(move |table| {
-                if let Some(own) = own {
-                    table.absorb(own, now);
-                }
-                table.list_candidates(now, SILENCE_LIMIT)
-            })
+        self.look(|table, now| table.list_candidates(now, SILENCE_LIMIT))
             .await
     }
 
     /// Counts the slots of the guards that can take work.
     pub async fn count_capacity(&self) -> Capacity {
-        let own = self.own_report();
-        let now = self.started.elapsed();
-        self.table
-            .with(move |table| {
-                if let Some(own) = own {
-                    table.absorb(own, now);
-                }
-                table.count_capacity(now, SILENCE_LIMIT)
-            })
+        self.look(|table, now| table.count_capacity(now, SILENCE_LIMIT))
             .await
     }
 
@@ -222,17 +215,10 @@
 
     /// Places tasks by the cell's policy, one charge for each.
     pub async fn place_tasks(&self, policy: PlacementPolicy, count: usize) -> Vec<Charge> {
-        let own = self.own_report();
-        let now = self.started.elapsed();
-        let places = self
-            .table
-            .with(move |table| {
-                if let Some(own) = own {
-                    table.absorb(own, now);
-                }
-                table.place(policy, count, now, SILENCE_LIMIT, draw_below)
-            })
-            .await;
+        let place = move |table: &mut MemberTable, now| {
+            table.place(policy, count, now, SILENCE_LIMIT, draw_below)
+        };
+        let places = self.look(place).await;
         let charge = |place| Charge {
             place,
             table: self.table.clone(),
--- a/crates/cloverfold_process/src/entry.rs
+++ b/crates/cloverfold_process/src/entry.rs
@@ -3,11 +3,10 @@
 use cloverfold_app::{App, Running};
 use cloverfold_entry::EntryPlugin;
 use cloverfold_membership::MembershipPlugin;
-use cloverfold_net::{Network, NetworkConfig};
 use cloverfold_settings::{CellSettings, EntrySettings, read_settings};
 
+use crate::endpoint::open_network;
 use crate::error::ProcessError;
-use crate::guard::key_files;
 
 /// Starts an entry.
 ///
@@ -16,12 +15,7 @@
 /// Says which file, address or key is unusable.
 pub async fn start_entry(settings: EntrySettings) -> Result<Running, ProcessError> {
     let cell: CellSettings = read_settings(&settings.cell)?;
-    let network = Network::bind(
-        settings.peer_address,
-        &key_files(&settings.keys),
-        NetworkConfig::default(),
-        Default::default(),
-    )?;
+    let network = open_network(settings.peer_address, &settings.keys)?;
     let http_address = settings.http_address;
     let name = settings.name.clone();
     let mut app = App::new(&name, network)?;
--- a/crates/cloverfold_process/src/guard.rs
+++ b/crates/cloverfold_process/src/guard.rs
@@ -6,9 +6,9 @@
 use cloverfold_core::Placement;
 use cloverfold_execute::ExecutePlugin;
 use cloverfold_membership::MembershipPlugin;
-use cloverfold_net::{KeyFiles, Network, NetworkConfig};
-use cloverfold_settings::{CellSettings, GuardSettings, KeySettings, read_settings};
+use cloverfold_settings::{CellSettings, GuardSettings, read_settings};
 
+use crate::endpoint::open_network;
 use crate::error::ProcessError;
 
 /// Starts a guard; its life begins now.
@@ -25,12 +25,7 @@
         guard: settings.id,
         incarnation: unix_now().as_micros() as u64,
     };
-    let network = Network::bind(
-        settings.peer_address,
-        &key_files(&settings.keys),
-        NetworkConfig::default(),
-        Default::default(),
-    )?;
+    let network = open_network(settings.peer_address, &settings.keys)?;
     let http_address = settings.http_address;
     let slots = settings.target.slots as u32;
     let mut app = App::new(&format!("guard-{}", settings.id), network)?;
@@ -44,11 +39,3 @@
     .add_plugin(CoordinatePlugin)?;
     Ok(app.start(http_address).await?)
 }
-
-pub(crate) fn key_files(keys: &KeySettings) -> KeyFiles {
-    KeyFiles {
-        authority: keys.authority.clone(),
-        certificate: keys.certificate.clone(),
-        private_key: keys.private_key.clone(),
-    }
-}
--- a/crates/cloverfold_process/src/lib.rs
+++ b/crates/cloverfold_process/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The binaries and the solo system start their processes here, so that they are the same everywhere.
 
+mod endpoint;
 mod entry;
 mod error;
 mod guard;
--- a/crates/cloverfold_settings/src/common.rs
+++ b/crates/cloverfold_settings/src/common.rs
@@ -3,6 +3,9 @@
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::document::{Check, SettingsError, read_settings};
 
 /// Where the process finds its key files; paths are relative to the settings file.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
@@ -25,6 +28,19 @@
     }
 }
 
+/// Settings of a process, which name other files.
+pub(crate) trait ProcessSettings: DeserializeOwned + Check {
+    /// Makes the paths relative to the working folder instead of the settings file's folder.
+    fn resolve_paths(&mut self, folder: &Path);
+}
+
+/// Reads the settings of a process.
+pub(crate) fn read_process_settings<T: ProcessSettings>(file: &Path) -> Result<T, SettingsError> {
+    let mut settings: T = read_settings(file)?;
+    settings.resolve_paths(file.parent().unwrap_or(Path::new("")));
+    Ok(settings)
+}
+
 /// How much is logged.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/cloverfold_settings/src/entry.rs
+++ b/crates/cloverfold_settings/src/entry.rs
@@ -6,8 +6,8 @@
 
 use serde::Deserialize;
 
-use crate::common::{KeySettings, LogSettings};
-use crate::document::{Check, FaultList, SettingsError, read_settings};
+use crate::common::{KeySettings, LogSettings, ProcessSettings, read_process_settings};
+use crate::document::{Check, FaultList, SettingsError};
 use crate::guard::default_drain_ms;
 
 /// Settings of one `cloverfold entry`.
@@ -79,13 +79,9 @@
     ///
     /// # Errors
     ///
-    /// As [`read_settings`].
+    /// As [`crate::read_settings`].
     pub fn read(file: &Path) -> Result<Self, SettingsError> {
-        let mut settings: Self = read_settings(file)?;
-        let folder = file.parent().unwrap_or(Path::new(""));
-        settings.cell = folder.join(&settings.cell);
-        settings.keys.resolve(folder);
-        Ok(settings)
+        read_process_settings(file)
     }
 
     /// Returns how long a planned stop may take.
@@ -104,6 +100,13 @@
     }
 }
 
+impl ProcessSettings for EntrySettings {
+    fn resolve_paths(&mut self, folder: &Path) {
+        self.cell = folder.join(&self.cell);
+        self.keys.resolve(folder);
+    }
+}
+
 impl Check for EntrySettings {
     fn check(&self, faults: &mut FaultList) {
         faults.add_if(
--- a/crates/cloverfold_settings/src/guard.rs
+++ b/crates/cloverfold_settings/src/guard.rs
@@ -7,8 +7,8 @@
 use cloverfold_core::GuardId;
 use serde::Deserialize;
 
-use crate::common::{KeySettings, LogSettings};
-use crate::document::{Check, FaultList, SettingsError, read_settings};
+use crate::common::{KeySettings, LogSettings, ProcessSettings, read_process_settings};
+use crate::document::{Check, FaultList, SettingsError};
 
 /// Settings of one `cloverfold-guard`.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
@@ -82,13 +82,9 @@
     ///
     /// # Errors
     ///
-    /// As [`read_settings`].
+    /// As [`crate::read_settings`].
     pub fn read(file: &Path) -> Result<Self, SettingsError> {
-        let mut settings: Self = read_settings(file)?;
-        let folder = file.parent().unwrap_or(Path::new(""));
-        settings.cell = folder.join(&settings.cell);
-        settings.keys.resolve(folder);
-        Ok(settings)
+        read_process_settings(file)
     }
 
     /// Returns how long a planned stop may take.
@@ -104,6 +100,13 @@
     }
 }
 
+impl ProcessSettings for GuardSettings {
+    fn resolve_paths(&mut self, folder: &Path) {
+        self.cell = folder.join(&self.cell);
+        self.keys.resolve(folder);
+    }
+}
+
 impl Check for GuardSettings {
     fn check(&self, faults: &mut FaultList) {
         let target = &self.target;
