Let the next guard act as the lead when the lead is gone

Heartbeats then went to guards drawn at random every 500 ms, too few to keep reports under the silence limit, so half the guards seemed gone; and each key's second choice coordinated by them. Change: the next guard of the cell's file that takes work acts as the lead, as the hub of heartbeats and as coordinator, also for keys that it does not hold (it prepares first). One lost heartbeat makes a guard suspected until it reports anew; a connection counts as lost after 1.8 s. Conclusion: what is left is the wait until the lead is missed.

--- a/crates/cloverfold_claim/src/claims.rs
+++ b/crates/cloverfold_claim/src/claims.rs
@@ -56,9 +56,12 @@
         self.inner.cell.choose_replica_group(key)
     }
 
-    /// Tells whether this guard may vote on a key, and so may coordinate its job.
-    pub async fn can_vote(&self, key: &SubmissionKey) -> bool {
+    /// Tells whether this guard may coordinate a key's job: as a member of its group it must be able to vote.
+    pub async fn can_coordinate(&self, key: &SubmissionKey) -> bool {
         let group = self.group_of(key);
+        if !group.contains(&self.inner.own.guard) {
+            return true;
+        }
         let replica = &self.inner.replica;
         replica.with(move |replica| replica.can_vote(&group)).await
     }
@@ -67,13 +70,9 @@
     ///
     /// # Errors
     ///
-    /// Says that no majority could vote, that the key is past its retention, or that this guard does not
-    /// belong to the key's group. After [`ClaimError::NoQuorum`] the claim may still have been agreed on.
+    /// Says that no majority could vote or that the key is past its retention. After [`ClaimError::NoQuorum`] the claim may still have been agreed on.
     pub async fn agree(&self, submission: Submission, wanted: Claim) -> Result<Claim, ClaimError> {
         let group = self.group_of(&submission.key);
-        if !group.contains(&self.inner.own.guard) {
-            return Err(ClaimError::NotMember);
-        }
         let mut proposer = self.first_proposer(&submission, &group, &wanted).await;
         let mut round = 1;
         for attempt in 0..MAX_ATTEMPTS {
--- a/crates/cloverfold_claim/src/error.rs
+++ b/crates/cloverfold_claim/src/error.rs
@@ -9,7 +9,4 @@
     /// The key is past its retention.
     #[error("the key is older than the retention")]
     Expired,
-    /// This guard does not belong to the replica group of the key.
-    #[error("this guard does not hold the key")]
-    NotMember,
 }
--- a/crates/cloverfold_coordinate/src/assignment.rs
+++ b/crates/cloverfold_coordinate/src/assignment.rs
@@ -23,6 +23,8 @@
 /// What assignments of one job share.
 #[derive(Clone)]
 pub(crate) struct JobLink {
+    /// Whether this guard coordinates all jobs, and so knows where slots are free.
+    pub(crate) is_lead: bool,
     pub(crate) coordinator: Coordinator,
     pub(crate) submit: Arc<Submit>,
     pub(crate) events: mpsc::Sender<JobEvent>,
@@ -72,7 +74,7 @@
                 None => {}
                 Some(Break::Superseded) => break,
                 Some(Break::Link(cause)) => {
-                    self.coordinator.membership().suspect(place);
+                    self.coordinator.membership().suspect(place.guard);
                     log::debug!(guard = place.guard; "assignment: {cause}");
                     if reached_at.elapsed() > PATIENCE {
                         break;
--- a/crates/cloverfold_coordinate/src/coordinator.rs
+++ b/crates/cloverfold_coordinate/src/coordinator.rs
@@ -42,9 +42,10 @@
 }
 
 impl Coordinator {
-    /// Tells whether this guard coordinates all jobs, and so knows where slots are free.
-    pub(crate) fn is_lead(&self) -> bool {
-        self.inner.cell.find_lead() == Some(self.inner.claims.own().guard)
+    /// Tells whether this guard coordinates all jobs now.
+    pub(crate) async fn is_acting_lead(&self) -> bool {
+        let lead = self.inner.membership.find_acting_lead().await;
+        lead == Some(self.inner.claims.own().guard)
     }
 
     pub(crate) fn admitter(&self) -> &Admitter {
@@ -111,7 +112,7 @@
     async fn decide_submit(&self, submit: Submit) -> Verdict {
         let key = submit.submission.key;
         let is_sole_attempt = submit.is_sole_attempt;
-        if !self.inner.claims.can_vote(&key).await {
+        if !self.inner.claims.can_coordinate(&key).await {
             return Verdict::NotHere(ReasonCode::NoQuorum);
         }
         let may_begin = self.inner.lifecycle.phase() == Phase::Serving;
--- a/crates/cloverfold_coordinate/src/driver.rs
+++ b/crates/cloverfold_coordinate/src/driver.rs
@@ -126,7 +126,7 @@
 fn explain_no_claim(cause: ClaimError) -> Outcome {
     let reason = match cause {
         ClaimError::Expired => ReasonCode::KeyExpired,
-        ClaimError::NoQuorum | ClaimError::NotMember => ReasonCode::NoQuorum,
+        ClaimError::NoQuorum => ReasonCode::NoQuorum,
     };
     Outcome::unknown(reason, format!("{cause}, so nobody can say what was run"))
 }
@@ -147,6 +147,7 @@
     };
     let (tx, mut events) = mpsc::channel(EVENT_QUEUE);
     let link = JobLink {
+        is_lead: coordinator.is_acting_lead().await,
         coordinator: coordinator.clone(),
         submit: Arc::new(submit),
         events: tx,
@@ -199,7 +200,7 @@
                     _charge: take_charge(link, planned, task, place),
                     index: task,
                     left,
-                    may_pass_on: may_pass_on && !link.coordinator.is_lead(),
+                    may_pass_on: may_pass_on && !link.is_lead,
                 };
                 batches.entry(place).or_default().push(placed);
             }
--- a/crates/cloverfold_core/src/members.rs
+++ b/crates/cloverfold_core/src/members.rs
@@ -50,6 +50,8 @@
     heard_at: Duration,
     /// Tasks that the report shows beyond those that this process had there when it came.
     foreign: u32,
+    /// It could not be reached since the report.
+    is_suspected: bool,
 }
 
 /// The newest report of each guard, and what this process itself has in flight there.
@@ -78,6 +80,7 @@
             report,
             heard_at: now,
             foreign: load.saturating_sub(self.in_flight_at(guard)),
+            is_suspected: false,
         };
         self.members.insert(guard, member);
         has_restarted
@@ -93,12 +96,6 @@
         self.members.get(&guard).map(|member| &member.report)
     }
 
-    /// Tells whether a report of a guard came within the given silence.
-    pub fn is_heard(&self, guard: GuardId, now: Duration, silence: Duration) -> bool {
-        let member = self.members.get(&guard);
-        member.is_some_and(|member| now.saturating_sub(member.heard_at) <= silence)
-    }
-
     /// Returns the number of tasks that this process has at a guard.
     pub fn in_flight_at(&self, guard: GuardId) -> u32 {
         self.in_flight.get(&guard).copied().unwrap_or(0)
@@ -137,11 +134,10 @@
         places
     }
 
-    /// Forgets that a guard was heard, because it could not be reached.
-    pub fn suspect(&mut self, placement: Placement) {
-        let member = self.members.get_mut(&placement.guard);
-        if let Some(member) = member.filter(|member| member.report.placement == placement) {
-            member.heard_at = Duration::ZERO;
+    /// Takes a guard for unable to work until it reports anew, because it could not be reached.
+    pub fn suspect(&mut self, guard: GuardId) {
+        if let Some(member) = self.members.get_mut(&guard) {
+            member.is_suspected = true;
         }
     }
 
@@ -160,6 +156,7 @@
     pub fn list_candidates(&self, now: Duration, silence: Duration) -> Vec<Candidate> {
         let usable = self.members.values().filter(|member| {
             member.report.phase == MemberPhase::Live
+                && !member.is_suspected
                 && now.saturating_sub(member.heard_at) <= silence
         });
         let describe = |member: &Member| Candidate {
--- a/crates/cloverfold_entry/src/routing.rs
+++ b/crates/cloverfold_entry/src/routing.rs
@@ -1,5 +1,7 @@
 //! Finds a coordinator for a submission and brings back its answer.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cloverfold_app::{random_u64, unix_now};
@@ -9,7 +11,6 @@
 };
 use cloverfold_membership::{Directory, Membership};
 use cloverfold_net::{CallError, Network};
-use std::sync::Arc;
 use tokio::time::sleep;
 
 use crate::plugin::EntryMetrics;
@@ -53,7 +54,7 @@
             if round > 0 {
                 sleep(draw_pause(round)).await;
             }
-            for guard in self.order_group(&key).await {
+            for guard in self.order_coordinators(&key).await {
                 if !is_first {
                     self.metrics.reroutes.inc();
                 }
@@ -85,13 +86,16 @@
         key
     }
 
-    /// Orders a group by rendezvous rank, with those behind that are not known to take work.
-    async fn order_group(&self, key: &SubmissionKey) -> Vec<GuardId> {
+    /// Orders who may coordinate a key: the acting lead, then the key's group by rank, with those behind that
+    /// are not known to take work.
+    async fn order_coordinators(&self, key: &SubmissionKey) -> Vec<GuardId> {
         let group = self.cell.choose_replica_group(key);
-        let mut ordered = self.membership.keep_usable(group.clone()).await;
-        let rest = group.into_iter().filter(|guard| !ordered.contains(guard));
-        let rest: Vec<GuardId> = rest.collect();
-        ordered.extend(rest);
+        let mut ordered: Vec<GuardId> = Vec::new();
+        ordered.extend(self.membership.find_acting_lead().await);
+        ordered.extend(self.membership.keep_usable(group.clone()).await);
+        ordered.extend(group);
+        let mut seen = BTreeSet::new();
+        ordered.retain(|guard| seen.insert(*guard));
         ordered
     }
 
@@ -127,7 +131,7 @@
     /// Asks the group what is known of a key; the first that can tell is believed.
     pub(crate) async fn query(&self, key: SubmissionKey) -> JobState {
         let mut best = JobState::CannotTell;
-        for guard in self.order_group(&key).await {
+        for guard in self.order_coordinators(&key).await {
             let Some(address) = self.directory.address_of(guard) else {
                 continue;
             };
--- a/crates/cloverfold_membership/src/membership.rs
+++ b/crates/cloverfold_membership/src/membership.rs
@@ -15,11 +15,12 @@
 use tokio::sync::{Notify, watch};
 
 /// A guard from which nothing was heard for this long gets no new task.
-const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_600);
 
 /// Where each guard of the cell is reached.
 #[derive(Clone, Debug)]
 pub struct Directory {
+    lead_order: Vec<GuardId>,
     addresses: BTreeMap<GuardId, PeerAddress>,
 }
 
@@ -34,6 +35,7 @@
             (place.id, address)
         });
         Self {
+            lead_order: cell.list_lead_order(),
             addresses: addresses.collect(),
         }
     }
@@ -238,8 +240,8 @@
     }
 
     /// Notes that a guard could not be reached, so that it gets nothing new until it is heard again.
-    pub fn suspect(&self, placement: Placement) {
-        self.table.post(move |table| table.suspect(placement));
+    pub fn suspect(&self, guard: GuardId) {
+        self.table.post(move |table| table.suspect(guard));
     }
 
     /// Waits until a later life of a place's guard is known.
@@ -259,13 +261,10 @@
         self.table.with(find).await
     }
 
-    /// Tells whether a guard was heard of lately.
-    pub async fn is_heard(&self, guard: GuardId) -> bool {
-        let now = self.started.elapsed();
-        let table = &self.table;
-        table
-            .with(move |table| table.is_heard(guard, now, SILENCE_LIMIT))
-            .await
+    /// Finds the guard that coordinates the cell's jobs now: the lead, or the next that takes work.
+    pub async fn find_acting_lead(&self) -> Option<GuardId> {
+        let order = self.directory.lead_order.clone();
+        self.keep_usable(order).await.into_iter().next()
     }
 
     /// Lists the guards that take work and were heard of lately, among those given and in their order.
--- a/crates/cloverfold_membership/src/plugin.rs
+++ b/crates/cloverfold_membership/src/plugin.rs
@@ -14,9 +14,9 @@
 use crate::membership::{Directory, Membership, OwnLoad, OwnMember};
 use crate::messages::{Heartbeat, Leave};
 
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Peers that a process sends each heartbeat to while it does not hear the lead.
+/// Peers that a process sends each heartbeat to while it hears no lead.
 const FANOUT: usize = 2;
 /// One heartbeat in so many also goes to a peer drawn at random, so that news passes beside the lead.
 const SIDE_INTERVAL: u32 = 8;
@@ -71,7 +71,6 @@
             live.clone(),
         );
         let gossip = Gossip {
-            lead: cell.find_lead(),
             live,
             network: app.network(),
             directory,
@@ -86,7 +85,6 @@
 
 #[derive(Clone)]
 struct Gossip {
-    lead: Option<GuardId>,
     live: Gauge<i64>,
     network: Network,
     directory: Arc<Directory>,
@@ -109,24 +107,20 @@
         }
     }
 
-    /// The lead hears everybody and tells everybody; without it news goes from peer to peer.
+    /// The acting lead hears everybody and tells everybody; without one news goes from peer to peer.
     async fn choose_peers(&self, turn: u32) -> Vec<GuardId> {
-        let Some(lead) = self.lead else {
-            return self.draw_peers(FANOUT);
-        };
-        if Some(lead) == self.own {
-            return self.draw_peers(usize::from(turn.is_multiple_of(SIDE_INTERVAL)));
-        }
-        if !self.membership.is_heard(lead).await {
-            let mut peers = self.draw_peers(FANOUT);
-            peers.push(lead);
-            return peers;
-        }
-        let mut peers = vec![lead];
-        if turn.is_multiple_of(SIDE_INTERVAL) {
-            peers.extend(self.draw_peers(1));
+        let side = usize::from(turn.is_multiple_of(SIDE_INTERVAL));
+        let lead = self.membership.find_acting_lead().await;
+        match lead {
+            None => self.draw_peers(FANOUT),
+            Some(lead) if Some(lead) == self.own => self.draw_peers(side),
+            Some(lead) => {
+                let mut peers = self.draw_peers(side);
+                peers.retain(|peer| *peer != lead);
+                peers.push(lead);
+                peers
+            }
         }
-        peers
     }
 
     /// Tells every peer at once: a joining guard is to get work, and a leaving one none, within seconds.
@@ -164,13 +158,14 @@
         };
         let reports = self.membership.list_reports().await;
         let heartbeat = Heartbeat { reports };
-        // A lost heartbeat needs no answer of its own: the silence shows.
-        if let Ok(reports) = self
+        let reply = self
             .network
             .call(address, &heartbeat, HEARTBEAT_TIMEOUT)
-            .await
-        {
-            self.membership.absorb(reports);
+            .await;
+        match reply {
+            Ok(reports) => self.membership.absorb(reports),
+            // It is heard again with its next report, by whatever way that comes.
+            Err(_) => self.membership.suspect(guard),
         }
     }
 }
--- a/crates/cloverfold_net/src/network.rs
+++ b/crates/cloverfold_net/src/network.rs
@@ -40,8 +40,8 @@
 impl Default for NetworkConfig {
     fn default() -> Self {
         Self {
-            idle_timeout: Duration::from_millis(2_500),
-            keep_alive: Duration::from_millis(800),
+            idle_timeout: Duration::from_millis(1_800),
+            keep_alive: Duration::from_millis(600),
             unused_timeout: Duration::from_secs(5),
             connect_timeout: Duration::from_millis(1_000),
             initial_rtt: Duration::from_millis(20),
--- a/crates/cloverfold_settings/src/cell.rs
+++ b/crates/cloverfold_settings/src/cell.rs
@@ -139,6 +139,16 @@
         Duration::from_millis(self.answer_retention_ms)
     }
 
+    /// Lists who leads the cell, and who does in the place of those before; empty without a lead.
+    pub fn list_lead_order(&self) -> Vec<GuardId> {
+        let Some(lead) = self.find_lead() else {
+            return Vec::new();
+        };
+        let others = self.guards.iter().map(|place| place.id);
+        let others = others.filter(|guard| *guard != lead);
+        std::iter::once(lead).chain(others).collect()
+    }
+
     /// Returns the flow in which a customer's work at a service waits.
     pub fn flow_of(&self, service: &str, customer: &str) -> Flow {
         match self.queueing {
