Pass reports on with their age; only a whole guard leads

Cause: a test that kills and restarts the lead under load failed: a guard that heard the dead lead's last report through others took it for fresh, kept the dead guard for another silence limit, and sent it a task. A restarted lead was also taken for able to lead before it had copied its claims. Change: a report that is passed on carries its age; reports say whether the guard's memory is whole, and only such a guard acts as the lead. Conclusion: the silence limit now holds through any number of hands.

--- a/benches/benches/decisions.rs
+++ b/benches/benches/decisions.rs
@@ -82,9 +82,11 @@
             },
             sequence: 1,
             phase: MemberPhase::Live,
+            is_whole: true,
             running: index as u32 % 8,
             queued: 0,
             slots: 8,
+            age: Duration::ZERO,
         };
         table.absorb(report, NOW);
     }
--- a/crates/cloverfold/tests/system/guard_faults.rs
+++ b/crates/cloverfold/tests/system/guard_faults.rs
@@ -296,3 +296,31 @@
     assert!(outcomes.iter().any(|outcome| outcome == "unknown"));
     cluster.check_promises();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_lead_killed_and_restarted_under_load_leads_again() {
+    let mut cluster = Cluster::start(Shape::default()).await;
+    let lead = 0;
+    let serve = async |cluster: &Cluster, phase: &str| {
+        for number in 0..20 {
+            let job = TestJob::new(&format!("{phase}-{number}"), 2, 10);
+            let answer = cluster.submit(number % 2, &job).await.unwrap();
+            assert_eq!(answer.outcome, "complete", "{phase} {number}");
+        }
+    };
+
+    cluster.kill_guard(lead);
+    for other in 1..5 {
+        cluster.wait_members_live(other, 4).await;
+    }
+    serve(&cluster, "without").await;
+    cluster.start_guard(lead);
+    serve(&cluster, "recovering").await;
+    cluster.wait_ready().await;
+    let series = "cloverfold_jobs_total{outcome=\"complete\"}";
+    serve(&cluster, "again").await;
+    let led = cluster.read_guard_metric(lead, series).await;
+
+    assert!(led > 0.0, "the restarted lead coordinates jobs");
+    cluster.check_promises();
+}
--- a/crates/cloverfold_claim/src/plugin.rs
+++ b/crates/cloverfold_claim/src/plugin.rs
@@ -1,12 +1,12 @@
 //! Registers the replica with a guard.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use cloverfold_app::{App, BuildError, Plugin, unix_now};
 use cloverfold_core::{Placement, Replica};
-use cloverfold_membership::{Directory, Membership};
+use cloverfold_membership::{Directory, Membership, OwnState};
 use cloverfold_net::{Peer, PeerRole};
 use cloverfold_settings::CellSettings;
 use prometheus_client::metrics::gauge::Gauge;
@@ -20,7 +20,7 @@
 pub(crate) const CLOCK_MARGIN: Duration = Duration::from_secs(5);
 const GAUGE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Adds [`Claims`]; needs [`CellSettings`], [`Directory`] and [`Membership`].
+/// Adds [`Claims`]; needs [`CellSettings`], [`Directory`], [`Membership`] and [`OwnState`].
 pub struct ClaimPlugin {
     /// The guard that this process is.
     pub own: Placement,
@@ -44,7 +44,7 @@
         app.insert_resource(claims.clone());
         register_handlers(app, &claims);
         register_operators_handlers(app, &claims);
-        register_state(app, &claims);
+        register_state(app, &claims)?;
         app.add_task(claims.clone().recover(app.lifecycle()));
         app.add_task(claims.purge());
         Ok(())
@@ -107,17 +107,17 @@
 }
 
 /// Keeps the readiness check and the gauges up to date.
-fn register_state(app: &mut App, claims: &Claims) {
-    let is_whole = Arc::new(AtomicBool::new(false));
+fn register_state(app: &mut App, claims: &Claims) -> Result<(), BuildError> {
+    let own = app.resource::<OwnState>()?;
     let records = Gauge::<i64>::default();
     app.registry().register(
         "claim_records",
         "Claims held by this replica",
         records.clone(),
     );
-    let shown = is_whole.clone();
+    let shown = own.clone();
     app.add_ready_check(move || {
-        if shown.load(Ordering::Relaxed) {
+        if shown.is_whole() {
             Ok(())
         } else {
             Err("the replica is recovering, or the cell has not been founded".into())
@@ -126,11 +126,12 @@
     let claims = claims.clone();
     app.add_task(async move {
         loop {
-            is_whole.store(claims.is_whole().await, Ordering::Relaxed);
+            own.set_whole(claims.is_whole().await);
             let replica = &claims.inner.replica;
             let count = replica.with(|replica| replica.record_count()).await;
             records.set(count as i64);
             sleep(GAUGE_INTERVAL).await;
         }
     });
+    Ok(())
 }
--- a/crates/cloverfold_core/src/members.rs
+++ b/crates/cloverfold_core/src/members.rs
@@ -29,12 +29,16 @@
     pub sequence: u64,
     /// Phase of the guard.
     pub phase: MemberPhase,
+    /// Whether its memory of claims is whole, so that it can lead.
+    pub is_whole: bool,
     /// Tasks at the target.
     pub running: u32,
     /// Tasks that wait.
     pub queued: u32,
     /// Tasks that can run at once.
     pub slots: u32,
+    /// How long ago the guard made the report, as far as those know who passed it on.
+    pub age: Duration,
 }
 
 impl MemberReport {
@@ -46,7 +50,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Member {
     report: MemberReport,
-    /// When the report came, by the process's monotonic clock.
+    /// When the guard made the report, by this process's monotonic clock.
     heard_at: Duration,
     /// Tasks that the report shows beyond those that this process had there when it came.
     foreign: u32,
@@ -78,7 +82,7 @@
         let load = report.running + report.queued;
         let member = Member {
             report,
-            heard_at: now,
+            heard_at: now.saturating_sub(report.age),
             foreign: load.saturating_sub(self.in_flight_at(guard)),
             is_suspected: false,
         };
@@ -86,9 +90,15 @@
         has_restarted
     }
 
-    /// Lists the newest report of each guard.
-    pub fn reports(&self) -> Vec<MemberReport> {
-        self.members.values().map(|member| member.report).collect()
+    /// Lists the newest report of each guard with its present age.
+    pub fn reports(&self, now: Duration) -> Vec<MemberReport> {
+        let members = self.members.values();
+        members
+            .map(|member| MemberReport {
+                age: now.saturating_sub(member.heard_at),
+                ..member.report
+            })
+            .collect()
     }
 
     /// Returns the newest report of a guard.
@@ -141,6 +151,21 @@
         }
     }
 
+    /// Finds the first of the given guards that takes work, was heard within the given silence, and is whole.
+    pub fn find_lead(
+        &self,
+        order: &[GuardId],
+        now: Duration,
+        silence: Duration,
+    ) -> Option<GuardId> {
+        let usable = self.list_candidates(now, silence);
+        let can_lead = |guard: &GuardId| {
+            let is_usable = usable.iter().any(|one| one.placement.guard == *guard);
+            is_usable && self.report_of(*guard).is_some_and(|report| report.is_whole)
+        };
+        order.iter().copied().find(can_lead)
+    }
+
     /// Counts the slots of the guards that were heard within the given silence.
     pub fn count_capacity(&self, now: Duration, silence: Duration) -> Capacity {
         let mut capacity = Capacity::default();
--- /dev/null
+++ b/crates/cloverfold_core/tests/members.rs
@@ -0,0 +1,72 @@
+//! What a process knows of guards through others.
+
+use std::time::Duration;
+
+use cloverfold_core::{MemberPhase, MemberReport, MemberTable, Placement};
+
+const SILENCE: Duration = Duration::from_millis(1_600);
+
+fn report(sequence: u64, running: u32) -> MemberReport {
+    MemberReport {
+        placement: Placement {
+            guard: 1,
+            incarnation: 1,
+        },
+        sequence,
+        phase: MemberPhase::Live,
+        is_whole: true,
+        running,
+        queued: 0,
+        slots: 8,
+        age: Duration::ZERO,
+    }
+}
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn a_report_that_is_passed_on_keeps_its_age() {
+    let mut first = MemberTable::default();
+    let mut second = MemberTable::default();
+    first.absorb(report(1, 0), at(0));
+
+    for passed_on in first.reports(at(1_500)) {
+        second.absorb(passed_on, at(1_500));
+    }
+
+    assert_eq!(second.list_candidates(at(1_600), SILENCE).len(), 1);
+    assert!(second.list_candidates(at(1_601), SILENCE).is_empty());
+    assert_eq!(second.find_lead(&[1], at(1_601), SILENCE), None);
+}
+
+#[test]
+fn a_suspected_guard_gets_nothing_until_it_reports_anew() {
+    let mut table = MemberTable::default();
+    table.absorb(report(1, 0), at(0));
+    table.suspect(1);
+    table.absorb(report(1, 0), at(10));
+    let suspected = table.list_candidates(at(10), SILENCE).len();
+
+    table.absorb(report(2, 0), at(20));
+
+    assert_eq!(suspected, 0);
+    assert_eq!(table.list_candidates(at(20), SILENCE).len(), 1);
+}
+
+#[test]
+fn own_tasks_are_counted_once_and_foreign_ones_are_added() {
+    let mut table = MemberTable::default();
+    table.charge(1);
+    table.charge(1);
+    table.absorb(report(1, 5), at(0));
+    table.charge(1);
+    let load = table.list_candidates(at(0), SILENCE)[0].load;
+    table.discharge(1);
+    table.discharge(1);
+    table.discharge(1);
+
+    assert_eq!(load, 6, "three foreign tasks and three own");
+    assert_eq!(table.list_candidates(at(0), SILENCE)[0].load, 3);
+}
--- a/crates/cloverfold_execute/src/execution.rs
+++ b/crates/cloverfold_execute/src/execution.rs
@@ -9,7 +9,7 @@
     AssignVerdict, Candidate, Fence, FenceLimits, Flow, Incarnation, QueuedTask, ReasonCode,
     ReleaseVerdict, TaskEnd, TaskId, TaskState, UnixTime, choose_free_place,
 };
-use cloverfold_membership::OwnLoad;
+use cloverfold_membership::OwnState;
 use tokio::sync::mpsc;
 
 use crate::messages::{Assign, Release, TaskReport};
@@ -19,7 +19,7 @@
     fence: Fence<Bytes>,
     /// Coordinators that wait for a task; each channel has room for all tasks that it was made for.
     watchers: HashMap<TaskId, Vec<mpsc::Sender<TaskReport>>>,
-    load: Arc<OwnLoad>,
+    load: Arc<OwnState>,
 }
 
 /// What the guard is to do after an assignment.
@@ -34,7 +34,7 @@
 }
 
 impl Execution {
-    pub(crate) fn new(incarnation: Incarnation, limits: FenceLimits, load: Arc<OwnLoad>) -> Self {
+    pub(crate) fn new(incarnation: Incarnation, limits: FenceLimits, load: Arc<OwnState>) -> Self {
         Self {
             fence: Fence::new(incarnation, limits),
             watchers: HashMap::new(),
--- a/crates/cloverfold_execute/src/plugin.rs
+++ b/crates/cloverfold_execute/src/plugin.rs
@@ -2,7 +2,7 @@
 
 use cloverfold_app::{App, BuildError, Plugin};
 use cloverfold_core::{FenceLimits, Placement};
-use cloverfold_membership::{Membership, OwnLoad};
+use cloverfold_membership::{Membership, OwnState};
 use cloverfold_net::{Peer, PeerRole, ReplySink};
 use cloverfold_settings::{CellSettings, GuardSettings};
 use prometheus_client::metrics::counter::Counter;
@@ -19,7 +19,7 @@
     pub(crate) failures: Counter,
 }
 
-/// Runs tasks at the target; needs [`CellSettings`], [`GuardSettings`], [`Membership`] and [`OwnLoad`].
+/// Runs tasks at the target; needs [`CellSettings`], [`GuardSettings`], [`Membership`] and [`OwnState`].
 pub struct ExecutePlugin {
     /// The guard that this process is.
     pub own: Placement,
@@ -36,7 +36,7 @@
             queue: settings.queue_limit,
             answer_retention: cell.answer_retention(),
         };
-        let load = app.resource::<OwnLoad>()?;
+        let load = app.resource::<OwnState>()?;
         let execution = Execution::new(self.own.incarnation, limits, load);
         let metrics = ExecuteMetrics::default();
         app.registry().register(
--- a/crates/cloverfold_membership/src/lib.rs
+++ b/crates/cloverfold_membership/src/lib.rs
@@ -15,6 +15,6 @@
 mod messages;
 mod plugin;
 
-pub use membership::{Charge, Directory, Membership, OwnLoad};
+pub use membership::{Charge, Directory, Membership, OwnState};
 pub use messages::{Heartbeat, Leave};
 pub use plugin::MembershipPlugin;
--- a/crates/cloverfold_membership/src/membership.rs
+++ b/crates/cloverfold_membership/src/membership.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use cloverfold_app::{Control, ControlState, Lifecycle, Phase, draw_below};
@@ -51,14 +51,25 @@
     }
 }
 
-/// Load of this process's own target, kept up to date by the capability that runs tasks.
+/// State of this guard, kept up to date by the capabilities that run tasks and hold claims.
 #[derive(Debug, Default)]
-pub struct OwnLoad {
+pub struct OwnState {
+    is_whole: AtomicBool,
     running: AtomicU32,
     queued: AtomicU32,
 }
 
-impl OwnLoad {
+impl OwnState {
+    /// Notes whether this guard's memory of claims is whole.
+    pub fn set_whole(&self, is_whole: bool) {
+        self.is_whole.store(is_whole, Ordering::Relaxed);
+    }
+
+    /// Tells whether this guard's memory of claims is whole.
+    pub fn is_whole(&self) -> bool {
+        self.is_whole.load(Ordering::Relaxed)
+    }
+
     /// Notes the present load.
     pub fn set(&self, running: usize, queued: usize) {
         self.running.store(running as u32, Ordering::Relaxed);
@@ -71,7 +82,7 @@
 pub(crate) struct OwnMember {
     pub(crate) placement: Placement,
     pub(crate) slots: u32,
-    pub(crate) load: Arc<OwnLoad>,
+    pub(crate) load: Arc<OwnState>,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) sequence: AtomicU64,
 }
@@ -142,9 +153,11 @@
             placement: own.placement,
             sequence: own.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             phase,
+            is_whole: own.load.is_whole(),
             running: own.load.running.load(Ordering::Relaxed),
             queued: own.load.queued.load(Ordering::Relaxed),
             slots: own.slots,
+            age: Duration::ZERO,
         })
     }
 
@@ -195,7 +208,7 @@
 
     /// Lists what is known of every guard, this one freshly.
     pub async fn list_reports(&self) -> Vec<MemberReport> {
-        self.look(|table, _now| table.reports()).await
+        self.look(|table, now| table.reports(now)).await
     }
 
     /// Lists the guards that can take work, with their load.
@@ -264,7 +277,8 @@
     /// Finds the guard that coordinates the cell's jobs now: the lead, or the next that takes work.
     pub async fn find_acting_lead(&self) -> Option<GuardId> {
         let order = self.directory.lead_order.clone();
-        self.keep_usable(order).await.into_iter().next()
+        self.look(move |table, now| table.find_lead(&order, now, SILENCE_LIMIT))
+            .await
     }
 
     /// Lists the guards that take work and were heard of lately, among those given and in their order.
--- a/crates/cloverfold_membership/src/plugin.rs
+++ b/crates/cloverfold_membership/src/plugin.rs
@@ -11,7 +11,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use tokio::time::sleep;
 
-use crate::membership::{Directory, Membership, OwnLoad, OwnMember};
+use crate::membership::{Directory, Membership, OwnMember, OwnState};
 use crate::messages::{Heartbeat, Leave};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
@@ -21,7 +21,7 @@
 /// One heartbeat in so many also goes to a peer drawn at random, so that news passes beside the lead.
 const SIDE_INTERVAL: u32 = 8;
 
-/// Adds [`Membership`], [`Directory`] and [`OwnLoad`]; needs [`CellSettings`].
+/// Adds [`Membership`], [`Directory`] and [`OwnState`]; needs [`CellSettings`].
 pub struct MembershipPlugin {
     /// The guard that this process is and its number of slots, if it is one.
     pub own: Option<(Placement, u32)>,
@@ -31,7 +31,7 @@
     fn build(self, app: &mut App) -> Result<(), BuildError> {
         let cell = app.resource::<CellSettings>()?;
         let directory = app.insert_resource(Directory::new(&cell));
-        let load = app.insert_resource(OwnLoad::default());
+        let load = app.insert_resource(OwnState::default());
         let own = self.own.map(|(placement, slots)| {
             Arc::new(OwnMember {
                 placement,
