Cancel what still runs of a failed job; tests wait until the lead is known

Cause: guards cancel at targets that can, but nothing showed it; three places worked out the same plan of load. The test of two lost members failed once: the first job had been coordinated by guard 2, since the news that guard 1 is whole had not reached the entry, so guard 2 still had the true answer, and the test had counted on guard 1 holding it. Change: the sample target takes cancellations, a test sees one; one function makes the even load; a gauge shows the acting lead, and the tests' cluster is ready only when all processes agree on it. Conclusion: the assertions stand as they were.

--- a/benches/benches/capacity.rs
+++ b/benches/benches/capacity.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cloverfold_benches::{ProcessSystem, Role, Usage, read_usage};
-use cloverfold_load::{LoadCustomer, LoadPlan, MetricsTotals, read_metrics, run_load};
+use cloverfold_load::{EvenLoad, LoadPlan, MetricsTotals, read_metrics, run_load};
 use cloverfold_solo::SERVICE;
 use eyre::Result;
 use tokio::time::sleep;
@@ -104,27 +104,17 @@
 }
 
 fn build_plan(system: &ProcessSystem, load: &Load) -> LoadPlan {
-    let mut plan = LoadPlan {
+    let even = EvenLoad {
         entries: system.entry_addresses(),
+        callers: system.callers(),
         service: SERVICE.into(),
-        customers: Vec::new(),
-        task_duration: (Duration::from_millis(50), Duration::from_millis(500)),
-        network_delay: Duration::ZERO,
+        slots: system.slots(),
+        share: load.share,
+        job_size: load.job_size,
         length: LENGTH,
-        warm_up: Duration::from_secs(1),
         seed: 1,
     };
-    let callers = system.callers();
-    let tasks_per_s = load.share * system.slots() as f64 / plan.mean_duration().as_secs_f64();
-    let mean_size = (load.job_size.0 + load.job_size.1) as f64 / 2.0;
-    let jobs_per_s = tasks_per_s / mean_size / callers.len() as f64;
-    let customers = callers.into_iter().map(|caller| LoadCustomer {
-        caller,
-        jobs_per_s,
-        job_size: load.job_size,
-    });
-    plan.customers = customers.collect();
-    plan
+    even.make_plan()
 }
 
 async fn take_snapshots(system: &ProcessSystem) -> Result<Vec<Snapshot>> {
--- a/benches/benches/faults.rs
+++ b/benches/benches/faults.rs
@@ -6,7 +6,7 @@
 
 use cloverfold_benches::ProcessSystem;
 use cloverfold_load::{
-    LoadCustomer, LoadPlan, LoadReport, MetricsTotals, WasteReport, read_metrics, run_load,
+    EvenLoad, LoadPlan, LoadReport, MetricsTotals, WasteReport, read_metrics, run_load,
 };
 use cloverfold_solo::SERVICE;
 use eyre::Result;
@@ -114,27 +114,17 @@
         // the run shows that the others are not touched.
         entries.remove(0);
     }
-    let mut plan = LoadPlan {
+    let even = EvenLoad {
         entries,
+        callers: system.callers(),
         service: SERVICE.into(),
-        customers: Vec::new(),
-        task_duration: (Duration::from_millis(50), Duration::from_millis(500)),
-        network_delay: Duration::ZERO,
+        slots: system.slots(),
+        share: LOAD_SHARE,
+        job_size: JOB_SIZE,
         length: LENGTH,
-        warm_up: Duration::from_secs(1),
         seed: 1,
     };
-    let callers = system.callers();
-    let tasks_per_s = LOAD_SHARE * system.slots() as f64 / plan.mean_duration().as_secs_f64();
-    let mean_size = (JOB_SIZE.0 + JOB_SIZE.1) as f64 / 2.0;
-    let jobs_per_s = tasks_per_s / mean_size / callers.len() as f64;
-    let customers = callers.into_iter().map(|caller| LoadCustomer {
-        caller,
-        jobs_per_s,
-        job_size: JOB_SIZE,
-    });
-    plan.customers = customers.collect();
-    plan
+    even.make_plan()
 }
 
 fn print_row(fault: &Fault, report: &LoadReport, metrics: &MetricsTotals, starts: u64) {
--- a/crates/cloverfold/tests/system/cluster.rs
+++ b/crates/cloverfold/tests/system/cluster.rs
@@ -282,6 +282,23 @@
                 self.wait_members_live(index, live).await;
             }
         }
+        self.wait_led().await;
+    }
+
+    /// Waits until every running process takes the same guard for the lead.
+    async fn wait_led(&self) {
+        let is_running = |index: &usize| self.guards[*index].child.is_some();
+        let first = (0..self.guards.len()).find(is_running);
+        let lead = first.filter(|_| self.cell.find_lead().is_some());
+        let expected = lead.map_or(0, |index| index + 1);
+        let guards = (0..self.guards.len()).filter(is_running);
+        let https = guards.map(|index| self.guard_https[index]);
+        for http in https.chain(self.entry_https.iter().copied()) {
+            wait_until("the lead is known", async || {
+                self.read_metric(http, "cloverfold_acting_lead").await as usize == expected
+            })
+            .await;
+        }
     }
 
     fn count_running_guards(&self) -> usize {
@@ -442,7 +459,10 @@
 
     /// Returns one series of a guard's metrics.
     pub async fn read_guard_metric(&self, index: usize, series: &str) -> f64 {
-        let http = self.guard_https[index];
+        self.read_metric(self.guard_https[index], series).await
+    }
+
+    async fn read_metric(&self, http: SocketAddr, series: &str) -> f64 {
         let (_, page) = self.client.get_text(http, "/metrics").await.unwrap();
         let mut totals = cloverfold_load::MetricsTotals::default();
         totals.add_page(&page);
--- a/crates/cloverfold/tests/system/whole_path.rs
+++ b/crates/cloverfold/tests/system/whole_path.rs
@@ -1,6 +1,6 @@
 //! The path without faults.
 
-use crate::cluster::{Cluster, Shape, TestJob};
+use crate::cluster::{Cluster, Shape, TestJob, wait_until};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_is_answered_whole_and_again_without_a_second_start() {
@@ -52,6 +52,29 @@
     assert!(answer.results.is_none());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn what_still_runs_of_a_failed_job_is_cancelled() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let mut request = TestJob::new("cancelled", 2, 20_000).request();
+    request.tasks[0]["duration_ms"] = 100.into();
+    request.tasks[0]["fails"] = true.into();
+
+    let answer = cluster
+        .client
+        .submit(cluster.entry_https[0], &cluster.caller, &request)
+        .await
+        .unwrap();
+    wait_until("the other task is cancelled", async || {
+        let cancelled = cluster.targets.iter().map(|one| one.list_cancelled().len());
+        cancelled.sum::<usize>() == 1
+    })
+    .await;
+
+    assert_eq!(answer.outcome, "failed");
+    assert_eq!(answer.error_code(), Some("target_failed"));
+    assert_eq!(cluster.count_starts(), 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_runs_before_the_cell_is_founded() {
     let mut cluster = Cluster::start_unfounded(Shape::default()).await;
--- a/crates/cloverfold_load/src/plan.rs
+++ b/crates/cloverfold_load/src/plan.rs
@@ -43,3 +43,54 @@
         (self.task_duration.0 + self.task_duration.1) / 2
     }
 }
+
+const SHORTEST_TASK: Duration = Duration::from_millis(50);
+const LONGEST_TASK: Duration = Duration::from_millis(500);
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// Load on a system as a share of its slots, spread evenly over customers, of tasks of 50 to 500 ms.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EvenLoad {
+    /// Entries, used in turn.
+    pub entries: Vec<SocketAddr>,
+    /// The customers.
+    pub callers: Vec<CallerKey>,
+    /// Service to run at.
+    pub service: String,
+    /// Slots of the system.
+    pub slots: usize,
+    /// Share of the slots that the load takes on average.
+    pub share: f64,
+    /// Least and most tasks of a job.
+    pub job_size: (usize, usize),
+    /// How long jobs arrive.
+    pub length: Duration,
+    /// Seed of the arrivals, sizes and durations.
+    pub seed: u64,
+}
+
+impl EvenLoad {
+    /// Works out each customer's rate.
+    pub fn make_plan(self) -> LoadPlan {
+        let mut plan = LoadPlan {
+            entries: self.entries,
+            service: self.service,
+            customers: Vec::new(),
+            task_duration: (SHORTEST_TASK, LONGEST_TASK),
+            network_delay: Duration::ZERO,
+            length: self.length,
+            warm_up: WARM_UP,
+            seed: self.seed,
+        };
+        let tasks_per_s = self.share * self.slots as f64 / plan.mean_duration().as_secs_f64();
+        let mean_size = (self.job_size.0 + self.job_size.1) as f64 / 2.0;
+        let jobs_per_s = tasks_per_s / mean_size / self.callers.len() as f64;
+        let customers = self.callers.into_iter().map(|caller| LoadCustomer {
+            caller,
+            jobs_per_s,
+            job_size: self.job_size,
+        });
+        plan.customers = customers.collect();
+        plan
+    }
+}
--- a/crates/cloverfold_membership/src/plugin.rs
+++ b/crates/cloverfold_membership/src/plugin.rs
@@ -70,8 +70,15 @@
             "Guards that this process takes for able to work",
             live.clone(),
         );
+        let acting_lead = Gauge::<i64>::default();
+        app.registry().register(
+            "acting_lead",
+            "Number of the guard that this process takes for the one that leads; 0 for none",
+            acting_lead.clone(),
+        );
         let gossip = Gossip {
             live,
+            acting_lead,
             network: app.network(),
             directory,
             membership,
@@ -86,6 +93,7 @@
 #[derive(Clone)]
 struct Gossip {
     live: Gauge<i64>,
+    acting_lead: Gauge<i64>,
     network: Network,
     directory: Arc<Directory>,
     membership: Membership,
@@ -104,6 +112,8 @@
             sleep(HEARTBEAT_INTERVAL).await;
             let candidates = self.membership.list_candidates().await;
             self.live.set(candidates.len() as i64);
+            let lead = self.membership.find_acting_lead().await;
+            self.acting_lead.set(lead.map_or(0, i64::from));
         }
     }
 
--- a/crates/cloverfold_solo/src/installation.rs
+++ b/crates/cloverfold_solo/src/installation.rs
@@ -142,7 +142,7 @@
             "peer_address": addresses.peer,
             "http_address": addresses.http,
             "keys": key_settings(&name),
-            "target": { "address": addresses.target, "slots": slots },
+            "target": { "address": addresses.target, "slots": slots, "can_cancel": true },
         });
         self.write_file(&format!("{name}.jsonc"), settings, extra)
     }
--- a/crates/cloverfold_solo/src/measure.rs
+++ b/crates/cloverfold_solo/src/measure.rs
@@ -3,16 +3,13 @@
 use std::time::Duration;
 
 use cloverfold_load::{
-    CallerClient, LoadCustomer, LoadPlan, LoadReport, WasteReport, read_metrics, run_load,
+    CallerClient, EvenLoad, LoadPlan, LoadReport, WasteReport, read_metrics, run_load,
 };
 
 use crate::error::SoloError;
 use crate::installation::SERVICE;
 use crate::system::SoloSystem;
 
-const SHORTEST_TASK: Duration = Duration::from_millis(50);
-const LONGEST_TASK: Duration = Duration::from_millis(500);
-const WARM_UP: Duration = Duration::from_secs(1);
 /// Until the targets' last ends are counted.
 const SETTLE: Duration = Duration::from_millis(300);
 
@@ -64,30 +61,20 @@
 
 fn build_plan(system: &SoloSystem, load: &SoloLoad) -> LoadPlan {
     let config = system.config();
-    let mut plan = LoadPlan {
+    let callers = config.customers.iter();
+    let even = EvenLoad {
         entries: system.entry_addresses(),
+        callers: callers.map(|customer| customer.caller.clone()).collect(),
         service: SERVICE.into(),
-        customers: Vec::new(),
-        task_duration: (SHORTEST_TASK, LONGEST_TASK),
-        network_delay: Duration::ZERO,
+        slots: config.guards * config.slots,
+        share: load.share,
+        job_size: load.job_size,
         length: load.length,
-        warm_up: WARM_UP,
         seed: load.seed,
     };
-    let slots = (config.guards * config.slots) as f64;
-    let tasks_per_s = load.share * slots / plan.mean_duration().as_secs_f64();
-    let mean_size = (load.job_size.0 + load.job_size.1) as f64 / 2.0;
-    let jobs_per_s = tasks_per_s / mean_size / config.customers.len() as f64;
-    let customers = config.customers.iter().enumerate();
-    let customers = customers.map(|(index, customer)| LoadCustomer {
-        caller: customer.caller.clone(),
-        jobs_per_s: if index == 0 {
-            jobs_per_s * load.overload
-        } else {
-            jobs_per_s
-        },
-        job_size: load.job_size,
-    });
-    plan.customers = customers.collect();
+    let mut plan = even.make_plan();
+    if let Some(first) = plan.customers.first_mut() {
+        first.jobs_per_s *= load.overload;
+    }
     plan
 }
--- a/crates/cloverfold_target/src/target.rs
+++ b/crates/cloverfold_target/src/target.rs
@@ -1,5 +1,6 @@
 //! The sample target's HTTP server.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -8,6 +9,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use volo::net::incoming::DefaultIncoming;
@@ -31,6 +33,7 @@
 struct TargetState {
     journal: Journal,
     slowness: AtomicU64,
+    cancelled: watch::Sender<BTreeSet<String>>,
 }
 
 impl SampleTarget {
@@ -45,6 +48,7 @@
         let state = Arc::new(TargetState {
             journal: Journal::default(),
             slowness: AtomicU64::new(FULL_SPEED),
+            cancelled: watch::Sender::default(),
         });
         let server = Server::new(build_routes(&state)).http1_only();
         let server = tokio::spawn(async move {
@@ -68,6 +72,11 @@
         &self.state.journal
     }
 
+    /// Lists the tasks that were cancelled.
+    pub fn list_cancelled(&self) -> Vec<String> {
+        self.state.cancelled.borrow().iter().cloned().collect()
+    }
+
     /// Makes tasks take `factor` times as long from now on.
     pub fn slow_down(&self, factor: f64) {
         let thousandths = (factor * FULL_SPEED as f64) as u64;
@@ -83,11 +92,13 @@
 
 fn build_routes(state: &Arc<TargetState>) -> Router {
     let starting = state.clone();
+    let cancelling = state.clone();
     let counting = state.clone();
     Router::new()
         .route(
             "/v1/tasks/{submission}/{index}",
-            post(move |req: Request| run_task(starting.clone(), req)),
+            post(move |req: Request| run_task(starting.clone(), req))
+                .delete(move |req: Request| cancel_task(cancelling.clone(), req)),
         )
         .route(
             "/v1/usage",
@@ -98,8 +109,26 @@
         )
 }
 
+fn name_task(req: &Request) -> String {
+    req.uri().path().trim_start_matches("/v1/tasks/").to_owned()
+}
+
+async fn cancel_task(state: Arc<TargetState>, req: Request) -> StatusCode {
+    let task = name_task(&req);
+    state.cancelled.send_modify(|tasks| {
+        tasks.insert(task);
+    });
+    StatusCode::OK
+}
+
+async fn wait_cancelled(state: &TargetState, task: &str) {
+    let mut rx = state.cancelled.subscribe();
+    // The sender lives as long as the target.
+    let _ = rx.wait_for(|tasks| tasks.contains(task)).await;
+}
+
 async fn run_task(state: Arc<TargetState>, req: Request) -> (StatusCode, String) {
-    let task = req.uri().path().trim_start_matches("/v1/tasks/").to_owned();
+    let task = name_task(&req);
     let Ok(body) = req.into_body().collect().await else {
         return (StatusCode::BAD_REQUEST, "the body broke off".into());
     };
@@ -110,11 +139,15 @@
         return (StatusCode::UNPROCESSABLE_ENTITY, "not a sample task".into());
     };
     let slowness = state.slowness.load(Ordering::Relaxed);
-    sleep(Duration::from_millis(
-        sample.duration_ms * slowness / FULL_SPEED,
-    ))
-    .await;
+    let length = Duration::from_millis(sample.duration_ms * slowness / FULL_SPEED);
+    let is_cancelled = tokio::select! {
+        () = sleep(length) => false,
+        () = wait_cancelled(&state, &task) => true,
+    };
     state.journal.note_end(number);
+    if is_cancelled {
+        return (StatusCode::CONFLICT, "cancelled".into());
+    }
     if sample.fails {
         return (StatusCode::INTERNAL_SERVER_ERROR, "asked to fail".into());
     }
