--- a/crates/cloverfold_solo/src/system.rs
+++ b/crates/cloverfold_solo/src/system.rs
@@ -6,7 +6,7 @@
 
 use cloverfold_app::Running;
 use cloverfold_claim::found_cell;
-use cloverfold_load::CallerClient;
+use cloverfold_load::{CallerClient, read_metrics};
 use cloverfold_process::{list_guard_addresses, open_operator_network, start_entry, start_guard};
 use cloverfold_settings::{CellSettings, EntrySettings, GuardSettings};
 use cloverfold_target::SampleTarget;
@@ -192,8 +192,21 @@
                 tokio::time::sleep(READY_POLL).await;
             }
         }
+        while self.config.has_lead && !self.is_led(&client).await? {
+            if Instant::now() > until {
+                return Err(SoloError::NotReady("the lead".into()));
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
         Ok(())
     }
+
+    /// Tells whether every process takes the first guard for the lead.
+    async fn is_led(&self, client: &CallerClient) -> Result<bool, SoloError> {
+        let processes = self.metrics_addresses();
+        let metrics = read_metrics(client, &processes).await?;
+        Ok(metrics.sum_of("cloverfold_acting_lead") as usize == processes.len())
+    }
 }
 
 async fn stop_all(processes: Vec<Running>) -> bool {
