Tell all guards when a guard's memory becomes whole

Cause: which guard can lead was learned by drawn heartbeats, so a cell took seconds after its founding to agree on it, and each test with it. Change: a guard announces itself once more when its memory is whole. Conclusion: a founded cell or a restarted lead serves sooner.

--- a/crates/cloverfold_membership/src/plugin.rs
+++ b/crates/cloverfold_membership/src/plugin.rs
@@ -31,7 +31,8 @@
     fn build(self, app: &mut App) -> Result<(), BuildError> {
         let cell = app.resource::<CellSettings>()?;
         let directory = app.insert_resource(Directory::new(&cell));
-        let load = app.insert_resource(OwnState::default());
+        let state = app.insert_resource(OwnState::default());
+        let load = state.clone();
         let own = self.own.map(|(placement, slots)| {
             Arc::new(OwnMember {
                 placement,
@@ -77,6 +78,7 @@
             acting_lead.clone(),
         );
         let gossip = Gossip {
+            state,
             live,
             acting_lead,
             network: app.network(),
@@ -92,6 +94,7 @@
 
 #[derive(Clone)]
 struct Gossip {
+    state: Arc<OwnState>,
     live: Gauge<i64>,
     acting_lead: Gauge<i64>,
     network: Network,
@@ -104,7 +107,14 @@
     async fn run(self, lifecycle: Lifecycle) {
         self.clone().announce_phase().await;
         let mut turn = 0_u32;
+        let mut was_whole = false;
         while lifecycle.phase() != Phase::Stopped {
+            let is_whole = self.state.is_whole();
+            if is_whole && !was_whole {
+                // From now on it can lead, which all should know alike.
+                self.clone().announce_phase().await;
+            }
+            was_whole = is_whole;
             for guard in self.choose_peers(turn).await {
                 tokio::spawn(self.clone().exchange(guard));
             }
