Read and show what targets report of their use

Cause: the targets' protocol names a usage report that no guard read. Change: each guard asks every 5 s and shows the target's own count of starts beside its own. Conclusion: a difference between the two counts now shows.

--- a/crates/cloverfold/tests/system/whole_path.rs
+++ b/crates/cloverfold/tests/system/whole_path.rs
@@ -75,6 +75,26 @@
     assert_eq!(cluster.count_starts(), 2);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn guards_show_what_their_targets_report() {
+    let cluster = Cluster::start(Shape::default()).await;
+
+    cluster
+        .submit(0, &TestJob::new("reported", 40, 10))
+        .await
+        .unwrap();
+
+    wait_until("every guard shows its target's starts", async || {
+        let mut reported = 0.0;
+        for guard in 0..5 {
+            let series = "cloverfold_target_reported_starts";
+            reported += cluster.read_guard_metric(guard, series).await;
+        }
+        reported == 40.0
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_runs_before_the_cell_is_founded() {
     let mut cluster = Cluster::start_unfounded(Shape::default()).await;
--- a/crates/cloverfold_execute/src/lib.rs
+++ b/crates/cloverfold_execute/src/lib.rs
@@ -11,4 +11,4 @@
 
 pub use messages::{Assign, AssignReply, AssignedTask, Release, ReleaseReply, TaskReport};
 pub use plugin::ExecutePlugin;
-pub use target_client::{TargetAnswer, TargetClient, TargetError};
+pub use target_client::{TargetAnswer, TargetClient, TargetError, TargetUsage};
--- a/crates/cloverfold_execute/src/plugin.rs
+++ b/crates/cloverfold_execute/src/plugin.rs
@@ -6,6 +6,7 @@
 use cloverfold_net::{Peer, PeerRole, ReplySink};
 use cloverfold_settings::{CellSettings, GuardSettings};
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 
 use crate::execution::Execution;
 use crate::messages::{Assign, Release};
@@ -17,6 +18,8 @@
 pub(crate) struct ExecuteMetrics {
     pub(crate) starts: Counter,
     pub(crate) failures: Counter,
+    /// Starts as the target itself counts them.
+    pub(crate) reported_starts: Gauge<i64>,
 }
 
 /// Runs tasks at the target; needs [`CellSettings`], [`GuardSettings`], [`Membership`] and [`OwnState`].
@@ -49,6 +52,11 @@
             "Tasks that did not end well at the target",
             metrics.failures.clone(),
         );
+        app.registry().register(
+            "target_reported_starts",
+            "Starts as the target itself counts them",
+            metrics.reported_starts.clone(),
+        );
         let runner = Runner {
             execution: app.control().own(execution),
             target,
@@ -69,6 +77,7 @@
                 served.clone().handle_release(release)
             });
         app.add_drain_step(runner.clone().drain());
+        app.add_task(runner.clone().follow_usage());
         app.add_task(runner.collect());
         Ok(())
     }
--- a/crates/cloverfold_execute/src/runner.rs
+++ b/crates/cloverfold_execute/src/runner.rs
@@ -20,6 +20,7 @@
 use crate::target_client::{TargetAnswer, TargetClient};
 
 const COLLECT_INTERVAL: Duration = Duration::from_secs(1);
+const USAGE_INTERVAL: Duration = Duration::from_secs(5);
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
 /// The parts that work on tasks, shared by all handlers.
@@ -139,6 +140,16 @@
         }
     }
 
+    /// Shows what the target says it has used, as long as the process lives.
+    pub(crate) async fn follow_usage(self) {
+        loop {
+            if let Some(usage) = self.target.read_usage().await {
+                self.metrics.reported_starts.set(usage.starts as i64);
+            }
+            sleep(USAGE_INTERVAL).await;
+        }
+    }
+
     /// Returns what waits and ends what runs.
     pub(crate) async fn drain(self) {
         self.execution.with(Execution::begin_leaving).await;
--- a/crates/cloverfold_execute/src/target_client.rs
+++ b/crates/cloverfold_execute/src/target_client.rs
@@ -9,6 +9,7 @@
 use cloverfold_settings::TargetSettings;
 use http::{Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
+use serde::Deserialize;
 use tokio::sync::Semaphore;
 use volo_http::body::Body;
 use volo_http::client::{Client, ClientBuilder};
@@ -19,6 +20,9 @@
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+const USAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest usage report, in bytes.
+const MAX_USAGE_LEN: usize = 64 * 1024;
 
 /// Header with which a target proves that it did not start a task.
 const NOT_STARTED_HEADER: &str = "cloverfold-not-started";
@@ -51,6 +55,13 @@
     Result(String),
 }
 
+/// What a target says it has used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub struct TargetUsage {
+    /// Tasks that it has started in its life.
+    pub starts: u64,
+}
+
 /// Pooled connections to one target.
 #[derive(Clone)]
 pub struct TargetClient {
@@ -108,6 +119,20 @@
         let _ = tokio::time::timeout(CANCEL_TIMEOUT, exchange).await;
     }
 
+    /// Asks the target what it has used; `None` where it does not tell.
+    pub async fn read_usage(&self) -> Option<TargetUsage> {
+        let _permit = self.connections.acquire().await;
+        let request = self
+            .client
+            .get(format!("http://{}/v1/usage", self.address))
+            .body(Body::empty())
+            .send();
+        let response = tokio::time::timeout(USAGE_TIMEOUT, request).await.ok()?;
+        let body = Limited::new(response.ok()?.into_body(), MAX_USAGE_LEN).collect();
+        let body = body.await.ok()?.to_bytes();
+        serde_json::from_slice(&body).ok()
+    }
+
     async fn exchange(
         &self,
         method: Method,
