Take out what nothing calls; one way to begin a proposer in the test of claims

Cause: a last read of the whole change found four public functions without a caller, left by earlier shapes of the fence, the queue, the job and the replies, and the same lines twice in a test. Behaviour and assertions are as before.

--- a/crates/cloverfold_core/src/fair_queue.rs
+++ b/crates/cloverfold_core/src/fair_queue.rs
@@ -61,11 +61,6 @@
         self.len == 0
     }
 
-    /// Returns the number of items that wait in one flow.
-    pub fn flow_len(&self, flow: &Flow) -> usize {
-        self.flows.get(flow).map_or(0, |state| state.items.len())
-    }
-
     /// Adds an item at the end of its flow; `weight` is above 0, `cost` is what the item takes of the flow's share.
     pub fn push(&mut self, flow: Flow, weight: f64, cost: f64, item: T) {
         let now = self.virtual_time;
--- a/crates/cloverfold_core/src/fence.rs
+++ b/crates/cloverfold_core/src/fence.rs
@@ -155,11 +155,6 @@
         self.queue.len()
     }
 
-    /// Returns the number of tasks remembered.
-    pub fn entry_count(&self) -> usize {
-        self.entries.len()
-    }
-
     /// Returns the state of a task, if it is known here.
     pub fn state_of(&self, id: &TaskId) -> Option<&TaskState> {
         self.entries.get(id).map(|entry| &entry.state)
--- a/crates/cloverfold_core/src/job.rs
+++ b/crates/cloverfold_core/src/job.rs
@@ -161,11 +161,6 @@
         (progress, actions)
     }
 
-    /// Tells whether the caller's answer is out.
-    pub fn is_answered(&self) -> bool {
-        self.is_answered
-    }
-
     /// Returns the number of tasks that are done.
     pub fn done_count(&self) -> usize {
         let is_done = |task: &&TaskProgress| matches!(task.status, TaskStatus::Done(_));
--- a/crates/cloverfold_core/tests/claims.rs
+++ b/crates/cloverfold_core/tests/claims.rs
@@ -163,9 +163,14 @@
         };
         let proposer =
             fast.unwrap_or_else(|| Proposer::prepared(group, own, 1, number as u64, claim));
+        self.begin(own, proposer);
+    }
+
+    fn begin(&mut self, owner: Placement, proposer: Proposer) {
+        let number = self.proposers.len();
         let request = proposer.request();
         self.proposers.push(ActiveProposer {
-            owner: own,
+            owner,
             proposer,
             is_over: false,
         });
@@ -247,13 +252,7 @@
         let number = self.proposers.len();
         let claim = make_claim(number);
         let proposer = Proposer::prepared(self.group.clone(), own, round, number as u64, claim);
-        let request = proposer.request();
-        self.proposers.push(ActiveProposer {
-            owner: own,
-            proposer,
-            is_over: false,
-        });
-        self.send_to_all(number, &request);
+        self.begin(own, proposer);
     }
 
     fn restart(&mut self, guard: usize) {
--- a/crates/cloverfold_net/src/router.rs
+++ b/crates/cloverfold_net/src/router.rs
@@ -67,11 +67,6 @@
         }
     }
 
-    /// Waits until the peer no longer reads, because it was cancelled or its connection is gone.
-    pub async fn wait_for_abandonment(&mut self) {
-        let _ = self.tx.stopped().await;
-    }
-
     async fn write_status(&mut self, status: Status) -> bool {
         self.tx.write_all(&[status as u8]).await.is_ok()
     }
