--- a/crates/cloverfold/src/bin/cloverfold-guard.rs
+++ b/crates/cloverfold/src/bin/cloverfold-guard.rs
@@ -1,11 +1,14 @@
 //! `cloverfold-guard`: the one small process beside each target.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 use argh::FromArgs;
 use cloverfold_app::start_logging;
-use cloverfold_process::start_guard;
-use cloverfold_settings::GuardSettings;
+use cloverfold_platform::Platform;
+use cloverfold_process::{start_guard, start_leased_runtime, wait_for_stop_signal};
+use cloverfold_runner::start_leased_guard;
+use cloverfold_settings::{GuardSettings, LeasedGuardSettings};
 use eyre::{Result, WrapErr};
 
 /// A guard has little to do at a time; each further thread costs wake-ups.
@@ -17,10 +20,16 @@
     /// settings file, JSON with comments
     #[argh(positional)]
     settings: PathBuf,
+    /// stand beside a target that leases its runs; the settings are those of a leased guard
+    #[argh(switch)]
+    leased: bool,
 }
 
 fn main() -> Result<()> {
     let args: Args = argh::from_env();
+    if args.leased {
+        return run_leased(&args.settings);
+    }
     let settings = GuardSettings::read(&args.settings)?;
     start_logging(&settings.log)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -37,3 +46,14 @@
     running.run_until_signal(drain_timeout).await?;
     Ok(())
 }
+
+fn run_leased(file: &Path) -> Result<()> {
+    let settings = LeasedGuardSettings::read(file)?;
+    start_logging(&settings.log)?;
+    start_leased_runtime()?.block_on(async {
+        let process = start_leased_guard(&settings, Arc::new(Platform::default()))?;
+        wait_for_stop_signal(file).await?;
+        process.stop().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/cloverfold/src/bin/cloverfold/leased.rs
@@ -0,0 +1,57 @@
+//! `cloverfold leased-entry` and `cloverfold control`: processes of a leased installation.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use argh::FromArgs;
+use cloverfold_app::start_logging;
+use cloverfold_control::start_control;
+use cloverfold_gateway::start_gateway;
+use cloverfold_platform::Platform;
+use cloverfold_process::{start_leased_runtime, wait_for_stop_signal};
+use cloverfold_settings::{ControlSettings, LeasedEntrySettings};
+use eyre::Result;
+
+/// Serve callers whose jobs may be repeated, on targets that lease their runs.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "leased-entry")]
+pub(crate) struct LeasedEntry {
+    /// settings file, JSON with comments
+    #[argh(positional)]
+    settings: PathBuf,
+}
+
+impl LeasedEntry {
+    pub(crate) fn run(self) -> Result<()> {
+        let settings = LeasedEntrySettings::read(&self.settings)?;
+        start_logging(&settings.log)?;
+        start_leased_runtime()?.block_on(async {
+            let process = start_gateway(&settings, Arc::new(Platform::default()))?;
+            wait_for_stop_signal(&self.settings).await?;
+            process.stop().await;
+            Ok(())
+        })
+    }
+}
+
+/// Keep the configuration, with the other control processes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "control")]
+pub(crate) struct ControlCommand {
+    /// settings file, JSON with comments
+    #[argh(positional)]
+    settings: PathBuf,
+}
+
+impl ControlCommand {
+    pub(crate) fn run(self) -> Result<()> {
+        let settings = ControlSettings::read(&self.settings)?;
+        start_logging(&settings.log)?;
+        start_leased_runtime()?.block_on(async {
+            let process = start_control(&settings, Arc::new(Platform::default()))?;
+            wait_for_stop_signal(&self.settings).await?;
+            process.stop().await;
+            Ok(())
+        })
+    }
+}
--- a/crates/cloverfold/src/bin/cloverfold/main.rs
+++ b/crates/cloverfold/src/bin/cloverfold/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod entry;
 mod keys;
+mod leased;
 mod operator;
 mod solo;
 
@@ -20,10 +21,12 @@
 #[argh(subcommand)]
 enum Command {
     Check(check::Check),
+    Control(leased::ControlCommand),
     Entry(entry::Entry),
     Found(operator::Found),
     HashKey(keys::HashKey),
     Keys(keys::Keys),
+    LeasedEntry(leased::LeasedEntry),
     Leave(operator::LeaveCommand),
     Solo(solo::Solo),
     Status(operator::Status),
@@ -33,10 +36,12 @@
     let args: Args = argh::from_env();
     match args.command {
         Command::Check(command) => command.run(),
+        Command::Control(command) => command.run(),
         Command::Entry(command) => command.run(),
         Command::Found(command) => command.run(),
         Command::HashKey(command) => command.run(),
         Command::Keys(command) => command.run(),
+        Command::LeasedEntry(command) => command.run(),
         Command::Leave(command) => command.run(),
         Command::Solo(command) => command.run(),
         Command::Status(command) => command.run(),
--- a/crates/cloverfold/src/bin/cloverfold/solo.rs
+++ b/crates/cloverfold/src/bin/cloverfold/solo.rs
@@ -51,7 +51,7 @@
         }
         start_logging(&LogSettings {
             level: cloverfold_settings::LogLevel::Error,
-            file: None,
+            ..LogSettings::default()
         })?;
         crate::start_runtime()?.block_on(async {
             let config = SoloConfig {
--- a/crates/cloverfold_app/src/lib.rs
+++ b/crates/cloverfold_app/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 mod app;
+mod bounded_log;
 mod clock;
 mod control;
 mod lifecycle;
@@ -27,6 +28,7 @@
 mod traffic;
 
 pub use app::{App, BuildError, Plugin, Running};
+pub use bounded_log::count_dropped_lines;
 pub use clock::{draw_below, random_u64, unix_now};
 pub use control::{Control, ControlState};
 pub use lifecycle::{Lifecycle, Phase};
--- a/crates/cloverfold_app/src/logging.rs
+++ b/crates/cloverfold_app/src/logging.rs
@@ -1,8 +1,6 @@
 //! Log lines in JSON.
 
-use std::path::Path;
-
-use cloverfold_settings::{LogLevel, LogSettings};
+use cloverfold_settings::{LogLevel, LogSettings, LogStream};
 use log::LevelFilter;
 use log4rs::append::Append;
 use log4rs::append::console::{ConsoleAppender, Target};
@@ -10,6 +8,8 @@
 use log4rs::config::{Appender, Config, Logger, Root};
 use log4rs::encode::json::JsonEncoder;
 
+use crate::bounded_log::BoundedAppender;
+
 const APPENDER: &str = "lines";
 /// Libraries that speak only when something is wrong.
 const LIBRARIES: [&str; 6] = [
@@ -32,6 +32,9 @@
         /// The system's error.
         cause: std::io::Error,
     },
+    /// The system gave no thread to write lines from.
+    #[error("the thread that writes log lines: {0}")]
+    Thread(std::io::Error),
     /// Logging was started before or is set up wrongly.
     #[error("logging cannot start: {0}")]
     Start(String),
@@ -49,7 +52,7 @@
         LogLevel::Info => LevelFilter::Info,
         LogLevel::Debug => LevelFilter::Debug,
     };
-    let appender = build_appender(settings.file.as_deref())?;
+    let appender = build_appender(settings)?;
     let library = |name: &&str| Logger::builder().build(*name, LevelFilter::Error);
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, appender))
@@ -60,16 +63,24 @@
     Ok(())
 }
 
-fn build_appender(file: Option<&Path>) -> Result<Box<dyn Append>, LoggingError> {
+fn build_appender(settings: &LogSettings) -> Result<Box<dyn Append>, LoggingError> {
     let encoder = Box::new(JsonEncoder::new());
-    let Some(path) = file else {
-        let console = ConsoleAppender::builder().target(Target::Stderr);
-        return Ok(Box::new(console.encoder(encoder).build()));
+    if let Some(path) = &settings.file {
+        let appender = FileAppender::builder().encoder(encoder).build(path);
+        let appender = appender.map_err(|cause| LoggingError::File {
+            path: path.display().to_string(),
+            cause,
+        })?;
+        return Ok(Box::new(appender));
+    }
+    if let Some(limit) = settings.lines_per_second {
+        let appender = BoundedAppender::start(settings.stream, limit);
+        return Ok(Box::new(appender.map_err(LoggingError::Thread)?));
+    }
+    let target = match settings.stream {
+        LogStream::Stderr => Target::Stderr,
+        LogStream::Stdout => Target::Stdout,
     };
-    let appender = FileAppender::builder().encoder(encoder).build(path);
-    let appender = appender.map_err(|cause| LoggingError::File {
-        path: path.display().to_string(),
-        cause,
-    })?;
-    Ok(Box::new(appender))
+    let console = ConsoleAppender::builder().target(target);
+    Ok(Box::new(console.encoder(encoder).build()))
 }
--- /dev/null
+++ b/crates/cloverfold_consensus/src/replica/mod.rs
@@ -0,0 +1,407 @@
+//! The state machine of one replica.
+
+mod election;
+mod reads;
+mod replication;
+mod roster;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::log_entries::{Entry, Log, LogIndex, Payload, Snapshot, Term};
+use crate::membership::{Member, Members, ReplicaId};
+use crate::messages::Message;
+use crate::store::{Record, RecoveredState};
+use reads::PendingRead;
+use replication::Progress;
+
+/// Time on the process's steady clock.
+type Moment = Duration;
+
+/// Bounds of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReplicaConfig {
+    /// How often a leader shows that it lives.
+    pub heartbeat: Duration,
+    /// Least time without a leader after which an election is tried.
+    pub election_min: Duration,
+    /// Most time.
+    pub election_max: Duration,
+    /// Entries in one message at the most.
+    pub batch: usize,
+    /// Entries after which the log's beginning is replaced by a snapshot.
+    pub keep_entries: usize,
+    /// How many voters there should be.
+    pub voters: usize,
+    /// How long a voter may be silent before another replica takes its place.
+    pub replace_after: Duration,
+}
+
+impl Default for ReplicaConfig {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(80),
+            election_min: Duration::from_millis(350),
+            election_max: Duration::from_millis(700),
+            batch: 64,
+            keep_entries: 256,
+            voters: 3,
+            replace_after: Duration::from_millis(2_500),
+        }
+    }
+}
+
+/// What a replica is to its log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It follows a leader or waits for one.
+    Follower,
+    /// It asks whether it would be elected.
+    Trial,
+    /// It asks for votes.
+    Candidate,
+    /// It leads.
+    Leader,
+}
+
+/// A message on its way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// The receiver.
+    pub to: ReplicaId,
+    /// What it says.
+    pub message: Message,
+    /// Whether it must wait until the batch's records are synced.
+    pub after_sync: bool,
+}
+
+/// What a replica wants done, in this order: write, send, apply.
+#[derive(Debug, Default)]
+pub struct Ready {
+    /// Number to pass to [`Replica::persisted`] once `records` are synced; none without records.
+    pub batch: Option<u64>,
+    /// To be appended to the store and synced.
+    pub records: Vec<Record>,
+    /// To be sent.
+    pub messages: Vec<Outgoing>,
+    /// The state to go on from, in place of the one that was applied so far.
+    pub restored: Option<Snapshot>,
+    /// Entries to be applied.
+    pub committed: Vec<Entry>,
+    /// Reads that may be answered once the given place is applied; none: the read has failed.
+    pub reads: Vec<(u64, Option<LogIndex>)>,
+}
+
+/// Why something was not appended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ProposeError {
+    /// Another replica leads, or none.
+    #[error("this replica does not lead")]
+    NotLeader(Option<ReplicaId>),
+}
+
+/// How a replica stands, for operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaStatus {
+    /// Its identity.
+    pub id: ReplicaId,
+    /// Its role.
+    pub role: Role,
+    /// Its term.
+    pub term: Term,
+    /// The leader that it knows of.
+    pub leader: Option<ReplicaId>,
+    /// The newest members that it knows of.
+    pub members: Members,
+    /// Last place in its log.
+    pub last_index: LogIndex,
+    /// Place up to which all is committed.
+    pub commit: LogIndex,
+}
+
+/// One replica.
+#[derive(Debug)]
+pub struct Replica {
+    id: ReplicaId,
+    config: ReplicaConfig,
+    rng: SmallRng,
+    term: Term,
+    voted_for: Option<ReplicaId>,
+    log: Log,
+    commit: LogIndex,
+    applied: LogIndex,
+    synced: LogIndex,
+    /// Batches under way to the disk, with the last place of the log that each makes durable.
+    unsynced: BTreeMap<u64, LogIndex>,
+    next_batch: u64,
+    role: Role,
+    leader: Option<ReplicaId>,
+    heard_leader_at: Option<Moment>,
+    election_at: Moment,
+    votes: Vec<ReplicaId>,
+    /// Of a leader: the other voters and those that only listen.
+    progress: BTreeMap<ReplicaId, Progress>,
+    listeners: BTreeMap<ReplicaId, Member>,
+    heartbeat_at: Moment,
+    led_since: Moment,
+    round: u64,
+    followed_round: u64,
+    /// Last place that matches the present leader's log.
+    matched: LogIndex,
+    reads: Vec<PendingRead>,
+    ready: Ready,
+}
+
+impl Replica {
+    /// Begins with what the store held; an empty state belongs to no group yet.
+    pub fn new(
+        id: ReplicaId,
+        config: ReplicaConfig,
+        state: RecoveredState,
+        seed: u64,
+        now: Moment,
+    ) -> Self {
+        let snapshot_index = state.snapshot.index;
+        let restored = (snapshot_index > 0).then(|| state.snapshot.clone());
+        let log = Log::new(state.snapshot, state.entries);
+        let synced = log.last_index();
+        let mut replica = Self {
+            id,
+            config,
+            rng: SmallRng::seed_from_u64(seed),
+            term: state.term,
+            voted_for: state.voted_for,
+            log,
+            commit: snapshot_index,
+            applied: snapshot_index,
+            synced,
+            unsynced: BTreeMap::new(),
+            next_batch: 1,
+            role: Role::Follower,
+            leader: None,
+            heard_leader_at: None,
+            election_at: now,
+            votes: Vec::new(),
+            progress: BTreeMap::new(),
+            listeners: BTreeMap::new(),
+            heartbeat_at: now,
+            led_since: now,
+            round: 0,
+            followed_round: 0,
+            matched: 0,
+            reads: Vec::new(),
+            ready: Ready {
+                restored,
+                ..Ready::default()
+            },
+        };
+        replica.defer_election(now);
+        replica
+    }
+
+    /// Founds a group: only on one replica of an installation, and only if no group was ever founded there.
+    pub fn found(&mut self, members: Members, state: Vec<u8>) {
+        if self.log.last_index() > 0 {
+            return;
+        }
+        let snapshot = Snapshot {
+            index: 1,
+            term: 1,
+            members,
+            state,
+        };
+        self.term = self.term.max(1);
+        self.write_hard_state();
+        self.adopt_snapshot(snapshot);
+        self.synced = 0;
+    }
+
+    /// Takes what is to be done; call it after every other call.
+    pub fn take_ready(&mut self) -> Ready {
+        self.deliver_committed();
+        let mut ready = std::mem::take(&mut self.ready);
+        if !ready.records.is_empty() {
+            let batch = self.next_batch;
+            self.next_batch += 1;
+            self.unsynced.insert(batch, self.log.last_index());
+            ready.batch = Some(batch);
+        }
+        ready
+    }
+
+    /// Says that a batch and all before it are synced.
+    pub fn persisted(&mut self, batch: u64, now: Moment) {
+        let later = self.unsynced.split_off(&(batch + 1));
+        let done = std::mem::replace(&mut self.unsynced, later);
+        let Some(&index) = done.values().next_back() else {
+            return;
+        };
+        self.synced = self.synced.max(index).min(self.log.last_index());
+        match self.role {
+            Role::Leader => self.advance_commit(now),
+            _ => self.acknowledge_synced(),
+        }
+    }
+
+    /// Does what has fallen due; call it every few tens of milliseconds.
+    pub fn tick(&mut self, now: Moment) {
+        if self.role == Role::Leader {
+            if self.has_lost_majority(now) {
+                self.follow(self.term, None, now);
+                return;
+            }
+            if now >= self.heartbeat_at + self.config.heartbeat {
+                self.broadcast(now);
+            }
+            self.manage_members(now);
+        } else if now >= self.election_at && self.is_voter() {
+            self.begin_trial(now);
+        }
+    }
+
+    /// Takes a message of another replica.
+    pub fn receive(&mut self, from: ReplicaId, message: Message, now: Moment) {
+        match message {
+            Message::Vote(vote) => self.take_vote(from, &vote, now),
+            Message::VoteReply(reply) => self.take_vote_reply(from, &reply, now),
+            Message::Append(append) => self.take_append(from, append, now),
+            Message::AppendReply(reply) => self.take_append_reply(from, &reply, now),
+            Message::InstallSnapshot(install) => self.take_snapshot(from, install, now),
+        }
+    }
+
+    /// Appends something if this replica leads.
+    ///
+    /// # Errors
+    ///
+    /// Names the leader where it is known.
+    pub fn propose(&mut self, command: Vec<u8>, now: Moment) -> Result<LogIndex, ProposeError> {
+        if self.role != Role::Leader {
+            return Err(ProposeError::NotLeader(self.leader));
+        }
+        Ok(self.append_own(Payload::Command(command), now))
+    }
+
+    /// Replaces the log's beginning by the state after `index`, if the log has become long.
+    pub fn offer_snapshot(&mut self, index: LogIndex, state: impl FnOnce() -> Vec<u8>) {
+        if self.log.len() < self.config.keep_entries || index <= self.log.snapshot.index {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let snapshot = Snapshot {
+            index,
+            term,
+            members: self.members_at(index),
+            state: state(),
+        };
+        self.log.compact(snapshot.clone());
+        self.ready.records.push(Record::Snapshot(snapshot));
+        let kept: Vec<Entry> = self.log.entries().cloned().collect();
+        self.ready.records.extend(kept.into_iter().map(Record::Entry));
+    }
+
+    /// Returns how the replica stands.
+    pub fn status(&self) -> ReplicaStatus {
+        ReplicaStatus {
+            id: self.id,
+            role: self.role,
+            term: self.term,
+            leader: self.leader,
+            members: self.members().clone(),
+            last_index: self.log.last_index(),
+            commit: self.commit,
+        }
+    }
+
+    /// Returns the newest members, committed or not.
+    pub fn members(&self) -> &Members {
+        self.log.newest_members().1
+    }
+
+    /// Says whether this replica was in touch with its group within `span`, as a leader with a majority of it.
+    pub fn is_fresh(&self, span: Duration, now: Moment) -> bool {
+        match self.role {
+            Role::Leader => self.count_heard(span, now) >= self.members().majority(),
+            _ => self.heard_leader_at.is_some_and(|at| now < at + span),
+        }
+    }
+
+    fn is_voter(&self) -> bool {
+        self.members().contains(self.id)
+    }
+
+    fn members_at(&self, index: LogIndex) -> Members {
+        let mut members = self.log.snapshot.members.clone();
+        for entry in self.log.entries().take_while(|entry| entry.index <= index) {
+            if let Payload::Members(newer) = &entry.payload {
+                members = newer.clone();
+            }
+        }
+        members
+    }
+
+    fn send(&mut self, to: ReplicaId, message: Message, after_sync: bool) {
+        self.ready.messages.push(Outgoing {
+            to,
+            message,
+            after_sync,
+        });
+    }
+
+    fn write_hard_state(&mut self) {
+        self.ready.records.push(Record::HardState {
+            term: self.term,
+            voted_for: self.voted_for,
+        });
+    }
+
+    fn adopt_snapshot(&mut self, snapshot: Snapshot) {
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        self.unsynced.clear();
+        self.ready.committed.clear();
+        self.ready.restored = Some(snapshot.clone());
+        self.ready.records.push(Record::Snapshot(snapshot.clone()));
+        self.log.restore(snapshot);
+        self.synced = 0;
+    }
+
+    fn deliver_committed(&mut self) {
+        while self.applied < self.commit {
+            let Some(entry) = self.log.get(self.applied + 1).cloned() else {
+                return;
+            };
+            self.applied += 1;
+            self.ready.committed.push(entry);
+        }
+    }
+
+    /// Becomes a follower, of a later term if need be.
+    fn follow(&mut self, term: Term, leader: Option<ReplicaId>, now: Moment) {
+        if term > self.term {
+            self.term = term;
+            self.voted_for = None;
+            self.matched = 0;
+            self.write_hard_state();
+        }
+        if self.role == Role::Leader {
+            self.fail_reads();
+            self.progress.clear();
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.defer_election(now);
+    }
+
+    fn defer_election(&mut self, now: Moment) {
+        let least = self.config.election_min.as_millis() as u64;
+        let most = self.config.election_max.as_millis() as u64;
+        let wait = self.rng.random_range(least..=most.max(least));
+        self.election_at = now + Duration::from_millis(wait);
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_control/src/lib.rs
@@ -0,0 +1,15 @@
+//! The control process: it keeps the configuration with its peers and tells every process of it.
+//!
+//! [`start_control`] runs it. One state ([`core::ControlCore`]) reacts to links, timers, the disk and operators;
+//! the disk is written from a thread of its own.
+
+mod core;
+mod disk;
+mod error;
+mod metrics;
+mod operators;
+mod process;
+
+pub use error::ControlError;
+pub use operators::{OperatorCall, OperatorInterface};
+pub use process::{ControlProcess, start_control};
--- /dev/null
+++ b/crates/cloverfold_control/src/process.rs
@@ -0,0 +1,174 @@
+//! The control process, put together.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use cloverfold_app::random_u64;
+use cloverfold_consensus::{Record, Replica, ReplicaConfig, Store};
+use cloverfold_http::{HttpLimits, Request, Serving, StopPhase, plain_response, serve};
+use cloverfold_link::{accept_links, listen};
+use cloverfold_peer::{DialedPeers, Hello, PeerRole};
+use cloverfold_settings::ControlSettings;
+use http::StatusCode;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::core::{ControlCore, Founding};
+use crate::disk::Disk;
+use crate::error::ControlError;
+use crate::metrics::ControlMetrics;
+use crate::operators::{OperatorInterface, Operators};
+
+const TICK: Duration = Duration::from_millis(25);
+const LINK_EVENTS: usize = 1_024;
+/// Longest configuration, in bytes.
+const MAX_CONFIGURATION: usize = 16 * 1024 * 1024;
+
+/// A control process that runs.
+pub struct ControlProcess {
+    operators: Serving,
+    _metrics: Option<Serving>,
+    /// Aborted on drop.
+    _tasks: JoinSet<()>,
+}
+
+impl ControlProcess {
+    /// Returns the address at which operators are served.
+    pub fn operator_address(&self) -> std::net::SocketAddr {
+        self.operators.address()
+    }
+
+    /// Answers what is under way and stops.
+    pub async fn stop(self) {
+        const PATIENCE: Duration = Duration::from_millis(1_000);
+        self.operators.advance(StopPhase::Closing);
+        // A client that never ends its request is left.
+        let _ = tokio::time::timeout(PATIENCE, self.operators.wait_closed()).await;
+        log::info!("stopped");
+    }
+}
+
+/// Starts a control process; must be called within a runtime.
+///
+/// # Errors
+///
+/// Says which file or address cannot be used.
+pub fn start_control(
+    settings: &ControlSettings,
+    interface: Arc<dyn OperatorInterface>,
+) -> Result<ControlProcess, ControlError> {
+    let (mut store, state) = Store::open(&settings.data_folder)?;
+    let (replica_id, may_found) = match state.identity {
+        Some(identity) => identity,
+        None => {
+            let id = random_u64() | 1;
+            let may_found = settings.may_found;
+            store.append(&[Record::Identity { id, may_found }])?;
+            (id, may_found)
+        }
+    };
+    let config = ReplicaConfig {
+        voters: 2 * settings.tolerated_losses + 1,
+        ..ReplicaConfig::default()
+    };
+    let is_blank = state.entries.is_empty() && state.snapshot.index == 0;
+    let replica = Replica::new(replica_id, config, state, random_u64(), Duration::ZERO);
+
+    let own_address = settings.peer.address();
+    let seeds = settings.peer.seed_addresses();
+    let is_founder = may_found && is_blank && seeds.first() == Some(&own_address);
+    let founding = is_founder.then(|| Founding { seeds: seeds.clone() });
+    let own = Hello {
+        name: settings.peer.name.clone(),
+        role: PeerRole::Control { replica: replica_id, is_blank },
+        address: own_address,
+        version: 0,
+    };
+    let (link_tx, mut link_rx) = mpsc::channel(LINK_EVENTS);
+    let (disk_tx, mut disk_rx) = mpsc::unbounded_channel();
+    let disk = Disk::start(store, disk_tx).map_err(|cause| system("the disk's thread", cause))?;
+    let dialed = DialedPeers::new(own_address, link_tx.clone());
+    let core = ControlCore::new(own, replica_id, replica, disk, dialed, founding);
+    let core = Arc::new(Mutex::new(core));
+    log::info!(
+        name = settings.peer.name.as_str(), replica = format!("{replica_id:016x}").as_str(),
+        is_blank, may_found, is_founder;
+        "a control process starts"
+    );
+
+    let listener = listen(own_address)
+        .map_err(|cause| system(&format!("peer.port {own_address}"), cause))?;
+    let operators = start_operators(settings, &core, interface)?;
+    let metrics = start_metrics(settings, &core)?;
+    let mut tasks = JoinSet::new();
+    tasks.spawn(accept_links(listener, link_tx));
+    tasks.spawn(async move {
+        let lock = || core.lock().unwrap_or_else(PoisonError::into_inner);
+        lock().begin(&seeds);
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                Some(event) = link_rx.recv() => lock().link_event(event),
+                Some(event) = disk_rx.recv() => lock().disk_event(event),
+                _ = ticks.tick() => lock().tick(),
+            }
+        }
+    });
+    Ok(ControlProcess {
+        operators,
+        _metrics: metrics,
+        _tasks: tasks,
+    })
+}
+
+fn start_operators(
+    settings: &ControlSettings,
+    core: &Arc<Mutex<ControlCore>>,
+    interface: Arc<dyn OperatorInterface>,
+) -> Result<Serving, ControlError> {
+    let address = settings.operator_address;
+    let refused = |cause| system(&format!("operator_address {address}"), cause);
+    let listener = listen(address).map_err(refused)?;
+    let name = settings.peer.name.clone();
+    let operators = Arc::new(Operators::new(core.clone(), interface, name));
+    let limits = || HttpLimits {
+        body_bytes: MAX_CONFIGURATION,
+        ..HttpLimits::default()
+    };
+    let answer = move |request: Request| {
+        let operators = operators.clone();
+        async move { operators.answer(request).await }
+    };
+    serve(listener, limits, answer).map_err(refused)
+}
+
+fn start_metrics(
+    settings: &ControlSettings,
+    core: &Arc<Mutex<ControlCore>>,
+) -> Result<Option<Serving>, ControlError> {
+    let Some(address) = settings.peer.metrics_address() else {
+        return Ok(None);
+    };
+    let refused = |cause| system(&format!("peer.metrics_port {address}"), cause);
+    let listener = listen(address).map_err(refused)?;
+    let metrics = Arc::new(ControlMetrics::new());
+    let core = core.clone();
+    let answer = move |request: Request| {
+        let text = match request.uri.path() {
+            "/metrics" => metrics.write(&core),
+            _ => "ok\n".to_owned(),
+        };
+        async move { plain_response(StatusCode::OK, text) }
+    };
+    let serving = serve(listener, HttpLimits::default, answer).map_err(refused)?;
+    Ok(Some(serving))
+}
+
+fn system(what: &str, cause: std::io::Error) -> ControlError {
+    ControlError::System {
+        what: what.into(),
+        cause,
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_gateway/src/core.rs
@@ -0,0 +1,335 @@
+//! The state of an entry.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cloverfold_app::unix_now;
+use cloverfold_configuration::Configuration;
+use cloverfold_lease::{
+    Dispatcher, DispatcherAction, DispatcherCounts, JobAnswer, JobNumber, JobRequest, RefusalCause,
+};
+use cloverfold_link::{LinkEvent, LinkId, LinkSender, send_once};
+use cloverfold_peer::{DialedPeers, Hello, PeerMessage, PeerRole, ProcessClock};
+use tokio::sync::oneshot;
+
+use crate::in_force::InForce;
+use crate::protocol::JobProtocol;
+
+/// A gap between two ticks from which this process has stood still: what it reads then may be old.
+const STALL: Duration = Duration::from_millis(300);
+/// How often a guard that is out of touch is invited.
+const INVITE_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a guard that is out of touch is remembered.
+const GUARD_MEMORY: Duration = Duration::from_secs(60);
+/// Runs are numbered by tenths of seconds since this moment (2026-01-01), so that a job that comes again, here or elsewhere, begins
+/// above the numbers of its earlier runs.
+const RUN_EPOCH: Duration = Duration::from_secs(1_767_225_600);
+const RUN_UNIT_MS: u128 = 100;
+/// Control processes that are dialed at the most.
+const MAX_CONTROLS: usize = 5;
+
+struct Link {
+    sender: LinkSender<PeerMessage>,
+    hello: Option<Hello>,
+}
+
+/// A guard that was in touch.
+struct KnownGuard {
+    links: usize,
+    seen_at: Duration,
+}
+
+/// What an entry believes.
+pub(crate) struct GatewayCore {
+    clock: ProcessClock,
+    own: Hello,
+    seeds: Vec<SocketAddr>,
+    protocol: Arc<dyn JobProtocol>,
+    pub(crate) dispatcher: Dispatcher,
+    in_force: InForce,
+    fetching: Option<(u64, Duration)>,
+    links: HashMap<LinkId, Link>,
+    controls: DialedPeers,
+    guards: BTreeMap<SocketAddr, KnownGuard>,
+    invited_at: Duration,
+    answers: HashMap<JobNumber, oneshot::Sender<JobAnswer>>,
+    ticked_at: Duration,
+    is_leaving: bool,
+    was_ready: bool,
+}
+
+impl GatewayCore {
+    pub(crate) fn new(
+        own: Hello,
+        seeds: Vec<SocketAddr>,
+        protocol: Arc<dyn JobProtocol>,
+        dispatcher: Dispatcher,
+        controls: DialedPeers,
+    ) -> Self {
+        Self {
+            clock: ProcessClock::default(),
+            own,
+            seeds,
+            protocol,
+            dispatcher,
+            in_force: InForce::default(),
+            fetching: None,
+            links: HashMap::new(),
+            controls,
+            guards: BTreeMap::new(),
+            invited_at: Duration::ZERO,
+            answers: HashMap::new(),
+            ticked_at: Duration::ZERO,
+            is_leaving: false,
+            was_ready: false,
+        }
+    }
+
+    /// Dials the seeds.
+    pub(crate) fn begin(&mut self) {
+        let seeds = self.seeds.clone();
+        self.controls.set(&seeds);
+    }
+
+    pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.in_force.configuration()
+    }
+
+    pub(crate) fn version(&self) -> u64 {
+        self.in_force.version()
+    }
+
+    pub(crate) fn counts(&self) -> DispatcherCounts {
+        self.dispatcher.counts()
+    }
+
+    pub(crate) fn ready_targets(&self) -> usize {
+        self.dispatcher.ready_targets(self.clock.now())
+    }
+
+    /// Says why this entry should get no new connections, if there is a reason.
+    pub(crate) fn find_unreadiness(&self) -> Option<&'static str> {
+        if self.is_leaving {
+            Some("the entry is stopping")
+        } else if self.in_force.version() == 0 {
+            Some("no configuration is in force")
+        } else if self.ready_targets() == 0 {
+            Some("no target is in touch")
+        } else {
+            None
+        }
+    }
+
+    /// Shows that the process stops.
+    pub(crate) fn begin_leaving(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Takes no further job.
+    pub(crate) fn refuse_jobs(&mut self) {
+        self.dispatcher.leave();
+    }
+
+    /// Takes a job; its one answer comes through the channel.
+    pub(crate) fn submit(&mut self, request: JobRequest) -> (JobNumber, oneshot::Receiver<JobAnswer>) {
+        let (tx, rx) = oneshot::channel();
+        let now = self.clock.now();
+        if now > self.ticked_at + STALL {
+            // The process stood still, and the request may have waited so long that its caller has asked elsewhere.
+            log::warn!(job = request.id.as_str(), gap_ms = (now - self.ticked_at).as_millis() as u64; "a job is refused after a stall");
+            let answer = JobAnswer::Refused {
+                cause: RefusalCause::Stalled,
+                retry_after: Duration::from_secs(1),
+            };
+            // The receiver is still held here.
+            let _ = tx.send(answer);
+            return (0, rx);
+        }
+        let since_epoch = unix_now().saturating_sub(RUN_EPOCH).as_millis();
+        self.dispatcher.set_first_run((since_epoch / RUN_UNIT_MS) as u64 + 1);
+        let number = self.dispatcher.submit(request, now);
+        self.answers.insert(number, tx);
+        self.advance();
+        (number, rx)
+    }
+
+    /// Stops a job whose caller has left.
+    pub(crate) fn cancel(&mut self, number: JobNumber) {
+        if self.answers.remove(&number).is_some() {
+            self.dispatcher.cancel(number);
+            self.advance();
+        }
+    }
+
+    /// Stops a job by its name.
+    pub(crate) fn cancel_named(&mut self, id: &str) -> bool {
+        let is_open = self.dispatcher.cancel_named(id);
+        self.advance();
+        is_open
+    }
+
+    /// Does what has fallen due.
+    pub(crate) fn tick(&mut self) {
+        let now = self.clock.now();
+        let gap = now.saturating_sub(self.ticked_at);
+        if gap > STALL {
+            log::warn!(gap_ms = gap.as_millis() as u64; "the process stood still");
+        }
+        self.ticked_at = now;
+        self.dispatcher.tick(now);
+        self.invite_guards(now);
+        self.advance();
+        let unreadiness = self.find_unreadiness();
+        if unreadiness.is_none() != self.was_ready {
+            self.was_ready = unreadiness.is_none();
+            log::info!(ready = self.was_ready, reason = unreadiness.unwrap_or_default(), version = self.version(); "readiness has changed");
+        }
+    }
+
+    /// Takes an event of a link.
+    pub(crate) fn link_event(&mut self, event: LinkEvent<PeerMessage>) {
+        match event {
+            LinkEvent::Opened { link, sender, .. } => {
+                self.own.version = self.in_force.version();
+                sender.send(&PeerMessage::Hello(self.own.clone()));
+                self.links.insert(link, Link { sender, hello: None });
+            }
+            LinkEvent::Received { link, message } => self.receive(link, message),
+            LinkEvent::Closed { link } => self.link_closed(link),
+        }
+        self.advance();
+    }
+
+    fn receive(&mut self, link: LinkId, message: PeerMessage) {
+        let now = self.clock.now();
+        match message {
+            PeerMessage::Hello(hello) => self.greet(link, hello),
+            PeerMessage::ToDispatcher(message) => self.dispatcher.receive(link, message, now),
+            PeerMessage::Holding { version, .. } => self.fetch(link, version),
+            PeerMessage::Fetch => {
+                if let Some(stored) = self.in_force.stored().cloned() {
+                    self.send(link, &PeerMessage::Configuration(stored));
+                }
+            }
+            PeerMessage::Configuration(stored) => {
+                self.fetching = None;
+                let format = self.protocol.clone();
+                self.in_force.take(stored, format.as_ref());
+            }
+            PeerMessage::Directory(directory) => {
+                let mut controls = directory.controls;
+                controls.truncate(MAX_CONTROLS);
+                for seed in &self.seeds {
+                    if controls.len() < MAX_CONTROLS && !controls.contains(seed) {
+                        controls.push(*seed);
+                    }
+                }
+                self.controls.set(&controls);
+            }
+            PeerMessage::ToRunner(_)
+            | PeerMessage::Invite { .. }
+            | PeerMessage::Consensus(_)
+            | PeerMessage::Offer(_)
+            | PeerMessage::Read { .. }
+            | PeerMessage::ReadReply { .. } => {}
+        }
+    }
+
+    /// Asks a peer for its configuration if it is newer and nobody was asked just now.
+    fn fetch(&mut self, link: LinkId, version: u64) {
+        const PATIENCE: Duration = Duration::from_millis(200);
+        let now = self.clock.now();
+        if version <= self.in_force.version() {
+            return;
+        }
+        if self.fetching.is_some_and(|(held, at)| held >= version && now < at + PATIENCE) {
+            return;
+        }
+        self.fetching = Some((version, now));
+        self.send(link, &PeerMessage::Fetch);
+    }
+
+    fn greet(&mut self, link: LinkId, hello: Hello) {
+        let now = self.clock.now();
+        log::info!(peer = hello.name.as_str(), link, version = hello.version; "a peer is in touch");
+        if hello.role == PeerRole::Guard {
+            self.dispatcher.open_session(link, &hello.name, now);
+            let known = self.guards.entry(hello.address).or_insert(KnownGuard {
+                links: 0,
+                seen_at: now,
+            });
+            known.links += 1;
+        }
+        let version = hello.version;
+        if let Some(held) = self.links.get_mut(&link) {
+            held.hello = Some(hello);
+        }
+        self.fetch(link, version);
+    }
+
+    fn link_closed(&mut self, link: LinkId) {
+        let now = self.clock.now();
+        let Some(held) = self.links.remove(&link) else {
+            return;
+        };
+        let Some(hello) = held.hello else {
+            return;
+        };
+        log::info!(peer = hello.name.as_str(), link; "a peer is out of touch");
+        if hello.role == PeerRole::Guard {
+            self.dispatcher.close_session(link, now);
+            if let Some(known) = self.guards.get_mut(&hello.address) {
+                known.links = known.links.saturating_sub(1);
+                known.seen_at = now;
+            }
+        }
+    }
+
+    /// Invites guards that are out of touch: they may have restarted and know of nobody.
+    fn invite_guards(&mut self, now: Duration) {
+        if now < self.invited_at + INVITE_INTERVAL || self.is_leaving {
+            return;
+        }
+        self.invited_at = now;
+        self.guards.retain(|_, known| known.links > 0 || now < known.seen_at + GUARD_MEMORY);
+        for (address, known) in &self.guards {
+            if known.links == 0 {
+                let address = *address;
+                let entry = self.own.address;
+                tokio::spawn(async move {
+                    // It is invited again as long as it does not come.
+                    let _ = send_once(address, &PeerMessage::Invite { entry }).await;
+                });
+            }
+        }
+    }
+
+    fn send(&self, link: LinkId, message: &PeerMessage) {
+        if let Some(link) = self.links.get(&link) {
+            link.sender.send(message);
+        }
+    }
+
+    /// Carries out what the dispatcher wants.
+    fn advance(&mut self) {
+        for action in self.dispatcher.take_actions() {
+            match action {
+                DispatcherAction::Send(session, message) => {
+                    self.send(session, &PeerMessage::ToRunner(message));
+                }
+                DispatcherAction::CloseSession(session) => {
+                    log::warn!(link = session; "a guard is silent; its link is closed");
+                    self.link_closed(session);
+                }
+                DispatcherAction::Answer(number, answer) => {
+                    if let Some(waiting) = self.answers.remove(&number) {
+                        // A caller that has left needs no answer.
+                        let _ = waiting.send(answer);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_gateway/src/lib.rs
@@ -0,0 +1,17 @@
+//! The entry of a leased installation.
+//!
+//! It takes callers' jobs over HTTP, coordinates those that are repeatable on the guards that dial it, and answers each once. What
+//! bodies and paths look like is a [`JobProtocol`]'s matter.
+
+mod callers;
+mod core;
+mod error;
+mod in_force;
+mod metrics;
+mod process;
+mod protocol;
+
+pub use error::GatewayError;
+pub use in_force::InForce;
+pub use process::{GatewayProcess, start_gateway};
+pub use protocol::{JobForm, JobProtocol, JobState, MalformedJob, QueueCall};
--- /dev/null
+++ b/crates/cloverfold_gateway/src/process.rs
@@ -0,0 +1,200 @@
+//! The entry process, put together.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use cloverfold_app::random_u64;
+use cloverfold_http::{HttpLimits, Request, Serving, StopPhase, json_response, plain_response, serve};
+use cloverfold_lease::{Dispatcher, HealthLimits, Timings};
+use cloverfold_link::{accept_links, listen};
+use cloverfold_peer::{DialedPeers, Hello, PeerRole};
+use cloverfold_settings::LeasedEntrySettings;
+use http::StatusCode;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+use crate::callers::Callers;
+use crate::core::GatewayCore;
+use crate::error::GatewayError;
+use crate::metrics::GatewayMetrics;
+use crate::protocol::JobProtocol;
+
+const TICK: Duration = Duration::from_millis(20);
+const LINK_EVENTS: usize = 1_024;
+
+/// An entry that runs.
+pub struct GatewayProcess {
+    callers: Arc<Callers>,
+    clients: Serving,
+    readiness: Serving,
+    _metrics: Option<Serving>,
+    linger: Duration,
+    drain_timeout: Duration,
+    /// Aborted on drop.
+    _tasks: JoinSet<()>,
+}
+
+impl GatewayProcess {
+    /// Returns the address at which callers are served.
+    pub fn client_address(&self) -> SocketAddr {
+        self.clients.address()
+    }
+
+    /// Returns the address at which readiness is told.
+    pub fn ready_address(&self) -> SocketAddr {
+        self.readiness.address()
+    }
+
+    /// Stops as planned: the balancer is told, then no new job is taken, then what is open is answered.
+    pub async fn stop(self) {
+        log::info!("draining");
+        self.callers.lock().begin_leaving();
+        self.clients.advance(StopPhase::Turning);
+        sleep(self.linger).await;
+        self.callers.lock().refuse_jobs();
+        self.clients.advance(StopPhase::Closing);
+        let left = self.drain_timeout.saturating_sub(self.linger);
+        let is_drained = timeout(left, self.clients.wait_closed()).await.is_ok();
+        log::info!(is_drained; "stopped");
+    }
+}
+
+/// Starts an entry; must be called within a runtime.
+///
+/// # Errors
+///
+/// Says which address cannot be used.
+pub fn start_gateway(
+    settings: &LeasedEntrySettings,
+    protocol: Arc<dyn JobProtocol>,
+) -> Result<GatewayProcess, GatewayError> {
+    let own_address = settings.peer.address();
+    let own = Hello {
+        name: settings.peer.name.clone(),
+        role: PeerRole::Entry,
+        address: own_address,
+        version: 0,
+    };
+    let timings = Timings {
+        session: Duration::from_millis(settings.lease.session_ms),
+        lease: Duration::from_millis(settings.lease.lease_ms),
+        stop: Duration::from_millis(settings.lease.stop_ms),
+        ..Timings::default()
+    };
+    let dispatcher = Dispatcher::new(timings, HealthLimits::default(), random_u64());
+    let (link_tx, mut link_rx) = mpsc::channel(LINK_EVENTS);
+    let controls = DialedPeers::new(own_address, link_tx.clone());
+    let seeds = settings.peer.seed_addresses();
+    let core = GatewayCore::new(own, seeds, protocol.clone(), dispatcher, controls);
+    let core = Arc::new(Mutex::new(core));
+    let callers = Arc::new(Callers {
+        core: core.clone(),
+        protocol,
+        metrics: GatewayMetrics::new(),
+    });
+    log::info!(name = settings.peer.name.as_str(); "an entry starts");
+
+    let listener = listen(own_address)
+        .map_err(|cause| system(&format!("peer.port {own_address}"), cause))?;
+    let clients = start_clients(settings.client_address, &callers)?;
+    let readiness = start_readiness(settings.ready_address, &callers)?;
+    let metrics = start_metrics(settings.peer.metrics_address(), &callers)?;
+    let mut tasks = JoinSet::new();
+    tasks.spawn(accept_links(listener, link_tx));
+    tasks.spawn(async move {
+        let lock = || core.lock().unwrap_or_else(PoisonError::into_inner);
+        lock().begin();
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                Some(event) = link_rx.recv() => lock().link_event(event),
+                _ = ticks.tick() => lock().tick(),
+            }
+        }
+    });
+    Ok(GatewayProcess {
+        callers,
+        clients,
+        readiness,
+        _metrics: metrics,
+        linger: settings.linger(),
+        drain_timeout: settings.drain_timeout(),
+        _tasks: tasks,
+    })
+}
+
+fn start_clients(address: SocketAddr, callers: &Arc<Callers>) -> Result<Serving, GatewayError> {
+    let refused = |cause| system(&format!("client_address {address}"), cause);
+    let listener = listen(address).map_err(refused)?;
+    let limits = {
+        let callers = callers.clone();
+        move || read_limits(&callers)
+    };
+    let callers = callers.clone();
+    let answer = move |request: Request| {
+        let callers = callers.clone();
+        async move { callers.answer(request).await }
+    };
+    serve(listener, limits, answer).map_err(refused)
+}
+
+fn read_limits(callers: &Callers) -> HttpLimits {
+    let configuration = callers.lock().configuration();
+    let Some(configuration) = configuration else {
+        return HttpLimits::default();
+    };
+    let limits = configuration.limits;
+    HttpLimits {
+        header_bytes: limits.header_bytes,
+        body_bytes: limits.body_bytes,
+        body_timeout: limits.idle_timeout,
+        idle_timeout: limits.idle_timeout.max(limits.header_timeout),
+    }
+}
+
+fn start_readiness(address: SocketAddr, callers: &Arc<Callers>) -> Result<Serving, GatewayError> {
+    let refused = |cause| system(&format!("ready_address {address}"), cause);
+    let listener = listen(address).map_err(refused)?;
+    let callers = callers.clone();
+    let answer = move |request: Request| {
+        let is_meant = callers.protocol.asks_readiness(&request.method, request.uri.path());
+        let response = match callers.lock().find_unreadiness() {
+            _ if !is_meant => plain_response(StatusCode::NOT_FOUND, "no such call\n"),
+            None => json_response(StatusCode::OK, "{}"),
+            Some(why) => plain_response(StatusCode::SERVICE_UNAVAILABLE, format!("{why}\n")),
+        };
+        async move { response }
+    };
+    serve(listener, HttpLimits::default, answer).map_err(refused)
+}
+
+fn start_metrics(
+    address: Option<SocketAddr>,
+    callers: &Arc<Callers>,
+) -> Result<Option<Serving>, GatewayError> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let refused = |cause| system(&format!("peer.metrics_port {address}"), cause);
+    let listener = listen(address).map_err(refused)?;
+    let callers = callers.clone();
+    let answer = move |request: Request| {
+        let text = match request.uri.path() {
+            "/metrics" => callers.metrics.write(&callers.lock()),
+            _ => "ok\n".to_owned(),
+        };
+        async move { plain_response(StatusCode::OK, text) }
+    };
+    let serving = serve(listener, HttpLimits::default, answer).map_err(refused)?;
+    Ok(Some(serving))
+}
+
+fn system(what: &str, cause: std::io::Error) -> GatewayError {
+    GatewayError::System {
+        what: what.into(),
+        cause,
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_http/src/lib.rs
@@ -0,0 +1,10 @@
+//! HTTP/1.1 as the leased mode uses it: a small server with limits, and a pooled client.
+//!
+//! The library underneath is `hyper` rather than `volo-http`, which is built on it: the server here needs limits on header
+//! time, a planned stop for each connection, and to drop a handler whose client has left.
+
+mod client;
+mod server;
+
+pub use client::{HttpCallError, HttpClient};
+pub use server::{HttpLimits, Request, Response, Serving, StopPhase, json_response, plain_response, serve};
--- /dev/null
+++ b/crates/cloverfold_lease/src/dispatcher/mod.rs
@@ -0,0 +1,361 @@
+//! The dispatcher: repeatable jobs of one entry, and where their tasks run.
+
+mod job;
+mod outcomes;
+mod placing;
+mod targets;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::health::HealthLimits;
+use crate::messages::{Assignment, DispatcherMessage, SessionId, TaskId};
+use crate::request::JobRequest;
+use crate::timings::{Moment, Timings};
+use job::{Job, TaskPhase};
+use targets::{LostSession, TargetView};
+
+/// Number of one submission within this process.
+pub type JobNumber = u64;
+
+/// Why a job was refused; it has not run and never will.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RefusalCause {
+    /// No target had room in time.
+    NoRoom,
+    /// No target of the service is known.
+    NoTarget,
+    /// The process is stopping.
+    Leaving,
+    /// The process stood still and can't tell how old the request is.
+    Stalled,
+}
+
+/// The one answer to a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobAnswer {
+    /// All tasks are done.
+    Completed,
+    /// A task has failed as often as it may.
+    Failed,
+    /// Nothing has run and nothing will.
+    Refused {
+        /// Why.
+        cause: RefusalCause,
+        /// When it is worth asking again.
+        retry_after: Duration,
+    },
+    /// Parts may have run; the rest was given up.
+    GivenUp,
+}
+
+/// What the process around a dispatcher has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DispatcherAction {
+    /// Send a message to a runner.
+    Send(SessionId, DispatcherMessage),
+    /// Close the link of a session whose runner is silent.
+    CloseSession(SessionId),
+    /// Answer a submission.
+    Answer(JobNumber, JobAnswer),
+}
+
+/// Counts since the start, by cause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DispatcherCounts {
+    /// Runs assigned.
+    pub assigned: u64,
+    /// Runs given back without a start.
+    pub given_back: u64,
+    /// Runs that ended `failed`.
+    pub failed: u64,
+    /// Runs whose target or lease was lost.
+    pub lost: u64,
+    /// Runs withdrawn because they took far longer than expected.
+    pub overdue: u64,
+    /// Runs withdrawn because their caller left or their job was given up.
+    pub withdrawn: u64,
+    /// Times a target was paused.
+    pub pauses: u64,
+}
+
+/// A run whose job is closed and that is not surely over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndingRun {
+    /// A runner will report its end.
+    At {
+        /// The session with the runner.
+        session: SessionId,
+        /// The run.
+        run: u64,
+    },
+    /// The session is lost; the run is over when the session is settled.
+    Uncertain,
+}
+
+/// Coordinates the repeatable jobs that one entry took.
+#[derive(Debug)]
+pub struct Dispatcher {
+    timings: Timings,
+    health_limits: HealthLimits,
+    rng: SmallRng,
+    targets: BTreeMap<SessionId, TargetView>,
+    /// Sessions that ended with runs whose end is not known.
+    lost_sessions: Vec<LostSession>,
+    jobs: BTreeMap<JobNumber, Job>,
+    numbers: HashMap<String, JobNumber>,
+    /// Jobs with waiting tasks, in the order in which they are served.
+    waiting: BTreeSet<(u32, JobNumber)>,
+    /// Runs of jobs that are closed; until they are over, no task of the same name is started.
+    ending: HashMap<TaskId, EndingRun>,
+    next_job: JobNumber,
+    first_run: u64,
+    /// Duration of ended runs against their estimates, over all targets.
+    usual_ratio: f64,
+    is_leaving: bool,
+    counts: DispatcherCounts,
+    actions: Vec<DispatcherAction>,
+}
+
+impl Dispatcher {
+    /// Begins a life of a dispatcher. Its choices follow from `seed`.
+    pub fn new(timings: Timings, health_limits: HealthLimits, seed: u64) -> Self {
+        Self {
+            timings,
+            health_limits,
+            rng: SmallRng::seed_from_u64(seed),
+            targets: BTreeMap::new(),
+            lost_sessions: Vec::new(),
+            jobs: BTreeMap::new(),
+            numbers: HashMap::new(),
+            waiting: BTreeSet::new(),
+            ending: HashMap::new(),
+            next_job: 1,
+            first_run: 1,
+            usual_ratio: 1.0,
+            is_leaving: false,
+            counts: DispatcherCounts::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Sets the number that the first run of a new task gets: above any that an earlier submission of the same job,
+    /// here or elsewhere, can have used. It never falls.
+    pub fn set_first_run(&mut self, first_run: u64) {
+        self.first_run = self.first_run.max(first_run);
+    }
+
+    /// Takes what has to be done since the last call.
+    pub fn take_actions(&mut self) -> Vec<DispatcherAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the counts since the start.
+    pub fn counts(&self) -> DispatcherCounts {
+        self.counts
+    }
+
+    /// Returns how many jobs are open.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Counts the open jobs of a service's queue of which no task has begun.
+    pub fn count_unbegun(&self, is_meant: impl Fn(&JobRequest) -> bool) -> usize {
+        let jobs = self.jobs.values();
+        jobs.filter(|job| !job.is_offered && is_meant(&job.request)).count()
+    }
+
+    /// Says whether a job of this name is open.
+    pub fn is_open(&self, id: &str) -> bool {
+        self.numbers.contains_key(id)
+    }
+
+    /// Counts the targets that take work.
+    pub fn ready_targets(&self, now: Moment) -> usize {
+        let views = self.targets.values();
+        views.filter(|view| view.takes_work(now)).count()
+    }
+
+    /// Takes no new job; those that are open go on.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Takes a job and returns its number; a job of the same name that is open is given up first, since its caller has turned
+    /// to a new request.
+    pub fn submit(&mut self, request: JobRequest, now: Moment) -> JobNumber {
+        if let Some(&earlier) = self.numbers.get(&request.id) {
+            self.give_up(earlier, JobAnswer::GivenUp);
+        }
+        let number = self.next_job;
+        self.next_job += 1;
+        let refusal = self.find_refusal(&request, now);
+        if let Some(cause) = refusal {
+            self.answer(number, refuse(cause));
+            return number;
+        }
+        self.numbers.insert(request.id.clone(), number);
+        let job = Job::new(request, self.first_run, now);
+        self.waiting.insert((job.request.priority, number));
+        self.jobs.insert(number, job);
+        self.place_waiting(now);
+        number
+    }
+
+    /// Stops a job whose caller has left.
+    pub fn cancel(&mut self, number: JobNumber) {
+        if self.jobs.contains_key(&number) {
+            self.close_job(number);
+        }
+    }
+
+    /// Stops a job by its name; returns whether it was open.
+    pub fn cancel_named(&mut self, id: &str) -> bool {
+        let Some(&number) = self.numbers.get(id) else {
+            return false;
+        };
+        self.give_up(number, JobAnswer::GivenUp);
+        true
+    }
+
+    /// Does what has fallen due; call it every few tens of milliseconds.
+    pub fn tick(&mut self, now: Moment) {
+        self.close_silent_sessions(now);
+        self.settle_lost_sessions(now);
+        self.place_waiting(now);
+        self.end_hopeless_jobs(now);
+        self.withdraw_overdue_runs(now);
+    }
+
+    fn find_refusal(&self, request: &JobRequest, now: Moment) -> Option<RefusalCause> {
+        if self.is_leaving {
+            return Some(RefusalCause::Leaving);
+        }
+        let serves = |view: &TargetView| view.takes_work(now) && view.serves(&request.service);
+        if !self.targets.values().any(serves) {
+            return Some(RefusalCause::NoTarget);
+        }
+        None
+    }
+
+    /// Refuses what was held as long as it may be, and gives up what is too late.
+    fn end_hopeless_jobs(&mut self, now: Moment) {
+        let is_unoffered = |job: &Job| !job.is_offered && now >= job.hold_until;
+        let refused: Vec<JobNumber> = self
+            .waiting
+            .iter()
+            .map(|(_, number)| *number)
+            .filter(|number| self.jobs.get(number).is_some_and(is_unoffered))
+            .collect();
+        for number in refused {
+            self.give_up(number, refuse(RefusalCause::NoRoom));
+        }
+        let late: Vec<JobNumber> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| now >= job.give_up_at)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in late {
+            let is_offered = self.jobs.get(&number).is_some_and(|job| job.is_offered);
+            let answer = if is_offered { JobAnswer::GivenUp } else { refuse(RefusalCause::NoRoom) };
+            self.give_up(number, answer);
+        }
+    }
+
+    fn withdraw_overdue_runs(&mut self, now: Moment) {
+        let usual = self.usual_ratio;
+        let mut overdue = Vec::new();
+        for (number, job) in &self.jobs {
+            for (index, task) in job.tasks.iter().enumerate() {
+                let TaskPhase::Assigned { session, since, is_withdrawn: false, .. } = task.phase else {
+                    continue;
+                };
+                let limit = job.overdue_after(task.step, usual);
+                if now > since + limit {
+                    overdue.push((*number, index, session));
+                }
+            }
+        }
+        for (number, index, session) in overdue {
+            self.counts.overdue += 1;
+            self.note_trouble(session, now);
+            self.withdraw_task(number, index);
+        }
+    }
+
+    fn give_up(&mut self, number: JobNumber, answer: JobAnswer) {
+        self.close_job(number);
+        self.answer(number, answer);
+    }
+
+    fn answer(&mut self, number: JobNumber, answer: JobAnswer) {
+        self.actions.push(DispatcherAction::Answer(number, answer));
+    }
+
+    /// Forgets a job and stops what runs of it.
+    fn close_job(&mut self, number: JobNumber) {
+        let Some(job) = self.jobs.get(&number) else {
+            return;
+        };
+        for index in 0..job.tasks.len() {
+            self.withdraw_task(number, index);
+        }
+        let Some(job) = self.jobs.remove(&number) else {
+            return;
+        };
+        self.waiting.remove(&(job.request.priority, number));
+        if self.numbers.get(&job.request.id) == Some(&number) {
+            self.numbers.remove(&job.request.id);
+        }
+        for task in job.tasks {
+            let ending = match task.phase {
+                TaskPhase::Assigned { session, run, .. } => EndingRun::At { session, run },
+                TaskPhase::Uncertain => EndingRun::Uncertain,
+                TaskPhase::Blocked | TaskPhase::Waiting | TaskPhase::Done => continue,
+            };
+            self.ending.insert(task.id, ending);
+        }
+    }
+
+    fn withdraw_task(&mut self, number: JobNumber, index: usize) {
+        let job = self.jobs.get_mut(&number);
+        let Some(task) = job.and_then(|job| job.tasks.get_mut(index)) else {
+            return;
+        };
+        if let TaskPhase::Assigned {
+            session,
+            run,
+            is_withdrawn,
+            ..
+        } = &mut task.phase
+            && !*is_withdrawn
+        {
+            *is_withdrawn = true;
+            self.counts.withdrawn += 1;
+            let message = DispatcherMessage::Withdraw {
+                task: task.id.clone(),
+                run: *run,
+            };
+            self.actions.push(DispatcherAction::Send(*session, message));
+        }
+    }
+
+    fn send_assignment(&mut self, session: SessionId, assignment: Assignment) {
+        self.counts.assigned += 1;
+        let message = DispatcherMessage::Assign(assignment);
+        self.actions.push(DispatcherAction::Send(session, message));
+    }
+}
+
+fn refuse(cause: RefusalCause) -> JobAnswer {
+    const RETRY_AFTER: Duration = Duration::from_secs(1);
+    JobAnswer::Refused {
+        cause,
+        retry_after: RETRY_AFTER,
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_lease/src/dispatcher/targets.rs
@@ -0,0 +1,241 @@
+//! What a dispatcher knows of each runner and its target.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::dispatcher::{Dispatcher, DispatcherAction, EndingRun, JobNumber, TaskPhase};
+use crate::health::TargetHealth;
+use crate::messages::{DispatcherMessage, Room, RunnerMessage, SessionId, TargetDescription, TaskId};
+use crate::resources::Resources;
+use crate::timings::Moment;
+
+/// A session with one runner.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetView {
+    /// Name of the runner's process, the same over its lives.
+    pub(crate) runner: String,
+    pub(crate) description: Option<TargetDescription>,
+    room: Room,
+    /// Demands assigned over this session that `room` does not account for yet.
+    unseen: VecDeque<Resources>,
+    assignments_sent: u64,
+    /// The runner's clock reading that was echoed last.
+    pub(crate) echoed_clock: Option<Moment>,
+    echoed_at: Moment,
+    heard_at: Moment,
+    pub(crate) health: TargetHealth,
+}
+
+/// A session that ended while runs of it were under way.
+#[derive(Clone, Debug)]
+pub(crate) struct LostSession {
+    runner: String,
+    /// After this all its runs are surely over.
+    over_at: Moment,
+    /// With the number of their job, 0 if it is closed.
+    tasks: Vec<(JobNumber, TaskId)>,
+}
+
+impl TargetView {
+    pub(crate) fn takes_work(&self, now: Moment) -> bool {
+        self.description.is_some() && self.echoed_clock.is_some() && self.health.takes_work(now)
+    }
+
+    pub(crate) fn serves(&self, service: &str) -> bool {
+        let description = self.description.as_ref();
+        description.is_some_and(|description| description.service == service)
+    }
+
+    pub(crate) fn has_label(&self, label: &str) -> bool {
+        let description = self.description.as_ref();
+        description.is_some_and(|description| description.labels.iter().any(|l| l == label))
+    }
+
+    /// Returns what is free, less what was assigned and is not accounted for.
+    pub(crate) fn free(&self) -> Resources {
+        let unseen = self.unseen.iter();
+        unseen.fold(self.room.free, |free, demand| free.minus(demand))
+    }
+
+    /// Returns the share of the processors that would be free after `demand`.
+    pub(crate) fn free_share_after(&self, demand: &Resources) -> f64 {
+        let capacity = self.description.as_ref().map_or(1, |d| d.capacity.cpu_milli.max(1));
+        (self.free().cpu_milli - demand.cpu_milli) as f64 / capacity as f64
+    }
+
+    pub(crate) fn note_assignment(&mut self, demand: Resources) {
+        self.assignments_sent += 1;
+        self.unseen.push_back(demand);
+    }
+
+    fn read_room(&mut self, room: Room) {
+        self.room = room;
+        let unseen = self.assignments_sent.saturating_sub(room.assignments_seen);
+        while self.unseen.len() as u64 > unseen {
+            self.unseen.pop_front();
+        }
+    }
+
+    /// Says that the target is full until its runner reports again.
+    pub(crate) fn note_full(&mut self) {
+        self.room.free.cpu_milli = self.room.free.cpu_milli.min(0);
+    }
+}
+
+impl Dispatcher {
+    /// Begins a session with a runner's process.
+    pub fn open_session(&mut self, session: SessionId, runner: &str, now: Moment) {
+        let held = self.targets.values().find(|view| view.runner == runner);
+        let health = match held {
+            Some(view) => view.health.clone(),
+            None => TargetHealth::new(self.health_limits),
+        };
+        let view = TargetView {
+            runner: runner.into(),
+            description: None,
+            room: Room::default(),
+            unseen: VecDeque::new(),
+            assignments_sent: 0,
+            echoed_clock: None,
+            echoed_at: now,
+            heard_at: now,
+            health,
+        };
+        self.targets.insert(session, view);
+    }
+
+    /// Ends a session whose link is gone.
+    pub fn close_session(&mut self, session: SessionId, now: Moment) {
+        let Some(view) = self.targets.remove(&session) else {
+            return;
+        };
+        let mut tasks = Vec::new();
+        for (number, job) in &mut self.jobs {
+            for task in &mut job.tasks {
+                let is_there = matches!(task.phase, TaskPhase::Assigned { session: s, .. } if s == session);
+                if is_there {
+                    task.phase = TaskPhase::Uncertain;
+                    tasks.push((*number, task.id.clone()));
+                }
+            }
+        }
+        for (id, ending) in &mut self.ending {
+            if matches!(ending, EndingRun::At { session: s, .. } if *s == session) {
+                *ending = EndingRun::Uncertain;
+                tasks.push((0, id.clone()));
+            }
+        }
+        if !tasks.is_empty() {
+            self.lost_sessions.push(LostSession {
+                runner: view.runner,
+                over_at: view.echoed_at.min(now) + self.timings.surely_over(),
+                tasks,
+            });
+        }
+    }
+
+    /// Takes a message of a runner.
+    pub fn receive(&mut self, session: SessionId, message: RunnerMessage, now: Moment) {
+        let Some(view) = self.targets.get_mut(&session) else {
+            return;
+        };
+        view.heard_at = now;
+        match message {
+            RunnerMessage::Heartbeat { clock, room } => {
+                view.read_room(room);
+                view.echoed_clock = Some(clock);
+                view.echoed_at = now;
+                let echo = DispatcherMessage::Echo { clock };
+                self.actions.push(DispatcherAction::Send(session, echo));
+                self.place_waiting(now);
+            }
+            RunnerMessage::Target(description) => {
+                let has_new_life = match (&view.description, &description) {
+                    (Some(old), Some(new)) => old.instance != new.instance,
+                    _ => false,
+                };
+                if has_new_life {
+                    view.health = TargetHealth::new(self.health_limits);
+                }
+                let is_clean = description.is_some();
+                let runner = view.runner.clone();
+                view.description = description;
+                if is_clean {
+                    self.settle_runner(&runner);
+                }
+                self.place_waiting(now);
+            }
+            RunnerMessage::Ended {
+                task,
+                run,
+                outcome,
+                ran_ms,
+                room,
+            } => {
+                view.read_room(room);
+                let ran = Duration::from_millis(u64::from(ran_ms));
+                self.run_ended(session, &task, run, outcome, ran, now);
+                self.place_waiting(now);
+            }
+        }
+    }
+
+    pub(super) fn note_trouble(&mut self, session: SessionId, now: Moment) {
+        if let Some(view) = self.targets.get_mut(&session)
+            && view.health.note_trouble(now)
+        {
+            self.counts.pauses += 1;
+        }
+    }
+
+    /// Closes sessions whose runner says nothing: it may be frozen or cut off.
+    pub(super) fn close_silent_sessions(&mut self, now: Moment) {
+        let limit = self.timings.session;
+        let silent: Vec<SessionId> = self
+            .targets
+            .iter()
+            .filter(|(_, view)| now > view.heard_at + limit)
+            .map(|(session, _)| *session)
+            .collect();
+        for session in silent {
+            self.actions.push(DispatcherAction::CloseSession(session));
+            self.close_session(session, now);
+        }
+    }
+
+    /// Lets the tasks wait again whose lost sessions are surely over.
+    pub(super) fn settle_lost_sessions(&mut self, now: Moment) {
+        let (over, open) = std::mem::take(&mut self.lost_sessions)
+            .into_iter()
+            .partition(|lost| now >= lost.over_at);
+        self.lost_sessions = open;
+        self.settle(over);
+    }
+
+    /// A runner offers its target only when nothing of earlier sessions runs there.
+    fn settle_runner(&mut self, runner: &str) {
+        let (over, open) = std::mem::take(&mut self.lost_sessions)
+            .into_iter()
+            .partition(|lost| lost.runner == runner);
+        self.lost_sessions = open;
+        self.settle(over);
+    }
+
+    fn settle(&mut self, over: Vec<LostSession>) {
+        for (number, id) in over.into_iter().flat_map(|lost| lost.tasks) {
+            if self.ending.get(&id) == Some(&EndingRun::Uncertain) {
+                self.ending.remove(&id);
+            }
+            let Some(job) = self.jobs.get_mut(&number) else {
+                continue;
+            };
+            if let Some(index) = job.find_task(&id)
+                && job.tasks[index].phase == TaskPhase::Uncertain
+            {
+                self.counts.lost += 1;
+                job.tasks[index].phase = TaskPhase::Waiting;
+                self.waiting.insert((job.request.priority, number));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_lease/src/messages.rs
@@ -0,0 +1,149 @@
+//! Messages between dispatchers and runners.
+
+use serde::{Deserialize, Serialize};
+
+use crate::resources::Resources;
+use crate::timings::Moment;
+
+/// Number of one session, that is of one link between a dispatcher and a runner, in the process that uses it.
+pub type SessionId = u64;
+
+/// Name of one task; the same in every run of it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskId {
+    /// The caller's name for the job.
+    pub job: String,
+    /// Which repetition of the job's steps, from 0.
+    pub repetition: u32,
+    /// Which step, from 0.
+    pub step: u32,
+    /// Which task of the step, from 0.
+    pub index: u32,
+}
+
+/// One run of a task, given to a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Assignment {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run; rises over a task's whole life.
+    pub run: u64,
+    /// What the target is told to do.
+    pub spec: String,
+    /// What the task uses.
+    pub demand: Resources,
+    /// 0 comes first.
+    pub priority: u32,
+    /// How long it may wait at the runner for room, in milliseconds.
+    pub wait_ms: u32,
+    /// On the runner's clock: after this the assignment is void. It is the end of the session as the dispatcher knows it.
+    pub valid_until: Moment,
+}
+
+/// From a dispatcher to a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DispatcherMessage {
+    /// Echoes the runner's newest clock reading, which prolongs the session.
+    Echo {
+        /// The reading.
+        clock: Moment,
+    },
+    /// Run this.
+    Assign(Assignment),
+    /// Stop a run or give it back.
+    Withdraw {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u64,
+    },
+}
+
+/// Why a run was not started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Refusal {
+    /// There was no room in time.
+    NoRoom,
+    /// No target that takes work is known.
+    NoTarget,
+    /// The target is leaving.
+    Draining,
+    /// The assignment came after the end of its session.
+    Expired,
+    /// Another session still holds a run of this task.
+    Held,
+    /// The target has seen this run or a later one.
+    Stale,
+    /// The target did not answer and certainly runs nothing.
+    Unanswered,
+    /// The target says that it can't work at present.
+    Unhealthy,
+    /// The target takes the order for invalid.
+    Rejected,
+    /// The dispatcher withdrew it first.
+    Withdrawn,
+}
+
+/// How a run ended; each of these says that it is surely over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RunOutcome {
+    /// Its work is done.
+    Done,
+    /// It failed, by its own fault or the target's.
+    Failed,
+    /// It was stopped by an order.
+    Stopped,
+    /// Its lease lapsed or its target died.
+    Lost,
+    /// It never ran.
+    NotStarted(Refusal),
+}
+
+/// What is left at a runner's target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// Free after all that runs and waits there; negative when more waits than fits.
+    pub free: Resources,
+    /// How many assignments of this session it accounts for.
+    pub assignments_seen: u64,
+}
+
+/// A target that takes work.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetDescription {
+    /// The life of the target.
+    pub instance: String,
+    /// What it runs.
+    pub service: String,
+    /// What it has in all.
+    pub capacity: Resources,
+    /// Its kind, its rack.
+    pub labels: Vec<String>,
+}
+
+/// From a runner to a dispatcher.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunnerMessage {
+    /// The runner lives.
+    Heartbeat {
+        /// Its clock, to be echoed.
+        clock: Moment,
+        /// What is left at its target.
+        room: Room,
+    },
+    /// Its target now, if it takes work. Sent only while nothing of an earlier session runs there.
+    Target(Option<TargetDescription>),
+    /// A run is over or was not started.
+    Ended {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u64,
+        /// How.
+        outcome: RunOutcome,
+        /// How long it ran as the runner saw it, in milliseconds.
+        ran_ms: u32,
+        /// What is left now.
+        room: Room,
+    },
+}
--- /dev/null
+++ b/crates/cloverfold_lease/src/runner/orders.rs
@@ -0,0 +1,171 @@
+//! What a runner says to its target, and what it hears from it.
+
+use std::time::Duration;
+
+use crate::messages::TaskId;
+use crate::resources::Resources;
+use crate::timings::{Moment, TargetTime};
+
+/// What a target says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetRegistration {
+    /// This life of the target.
+    pub instance: String,
+    /// What it runs.
+    pub service: String,
+    /// Where its interface is reached.
+    pub address: String,
+    /// What it has in all.
+    pub capacity: Resources,
+    /// Its kind, its rack.
+    pub labels: Vec<String>,
+    /// Whether it is about to leave.
+    pub is_draining: bool,
+    /// Its clock when it said so.
+    pub clock: Option<TargetTime>,
+    /// Rises with each registration of this life.
+    pub sequence: u64,
+}
+
+/// Start a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StartOrder {
+    /// The life of the target that is meant.
+    pub instance: String,
+    /// Where it is reached.
+    pub address: String,
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: u64,
+    /// What to do.
+    pub spec: String,
+    /// The target refuses to start later than this, and prolongs its lease to it.
+    pub deadline: TargetTime,
+    /// Refused if the target has seen a higher one.
+    pub token: u64,
+    /// How many times this start was sent, this one included.
+    pub attempt: u32,
+}
+
+/// Stop a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StopOrder {
+    /// The life of the target that is meant.
+    pub instance: String,
+    /// Where it is reached.
+    pub address: String,
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: u64,
+    /// Refused if the target has seen a higher one.
+    pub token: u64,
+}
+
+/// Renew the lease, note ends, and tell what runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HoldOrder {
+    /// The life of the target that is meant.
+    pub instance: String,
+    /// Where it is reached.
+    pub address: String,
+    /// New end of the lease; none leaves it as it is.
+    pub deadline: Option<TargetTime>,
+    /// Refused if the target has seen a higher one.
+    pub token: u64,
+    /// The last end that was taken note of.
+    pub last_noted: u64,
+    /// How long the answer may wait for an end.
+    pub wait: Duration,
+    /// When it was sent.
+    pub sent_at: Moment,
+}
+
+/// Why a target did not start a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartRefusal {
+    /// It has seen a higher fencing token.
+    Fenced,
+    /// It has seen this run or a later one end.
+    Stale,
+    /// The deadline is over.
+    Late,
+    /// It has no room.
+    NoRoom,
+    /// It can't work at present and has done nothing.
+    Unhealthy,
+    /// Another life of the target answered.
+    OtherInstance,
+    /// It takes the order for invalid.
+    Invalid,
+}
+
+/// What became of a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartAnswer {
+    /// The run is there.
+    Started {
+        /// The target's clock.
+        clock: TargetTime,
+    },
+    /// The run was not started by this order.
+    Refused(StartRefusal, Option<TargetTime>),
+    /// No answer came; the order may still be carried out.
+    Unanswered,
+}
+
+/// A run at the target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldRun {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: u64,
+}
+
+/// How the target says that a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndCause {
+    /// Its work is done.
+    Done,
+    /// It failed.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// Its lease lapsed, or it could not go on for another reason that is not its own.
+    Lapsed,
+}
+
+/// A run that is over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndedRun {
+    /// Number of the end in this life of the target.
+    pub number: u64,
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: u64,
+    /// How.
+    pub cause: EndCause,
+}
+
+/// The answer to a hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HoldAnswer {
+    /// What runs and what has ended.
+    Listed {
+        /// The target's clock.
+        clock: TargetTime,
+        /// What runs.
+        running: Vec<HeldRun>,
+        /// What has ended and was not taken note of, in order of number.
+        ended: Vec<EndedRun>,
+    },
+    /// It has seen a higher fencing token.
+    Fenced,
+    /// Another life of the target answered.
+    OtherInstance,
+    /// No usable answer came.
+    Unanswered,
+}
--- /dev/null
+++ b/crates/cloverfold_link/src/link.rs
@@ -0,0 +1,180 @@
+//! One connection: its reader, its writer, and the events they raise.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bytes::{Bytes, BytesMut};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+use crate::frame::{decode_frame, encode_frame};
+use crate::socket::tune;
+
+/// Messages that may wait for a slow peer before its link is given up.
+const SEND_QUEUE: usize = 4_096;
+/// Messages that are written with one system call at the most.
+const WRITE_BATCH: usize = 64;
+const READ_BUFFER: usize = 4 * 1024;
+
+/// Number of one connection within this process.
+pub type LinkId = u64;
+
+/// What happens on the links of a process.
+#[derive(Debug)]
+pub enum LinkEvent<M> {
+    /// A connection stands.
+    Opened {
+        /// The connection.
+        link: LinkId,
+        /// Address of the peer; for a connection that the peer opened, not the one it listens on.
+        address: SocketAddr,
+        /// Whether this process opened it.
+        dialed: bool,
+        /// The way to the peer.
+        sender: LinkSender<M>,
+    },
+    /// The peer sent a message.
+    Received {
+        /// The connection.
+        link: LinkId,
+        /// The message.
+        message: M,
+    },
+    /// The connection is over.
+    Closed {
+        /// The connection.
+        link: LinkId,
+    },
+}
+
+/// Sends messages over one link; dropping the last copy closes the connection.
+#[derive(Debug)]
+pub struct LinkSender<M> {
+    tx: mpsc::Sender<Bytes>,
+    message: std::marker::PhantomData<fn(M)>,
+}
+
+impl<M> Clone for LinkSender<M> {
+    fn clone(&self) -> Self {
+        Self {
+            tx: self.tx.clone(),
+            message: std::marker::PhantomData,
+        }
+    }
+}
+
+impl<M: Serialize> LinkSender<M> {
+    /// Queues a message without waiting; returns whether there was room and the link stands.
+    pub fn send(&self, message: &M) -> bool {
+        let mut buf = BytesMut::new();
+        if let Err(cause) = encode_frame(message, &mut buf) {
+            log::error!("a message is not sent: {cause}");
+            return false;
+        }
+        self.tx.try_send(buf.freeze()).is_ok()
+    }
+}
+
+/// Accepts links until the listener fails.
+pub async fn accept_links<M>(listener: TcpListener, events: mpsc::Sender<LinkEvent<M>>)
+where
+    M: Serialize + DeserializeOwned + Send + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                let events = events.clone();
+                tokio::spawn(async move { run_link(stream, address, false, &events).await });
+            }
+            Err(cause) => {
+                log::warn!("a link cannot be accepted: {cause}");
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+/// Runs one link until it is over.
+pub(crate) async fn run_link<M>(
+    stream: TcpStream,
+    address: SocketAddr,
+    dialed: bool,
+    events: &mpsc::Sender<LinkEvent<M>>,
+) where
+    M: Serialize + DeserializeOwned + Send + 'static,
+{
+    static NEXT_LINK: AtomicU64 = AtomicU64::new(1);
+    tune(&stream);
+    let link = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
+    let (reader, writer) = stream.into_split();
+    let (tx, rx) = mpsc::channel(SEND_QUEUE);
+    let sender = LinkSender {
+        tx,
+        message: std::marker::PhantomData,
+    };
+    let opened = LinkEvent::Opened {
+        link,
+        address,
+        dialed,
+        sender,
+    };
+    if events.send(opened).await.is_err() {
+        return;
+    }
+    tokio::select! {
+        () = read_messages(reader, link, events) => {}
+        () = write_messages(writer, rx) => {}
+    }
+    // The process is ending when nobody listens any more.
+    let _ = events.send(LinkEvent::Closed { link }).await;
+}
+
+async fn read_messages<M: DeserializeOwned>(
+    mut reader: OwnedReadHalf,
+    link: LinkId,
+    events: &mpsc::Sender<LinkEvent<M>>,
+) {
+    let mut buf = BytesMut::with_capacity(READ_BUFFER);
+    loop {
+        match decode_frame(&mut buf) {
+            Ok(Some(message)) => {
+                let event = LinkEvent::Received { link, message };
+                if events.send(event).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            Ok(None) => {}
+            Err(cause) => {
+                log::warn!("a link is closed: {cause}");
+                return;
+            }
+        }
+        buf.reserve(READ_BUFFER);
+        match reader.read_buf(&mut buf).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+}
+
+async fn write_messages(mut writer: OwnedWriteHalf, mut rx: mpsc::Receiver<Bytes>) {
+    let mut batch = Vec::with_capacity(WRITE_BATCH);
+    let mut buf = BytesMut::new();
+    loop {
+        if rx.recv_many(&mut batch, WRITE_BATCH).await == 0 {
+            return;
+        }
+        for frame in batch.drain(..) {
+            buf.extend_from_slice(&frame);
+        }
+        if writer.write_all(&buf).await.is_err() {
+            return;
+        }
+        buf.clear();
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_link/src/socket.rs
@@ -0,0 +1,38 @@
+//! Socket options of links.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// How long sent bytes may stay unacknowledged before the connection counts as lost.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+const BACKLOG: u32 = 1_024;
+
+/// Listens on an address, also right after an earlier process has left it.
+///
+/// # Errors
+///
+/// Returns the system's error.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Sets what every link wants; an option that the system refuses is left at its default.
+pub(crate) fn tune(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let outcomes = [
+        socket.set_tcp_nodelay(true),
+        socket.set_tcp_user_timeout(Some(USER_TIMEOUT)),
+    ];
+    for refused in outcomes.into_iter().filter_map(Result::err) {
+        log::debug!("a socket option is refused: {refused}");
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_link/tests/links.rs
@@ -0,0 +1,84 @@
+//! Links over loopback: messages both ways, a peer that goes, frames that are no messages.
+
+use std::time::Duration;
+
+use bytes::{BufMut, BytesMut};
+use cloverfold_link::{
+    DialBackoff, Dialer, FrameError, LinkEvent, MAX_FRAME_LEN, accept_links, decode_frame,
+    encode_frame, listen,
+};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+type Events = mpsc::Receiver<LinkEvent<String>>;
+
+async fn next(events: &mut Events) -> LinkEvent<String> {
+    timeout(Duration::from_secs(10), events.recv())
+        .await
+        .expect("an event in time")
+        .expect("an open channel")
+}
+
+#[tokio::test]
+async fn messages_go_both_ways_and_a_closed_link_is_opened_again() {
+    let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (server_tx, mut server) = mpsc::channel(16);
+    let (client_tx, mut client) = mpsc::channel(16);
+    tokio::spawn(accept_links(listener, server_tx));
+    let _dialer = Dialer::start(address, DialBackoff::default(), client_tx);
+
+    for _ in 0..2 {
+        let LinkEvent::Opened { sender: up, dialed: true, .. } = next(&mut client).await else {
+            panic!("the dialed link opens first");
+        };
+        let LinkEvent::Opened { sender: down, dialed: false, .. } = next(&mut server).await else {
+            panic!("the accepted link opens first");
+        };
+
+        assert!(up.send(&"up".to_owned()));
+        assert!(down.send(&"down".to_owned()));
+
+        let LinkEvent::Received { message, .. } = next(&mut server).await else {
+            panic!("a message");
+        };
+        assert_eq!(message, "up");
+        let LinkEvent::Received { message, .. } = next(&mut client).await else {
+            panic!("a message");
+        };
+        assert_eq!(message, "down");
+
+        drop(down);
+        assert!(matches!(next(&mut server).await, LinkEvent::Closed { .. }));
+        assert!(matches!(next(&mut client).await, LinkEvent::Closed { .. }));
+    }
+}
+
+#[test]
+fn a_frame_is_taken_only_when_it_is_whole() {
+    let mut whole = BytesMut::new();
+    encode_frame(&"text".to_owned(), &mut whole).unwrap();
+    let last = whole.split_off(whole.len() - 1);
+
+    assert!(decode_frame::<String>(&mut whole).unwrap().is_none());
+    whole.unsplit(last);
+    assert_eq!(decode_frame::<String>(&mut whole).unwrap().as_deref(), Some("text"));
+    assert!(whole.is_empty());
+}
+
+#[test]
+fn frames_that_are_too_long_or_no_message_are_refused() {
+    let mut too_long = BytesMut::new();
+    too_long.put_u32_le(MAX_FRAME_LEN as u32 + 1);
+    assert!(matches!(
+        decode_frame::<String>(&mut too_long),
+        Err(FrameError::TooLong(_))
+    ));
+    let mut no_text = BytesMut::new();
+    no_text.put_u32_le(2);
+    no_text.put_slice(&[1, 0xff]);
+    assert!(matches!(
+        decode_frame::<String>(&mut no_text),
+        Err(FrameError::Codec(_))
+    ));
+}
--- a/crates/cloverfold_process/src/lib.rs
+++ b/crates/cloverfold_process/src/lib.rs
@@ -6,9 +6,11 @@
 mod entry;
 mod error;
 mod guard;
+mod leased;
 mod operator;
 
 pub use entry::start_entry;
 pub use error::ProcessError;
 pub use guard::start_guard;
+pub use leased::{start_leased_runtime, wait_for_stop_signal};
 pub use operator::{list_guard_addresses, open_operator_network};
--- /dev/null
+++ b/crates/cloverfold_runner/src/core.rs
@@ -0,0 +1,314 @@
+//! The state of a guard.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cloverfold_configuration::StoredConfiguration;
+use cloverfold_lease::{
+    HoldAnswer, HoldOrder, Runner, RunnerAction, RunnerCounts, RunnerMessage, StartAnswer,
+    StartOrder, StopOrder,
+};
+use cloverfold_link::{LinkEvent, LinkId, LinkSender};
+use cloverfold_peer::{DialedPeers, Directory, Hello, PeerMessage, PeerRole, ProcessClock};
+use tokio::sync::{Notify, mpsc};
+
+use crate::interface::RegistrationCall;
+
+/// How long a guard waits before it fetches a newer configuration, which it only keeps for entries that find no control process: a
+/// burst of changes is fetched once.
+const FETCH_DELAY: Duration = Duration::from_millis(1_000);
+/// Control processes that are dialed at the most.
+const MAX_CONTROLS: usize = 5;
+
+struct Link {
+    sender: LinkSender<PeerMessage>,
+    hello: Option<Hello>,
+}
+
+/// An order to the target.
+#[derive(Debug)]
+pub(crate) enum TargetOrder {
+    /// Start a run.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop(StopOrder),
+}
+
+/// What a guard believes.
+pub(crate) struct GuardCore {
+    clock: ProcessClock,
+    own: Hello,
+    seeds: Vec<SocketAddr>,
+    runner: Runner,
+    configuration: Option<StoredConfiguration>,
+    fetch: Option<(LinkId, Duration)>,
+    links: HashMap<LinkId, Link>,
+    controls: DialedPeers,
+    entries: DialedPeers,
+    orders: mpsc::UnboundedSender<TargetOrder>,
+    hold_now: Arc<Notify>,
+    was_ready: bool,
+}
+
+impl GuardCore {
+    pub(crate) fn new(
+        own: Hello,
+        seeds: Vec<SocketAddr>,
+        runner: Runner,
+        controls: DialedPeers,
+        entries: DialedPeers,
+        orders: mpsc::UnboundedSender<TargetOrder>,
+        hold_now: Arc<Notify>,
+    ) -> Self {
+        Self {
+            clock: ProcessClock::default(),
+            own,
+            seeds,
+            runner,
+            configuration: None,
+            fetch: None,
+            links: HashMap::new(),
+            controls,
+            entries,
+            orders,
+            hold_now,
+            was_ready: false,
+        }
+    }
+
+    /// Dials the seeds.
+    pub(crate) fn begin(&mut self) {
+        let seeds = self.seeds.clone();
+        self.controls.set(&seeds);
+    }
+
+    pub(crate) fn counts(&self) -> RunnerCounts {
+        self.runner.counts()
+    }
+
+    pub(crate) fn held(&self) -> usize {
+        self.runner.held()
+    }
+
+    pub(crate) fn has_ready_target(&self) -> bool {
+        self.runner.has_ready_target()
+    }
+
+    /// Takes no further work.
+    pub(crate) fn leave(&mut self) {
+        self.runner.leave(self.clock.now());
+        self.advance();
+    }
+
+    /// Does what has fallen due.
+    pub(crate) fn tick(&mut self) {
+        let now = self.clock.now();
+        self.runner.tick(now);
+        if let Some((link, at)) = self.fetch
+            && now >= at
+        {
+            self.fetch = None;
+            self.send(link, &PeerMessage::Fetch);
+        }
+        self.advance();
+    }
+
+    /// Takes a call of the target; it is acknowledged afterwards.
+    pub(crate) fn registration(&mut self, call: RegistrationCall) {
+        let now = self.clock.now();
+        match call {
+            RegistrationCall::Register(registration) => {
+                self.runner.register(registration, now);
+            }
+            RegistrationCall::Leave { instance } => {
+                log::info!(target = instance.as_str(); "the target has left");
+                self.runner.unregister(&instance, now);
+            }
+        }
+        self.advance();
+    }
+
+    pub(crate) fn plan_hold(&mut self) -> Option<HoldOrder> {
+        let now = self.clock.now();
+        self.runner.plan_hold(now)
+    }
+
+    pub(crate) fn hold_answered(&mut self, order: &HoldOrder, answer: HoldAnswer) {
+        let now = self.clock.now();
+        self.runner.hold_answered(order, answer, now);
+        self.advance();
+    }
+
+    pub(crate) fn start_answered(&mut self, order: &StartOrder, answer: StartAnswer) {
+        let now = self.clock.now();
+        if !matches!(answer, StartAnswer::Started { .. }) {
+            let answer = format!("{answer:?}");
+            log::info!(
+                job = order.task.job.as_str(), index = order.task.index, run = order.run,
+                attempt = order.attempt, target = order.instance.as_str(), answer = answer.as_str();
+                "a start is not acknowledged"
+            );
+        }
+        self.runner.start_answered(order, answer, now);
+        self.advance();
+    }
+
+    /// Takes an event of a link.
+    pub(crate) fn link_event(&mut self, event: LinkEvent<PeerMessage>) {
+        match event {
+            LinkEvent::Opened { link, sender, .. } => {
+                self.own.version = self.version();
+                sender.send(&PeerMessage::Hello(self.own.clone()));
+                self.links.insert(link, Link { sender, hello: None });
+            }
+            LinkEvent::Received { link, message } => self.receive(link, message),
+            LinkEvent::Closed { link } => self.link_closed(link),
+        }
+        self.advance();
+    }
+
+    fn version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |held| held.version)
+    }
+
+    fn receive(&mut self, link: LinkId, message: PeerMessage) {
+        let now = self.clock.now();
+        match message {
+            PeerMessage::Hello(hello) => {
+                log::info!(peer = hello.name.as_str(), link, version = hello.version; "a peer is in touch");
+                if hello.role == PeerRole::Entry {
+                    self.runner.open_session(link, now);
+                }
+                let version = hello.version;
+                if let Some(held) = self.links.get_mut(&link) {
+                    held.hello = Some(hello);
+                }
+                self.plan_fetch(link, version);
+            }
+            PeerMessage::ToRunner(message) => self.runner.receive(link, message, now),
+            PeerMessage::Holding { version, .. } => self.plan_fetch(link, version),
+            PeerMessage::Fetch => {
+                if let Some(held) = self.configuration.clone() {
+                    self.send(link, &PeerMessage::Configuration(held));
+                }
+            }
+            PeerMessage::Configuration(stored) => self.take_configuration(stored),
+            PeerMessage::Directory(directory) => self.take_directory(directory),
+            PeerMessage::Invite { entry } => self.entries.add(entry),
+            PeerMessage::ToDispatcher(_)
+            | PeerMessage::Consensus(_)
+            | PeerMessage::Offer(_)
+            | PeerMessage::Read { .. }
+            | PeerMessage::ReadReply { .. } => {}
+        }
+    }
+
+    fn plan_fetch(&mut self, link: LinkId, version: u64) {
+        if version > self.version() && self.fetch.is_none() {
+            self.fetch = Some((link, self.clock.now() + FETCH_DELAY));
+        }
+    }
+
+    fn take_configuration(&mut self, stored: StoredConfiguration) {
+        if stored.version <= self.version() {
+            return;
+        }
+        log::info!(version = stored.version, before = self.version(); "a configuration is kept");
+        let notice = PeerMessage::Holding {
+            version: stored.version,
+            is_fresh: false,
+        };
+        self.configuration = Some(stored);
+        for link in self.links.values() {
+            let role = link.hello.as_ref().map(|hello| hello.role);
+            if role == Some(PeerRole::Entry) {
+                link.sender.send(&notice);
+            }
+        }
+    }
+
+    fn take_directory(&mut self, directory: Directory) {
+        for entry in directory.entries {
+            self.entries.add(entry);
+        }
+        let mut controls = directory.controls;
+        controls.truncate(MAX_CONTROLS);
+        for seed in &self.seeds {
+            if controls.len() < MAX_CONTROLS && !controls.contains(seed) {
+                controls.push(*seed);
+            }
+        }
+        self.controls.set(&controls);
+    }
+
+    fn link_closed(&mut self, link: LinkId) {
+        let now = self.clock.now();
+        let Some(held) = self.links.remove(&link) else {
+            return;
+        };
+        if let Some(hello) = held.hello {
+            log::info!(peer = hello.name.as_str(), link; "a peer is out of touch");
+            if hello.role == PeerRole::Entry {
+                self.runner.close_session(link, now);
+            }
+        }
+    }
+
+    fn send(&self, link: LinkId, message: &PeerMessage) {
+        if let Some(link) = self.links.get(&link) {
+            link.sender.send(message);
+        }
+    }
+
+    /// Carries out what the runner wants.
+    fn advance(&mut self) {
+        for action in self.runner.take_actions() {
+            match action {
+                RunnerAction::Send(session, message) => {
+                    log_end(&message);
+                    self.send(session, &PeerMessage::ToDispatcher(message));
+                }
+                RunnerAction::CloseSession(session) => {
+                    log::warn!(link = session; "an entry is silent; its runs are stopped");
+                    self.link_closed(session);
+                }
+                RunnerAction::Start(order) => self.order(TargetOrder::Start(order)),
+                RunnerAction::Stop(order) => self.order(TargetOrder::Stop(order)),
+                RunnerAction::HoldNow => self.hold_now.notify_one(),
+            }
+        }
+        let is_ready = self.runner.has_ready_target();
+        if is_ready != self.was_ready {
+            self.was_ready = is_ready;
+            log::info!(ready = is_ready; "the target's readiness has changed");
+        }
+    }
+
+    fn order(&self, order: TargetOrder) {
+        // The receiver lives as long as the process.
+        let _ = self.orders.send(order);
+    }
+}
+
+/// Logs each run that did not end as it should.
+fn log_end(message: &RunnerMessage) {
+    use cloverfold_lease::RunOutcome;
+    if let RunnerMessage::Ended {
+        task,
+        run,
+        outcome,
+        ran_ms,
+        ..
+    } = message
+        && *outcome != RunOutcome::Done
+    {
+        let outcome = format!("{outcome:?}");
+        log::info!(
+            job = task.job.as_str(), step = task.step, index = task.index, run, ran_ms,
+            outcome = outcome.as_str();
+            "a run is over"
+        );
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_runner/src/metrics.rs
@@ -0,0 +1,69 @@
+//! What a guard counts.
+
+use cloverfold_app::count_dropped_lines;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+use crate::core::GuardCore;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
+/// Gauges that are read off the state when they are asked for.
+pub(crate) struct GuardMetrics {
+    registry: Registry,
+    runs: Family<CauseLabel, Gauge>,
+    held: Gauge,
+    ready: Gauge,
+    dropped_lines: Gauge,
+}
+
+impl GuardMetrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("cloverfold_guard");
+        let runs = Family::<CauseLabel, Gauge>::default();
+        registry.register("runs", "Runs since the start, by what became of them", runs.clone());
+        let mut add = |name: &str, help: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        Self {
+            held: add("held_runs", "Runs held now, also those that wait"),
+            ready: add("target_ready", "1 while the target takes work"),
+            dropped_lines: add("dropped_log_lines", "Log lines dropped since the start"),
+            runs,
+            registry,
+        }
+    }
+
+    /// Writes the metrics as text.
+    pub(crate) fn write(&self, core: &GuardCore) -> String {
+        let counts = core.counts();
+        let causes = [
+            ("started", counts.started),
+            ("repeated_starts", counts.repeated_starts),
+            ("lost", counts.lost),
+            ("stopped", counts.stopped),
+            ("refused", counts.refused),
+            ("expired_sessions", counts.expired_sessions),
+            ("orphans", counts.orphans),
+        ];
+        for (cause, count) in causes {
+            self.runs.get_or_create(&CauseLabel { cause }).set(count as i64);
+        }
+        self.held.set(core.held() as i64);
+        self.ready.set(i64::from(core.has_ready_target()));
+        self.dropped_lines.set(count_dropped_lines() as i64);
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(cause) => format!("# {cause}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cloverfold_runner/src/process.rs
@@ -0,0 +1,240 @@
+//! The guard process, put together.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use cloverfold_app::unix_now;
+use cloverfold_http::{HttpLimits, Request, Serving, json_response, plain_response, serve};
+use cloverfold_lease::{HoldAnswer, Runner, Timings};
+use cloverfold_link::{accept_links, listen};
+use cloverfold_peer::{DialedPeers, Hello, PeerRole};
+use cloverfold_settings::LeasedGuardSettings;
+use http::StatusCode;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+use crate::core::{GuardCore, TargetOrder};
+use crate::error::GuardError;
+use crate::interface::{RegistrationRefusal, TargetInterface};
+use crate::metrics::GuardMetrics;
+
+const TICK: Duration = Duration::from_millis(20);
+const LINK_EVENTS: usize = 1_024;
+/// Pause after a hold that was not answered at all.
+const HOLD_PAUSE: Duration = Duration::from_millis(30);
+/// Pause while no target is known.
+const NO_TARGET_PAUSE: Duration = Duration::from_millis(200);
+
+type SharedCore = Arc<Mutex<GuardCore>>;
+
+/// A guard that runs.
+pub struct GuardProcess {
+    core: SharedCore,
+    registrations: Serving,
+    _metrics: Option<Serving>,
+    drain_timeout: Duration,
+    /// Aborted on drop.
+    _tasks: JoinSet<()>,
+}
+
+impl GuardProcess {
+    /// Returns the address at which the target registers.
+    pub fn registration_address(&self) -> SocketAddr {
+        self.registrations.address()
+    }
+
+    /// Stops as planned: no new run is taken, and those that are held end.
+    pub async fn stop(self) {
+        const PAUSE: Duration = Duration::from_millis(20);
+        log::info!("draining");
+        lock(&self.core).leave();
+        let drained = async {
+            while lock(&self.core).held() > 0 {
+                sleep(PAUSE).await;
+            }
+        };
+        let is_drained = timeout(self.drain_timeout, drained).await.is_ok();
+        log::info!(is_drained; "stopped");
+    }
+}
+
+/// Starts a guard; must be called within a runtime.
+///
+/// # Errors
+///
+/// Says which address cannot be used.
+pub fn start_leased_guard(
+    settings: &LeasedGuardSettings,
+    interface: Arc<dyn TargetInterface>,
+) -> Result<GuardProcess, GuardError> {
+    let own_address = settings.peer.address();
+    let own = Hello {
+        name: settings.peer.name.clone(),
+        role: PeerRole::Guard,
+        address: own_address,
+        version: 0,
+    };
+    let timings = Timings {
+        session: Duration::from_millis(settings.lease.session_ms),
+        lease: Duration::from_millis(settings.lease.lease_ms),
+        stop: Duration::from_millis(settings.lease.stop_ms),
+        ..Timings::default()
+    };
+    // A later life begins at a later time; should the clock have gone back, the target's refusals raise the token.
+    let runner = Runner::new(timings, unix_now().as_millis() as u64);
+    let (link_tx, mut link_rx) = mpsc::channel(LINK_EVENTS);
+    let (order_tx, order_rx) = mpsc::unbounded_channel();
+    let hold_now = Arc::new(Notify::new());
+    let core = GuardCore::new(
+        own,
+        settings.peer.seed_addresses(),
+        runner,
+        DialedPeers::new(own_address, link_tx.clone()),
+        DialedPeers::new(own_address, link_tx.clone()),
+        order_tx,
+        hold_now.clone(),
+    );
+    let core = Arc::new(Mutex::new(core));
+    log::info!(name = settings.peer.name.as_str(); "a guard starts");
+
+    let listener = listen(own_address)
+        .map_err(|cause| system(&format!("peer.port {own_address}"), cause))?;
+    let registrations = start_registrations(settings.registration_address, &core, &interface)?;
+    let metrics = start_metrics(settings.peer.metrics_address(), &core)?;
+    let mut tasks = JoinSet::new();
+    tasks.spawn(accept_links(listener, link_tx));
+    tasks.spawn(carry_out_orders(core.clone(), order_rx, interface.clone()));
+    tasks.spawn(keep_holding(core.clone(), interface, hold_now));
+    tasks.spawn({
+        let core = core.clone();
+        async move {
+            lock(&core).begin();
+            let mut ticks = interval(TICK);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                tokio::select! {
+                    Some(event) = link_rx.recv() => lock(&core).link_event(event),
+                    _ = ticks.tick() => lock(&core).tick(),
+                }
+            }
+        }
+    });
+    Ok(GuardProcess {
+        core,
+        registrations,
+        _metrics: metrics,
+        drain_timeout: settings.drain_timeout(),
+        _tasks: tasks,
+    })
+}
+
+fn lock(core: &SharedCore) -> std::sync::MutexGuard<'_, GuardCore> {
+    core.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Sends each order to the target by itself: none waits for the answer to another.
+async fn carry_out_orders(
+    core: SharedCore,
+    mut orders: mpsc::UnboundedReceiver<TargetOrder>,
+    interface: Arc<dyn TargetInterface>,
+) {
+    while let Some(order) = orders.recv().await {
+        match order {
+            TargetOrder::Start(order) => {
+                let answer = interface.start(order.clone());
+                let core = core.clone();
+                tokio::spawn(async move {
+                    let answer = answer.await;
+                    lock(&core).start_answered(&order, answer);
+                });
+            }
+            TargetOrder::Stop(order) => {
+                log::info!(
+                    job = order.task.job.as_str(), index = order.task.index, run = order.run;
+                    "a run is stopped"
+                );
+                tokio::spawn(interface.stop(order));
+            }
+        }
+    }
+}
+
+/// Renews the lease again and again; each answer tells what runs and what has ended.
+async fn keep_holding(core: SharedCore, interface: Arc<dyn TargetInterface>, now: Arc<Notify>) {
+    loop {
+        let order = lock(&core).plan_hold();
+        let Some(order) = order else {
+            // Whether it is told or not, it looks again.
+            let _ = timeout(NO_TARGET_PAUSE, now.notified()).await;
+            continue;
+        };
+        let answer = interface.hold(order.clone()).await;
+        let is_listed = matches!(answer, HoldAnswer::Listed { .. });
+        lock(&core).hold_answered(&order, answer);
+        if !is_listed {
+            sleep(HOLD_PAUSE).await;
+        } else if order.deadline.is_none() {
+            // What is not ours is being stopped.
+            sleep(HOLD_PAUSE / 3).await;
+        }
+    }
+}
+
+fn start_registrations(
+    address: SocketAddr,
+    core: &SharedCore,
+    interface: &Arc<dyn TargetInterface>,
+) -> Result<Serving, GuardError> {
+    let refused = |cause| system(&format!("registration_address {address}"), cause);
+    let listener = listen(address).map_err(refused)?;
+    let core = core.clone();
+    let interface = interface.clone();
+    let answer = move |request: Request| {
+        let response = match interface.read_registration(&request) {
+            Ok(call) => {
+                lock(&core).registration(call);
+                json_response(StatusCode::OK, interface.write_acknowledgement())
+            }
+            Err(RegistrationRefusal::Unknown) => {
+                plain_response(StatusCode::NOT_FOUND, "no such call\n")
+            }
+            Err(RegistrationRefusal::Malformed(fault)) => {
+                log::warn!("a registration cannot be read: {fault}");
+                plain_response(StatusCode::BAD_REQUEST, format!("{fault}\n"))
+            }
+        };
+        async move { response }
+    };
+    serve(listener, HttpLimits::default, answer).map_err(refused)
+}
+
+fn start_metrics(
+    address: Option<SocketAddr>,
+    core: &SharedCore,
+) -> Result<Option<Serving>, GuardError> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let refused = |cause| system(&format!("peer.metrics_port {address}"), cause);
+    let listener = listen(address).map_err(refused)?;
+    let metrics = Arc::new(GuardMetrics::new());
+    let core = core.clone();
+    let answer = move |request: Request| {
+        let text = match request.uri.path() {
+            "/metrics" => metrics.write(&lock(&core)),
+            _ => "ok\n".to_owned(),
+        };
+        async move { plain_response(StatusCode::OK, text) }
+    };
+    let serving = serve(listener, HttpLimits::default, answer).map_err(refused)?;
+    Ok(Some(serving))
+}
+
+fn system(what: &str, cause: std::io::Error) -> GuardError {
+    GuardError::System {
+        what: what.into(),
+        cause,
+    }
+}
--- a/crates/cloverfold_settings/src/common.rs
+++ b/crates/cloverfold_settings/src/common.rs
@@ -62,6 +62,21 @@
 pub struct LogSettings {
     /// Least weight of what is logged.
     pub level: LogLevel,
-    /// File that lines are appended to; standard error where there is none.
+    /// File that lines are appended to; `stream` where there is none.
     pub file: Option<PathBuf>,
+    /// Where lines go without a file.
+    pub stream: LogStream,
+    /// Lines in one second above which further ones are dropped and counted; no bound without.
+    pub lines_per_second: Option<u32>,
+}
+
+/// A stream of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogStream {
+    /// Standard error.
+    #[default]
+    Stderr,
+    /// Standard output.
+    Stdout,
 }
--- a/crates/cloverfold_settings/src/lib.rs
+++ b/crates/cloverfold_settings/src/lib.rs
@@ -17,12 +17,16 @@
 mod document;
 mod entry;
 mod guard;
+mod leased;
 
 pub use cell::{
     CellSettings, CustomerSettings, GuardPlace, Queueing, ServiceSettings, hash_caller_key,
     verify_caller_key,
 };
-pub use common::{KeySettings, LogLevel, LogSettings};
+pub use common::{KeySettings, LogLevel, LogSettings, LogStream};
 pub use document::{Check, Fault, FaultList, SettingsError, parse_settings, read_settings};
 pub use entry::EntrySettings;
 pub use guard::{GuardSettings, TargetSettings};
+pub use leased::{
+    ControlSettings, LeaseSettings, LeasedEntrySettings, LeasedGuardSettings, PeerSettings,
+};
