Give up links whose peer is silent

Ruled out: the group itself (versions were acknowledged and decided on all the while; the entry's log shows no notice between version 3 and 49) and the fetching (it asks at once when told). Change: an idle link carries a sign of life each 300 ms; 1 s without any byte closes it. Conclusion: every link needs its own proof of life, not only those with sessions. Test in crates/cloverfold_link/tests/links.rs failed first (waited in vain with the bound taken out).

--- a/crates/cloverfold_link/src/frame.rs
+++ b/crates/cloverfold_link/src/frame.rs
@@ -35,16 +35,26 @@
     Ok(())
 }
 
-/// Takes the first whole frame off a buffer; `None` while more bytes are wanted.
+/// Appends a sign of life: a frame without a message.
+pub(crate) fn encode_sign_of_life(out: &mut BytesMut) {
+    out.put_u32_le(0);
+}
+
+/// Takes the first whole message off a buffer; `None` while more bytes are wanted. Signs of life are passed over.
 ///
 /// # Errors
 ///
 /// Says that the frame is too long or no message.
 pub fn decode_frame<M: DeserializeOwned>(buf: &mut BytesMut) -> Result<Option<M>, FrameError> {
-    let Some(prefix) = buf.first_chunk::<PREFIX_LEN>() else {
-        return Ok(None);
+    let len = loop {
+        let Some(prefix) = buf.first_chunk::<PREFIX_LEN>() else {
+            return Ok(None);
+        };
+        match u32::from_le_bytes(*prefix) {
+            0 => buf.advance(PREFIX_LEN),
+            len => break len as usize,
+        }
     };
-    let len = u32::from_le_bytes(*prefix) as usize;
     if len > MAX_FRAME_LEN {
         return Err(FrameError::TooLong(len));
     }
--- a/crates/cloverfold_link/src/link.rs
+++ b/crates/cloverfold_link/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use serde::Serialize;
@@ -10,14 +11,19 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
-use crate::frame::{decode_frame, encode_frame};
+use crate::frame::{decode_frame, encode_frame, encode_sign_of_life};
 use crate::socket::tune;
 
 /// Messages that may wait for a slow peer before its link is given up.
 const SEND_QUEUE: usize = 4_096;
 /// Messages that are written with one system call at the most.
 const WRITE_BATCH: usize = 64;
+/// How long a link may be idle before a sign of life is sent.
+const SIGN_OF_LIFE: Duration = Duration::from_millis(300);
+/// Without any byte for this long the peer counts as gone: it may have lost power or be cut off.
+const SILENCE: Duration = Duration::from_millis(1_000);
 const READ_BUFFER: usize = 4 * 1024;
 
 /// Number of one connection within this process.
@@ -155,9 +161,13 @@
             }
         }
         buf.reserve(READ_BUFFER);
-        match reader.read_buf(&mut buf).await {
-            Ok(0) | Err(_) => return,
-            Ok(_) => {}
+        match timeout(SILENCE, reader.read_buf(&mut buf)).await {
+            Ok(Ok(0) | Err(_)) => return,
+            Ok(Ok(_)) => {}
+            Err(_) => {
+                log::info!(link; "the peer is silent");
+                return;
+            }
         }
     }
 }
@@ -166,8 +176,10 @@
     let mut batch = Vec::with_capacity(WRITE_BATCH);
     let mut buf = BytesMut::new();
     loop {
-        if rx.recv_many(&mut batch, WRITE_BATCH).await == 0 {
-            return;
+        match timeout(SIGN_OF_LIFE, rx.recv_many(&mut batch, WRITE_BATCH)).await {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(_) => encode_sign_of_life(&mut buf),
         }
         for frame in batch.drain(..) {
             buf.extend_from_slice(&frame);
--- a/crates/cloverfold_link/tests/links.rs
+++ b/crates/cloverfold_link/tests/links.rs
@@ -82,3 +82,28 @@
         Err(FrameError::Codec(_))
     ));
 }
+
+#[tokio::test]
+async fn a_peer_that_says_nothing_is_given_up_and_an_idle_one_that_lives_is_not() {
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let living = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let (living_tx, mut living_events) = mpsc::channel(16);
+    let (silent_tx, mut silent_events) = mpsc::channel(16);
+    let (dialed_tx, mut dialed_events) = mpsc::channel(16);
+    let _to_silent = Dialer::start(silent.local_addr().unwrap(), DialBackoff::default(), silent_tx);
+    let _to_living = Dialer::start(living.local_addr().unwrap(), DialBackoff::default(), dialed_tx);
+    tokio::spawn(accept_links(living, living_tx));
+    let (_held, _) = silent.accept().await.unwrap();
+    // The senders within the events keep the links open from this side.
+    let held_links = [
+        next(&mut dialed_events).await,
+        next(&mut living_events).await,
+        next(&mut silent_events).await,
+    ];
+    assert!(held_links.iter().all(|event| matches!(event, LinkEvent::Opened { .. })));
+
+    let given_up = next(&mut silent_events).await;
+
+    assert!(matches!(given_up, LinkEvent::Closed { .. }));
+    assert!(living_events.try_recv().is_err(), "the idle link stands");
+}
