--- a/crates/cloverfold_gateway/src/metrics.rs
+++ b/crates/cloverfold_gateway/src/metrics.rs
@@ -83,6 +83,7 @@
             ("lost", counts.lost),
             ("overdue", counts.overdue),
             ("withdrawn", counts.withdrawn),
+            ("stalled", counts.stalled),
             ("target_pauses", counts.pauses),
         ];
         for (cause, count) in causes {
--- a/crates/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/cloverfold_lease/src/dispatcher/mod.rs
@@ -78,6 +78,8 @@
     pub overdue: u64,
     /// Runs withdrawn because their caller left or their job was given up.
     pub withdrawn: u64,
+    /// Jobs given up because the process stood still.
+    pub stalled: u64,
     /// Times a target was paused.
     pub pauses: u64,
 }
@@ -112,6 +114,7 @@
     /// Runs of jobs that are closed; until they are over, no task of the same name is started.
     ending: HashMap<TaskId, EndingRun>,
     next_job: JobNumber,
+    active_at: Moment,
     first_run: u64,
     /// Duration of ended runs against their estimates, over all targets.
     usual_ratio: f64,
@@ -134,6 +137,7 @@
             waiting: BTreeSet::new(),
             ending: HashMap::new(),
             next_job: 1,
+            active_at: Moment::ZERO,
             first_run: 1,
             usual_ratio: 1.0,
             is_leaving: false,
@@ -188,6 +192,7 @@
     /// Takes a job and returns its number; a job of the same name that is open is given up first, since its caller has turned
     /// to a new request.
     pub fn submit(&mut self, request: JobRequest, now: Moment) -> JobNumber {
+        self.notice_stall(now);
         if let Some(&earlier) = self.numbers.get(&request.id) {
             self.give_up(earlier, JobAnswer::GivenUp);
         }
@@ -224,6 +229,7 @@
 
     /// Does what has fallen due; call it every few tens of milliseconds.
     pub fn tick(&mut self, now: Moment) {
+        self.notice_stall(now);
         self.close_silent_sessions(now);
         self.settle_lost_sessions(now);
         self.place_waiting(now);
@@ -231,6 +237,21 @@
         self.withdraw_overdue_runs(now);
     }
 
+    /// Gives up all open jobs after the process stood still: a caller may have left meanwhile and asked elsewhere, and nothing
+    /// may be started for it any more.
+    pub(crate) fn notice_stall(&mut self, now: Moment) {
+        let gap = now.saturating_sub(self.active_at);
+        self.active_at = now;
+        if gap <= self.timings.stall {
+            return;
+        }
+        let open: Vec<JobNumber> = self.jobs.keys().copied().collect();
+        for number in open {
+            self.counts.stalled += 1;
+            self.give_up(number, JobAnswer::GivenUp);
+        }
+    }
+
     fn find_refusal(&self, request: &JobRequest, now: Moment) -> Option<RefusalCause> {
         if self.is_leaving {
             return Some(RefusalCause::Leaving);
--- a/crates/cloverfold_lease/src/dispatcher/targets.rs
+++ b/crates/cloverfold_lease/src/dispatcher/targets.rs
@@ -106,6 +106,7 @@
 
     /// Ends a session whose link is gone.
     pub fn close_session(&mut self, session: SessionId, now: Moment) {
+        self.notice_stall(now);
         let Some(view) = self.targets.remove(&session) else {
             return;
         };
@@ -136,6 +137,7 @@
 
     /// Takes a message of a runner.
     pub fn receive(&mut self, session: SessionId, message: RunnerMessage, now: Moment) {
+        self.notice_stall(now);
         let Some(view) = self.targets.get_mut(&session) else {
             return;
         };
--- a/crates/cloverfold_lease/src/timings.rs
+++ b/crates/cloverfold_lease/src/timings.rs
@@ -25,6 +25,8 @@
     pub hold_wait: Duration,
     /// How long the answer to a start may take before the start is sent again.
     pub start_timeout: Duration,
+    /// A gap between two calls of a dispatcher from which callers may have left it and asked elsewhere without its knowing.
+    pub stall: Duration,
     /// How long a target may answer nothing before it gets no new work.
     pub silence: Duration,
 }
@@ -39,6 +41,7 @@
             heartbeat: Duration::from_millis(120),
             hold_wait: Duration::from_millis(120),
             start_timeout: Duration::from_millis(60),
+            stall: Duration::from_millis(700),
             silence: Duration::from_millis(350),
         }
     }
--- /dev/null
+++ b/crates/cloverfold_lease/tests/overlap.rs
@@ -0,0 +1,40 @@
+//! Dispatchers, runners and targets in a simulated world of kills, freezes, cuts, late orders and slow clocks: no two runs of
+//! a task are ever at work at the same time, also when a job comes again through another dispatcher.
+
+mod world;
+
+use world::{World, WorldFaults};
+
+const SEEDS: u64 = 60;
+
+#[test]
+fn no_two_runs_of_a_task_overlap_under_any_fault() {
+    let mut done = 0;
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, WorldFaults::all());
+        world.play(20_000);
+        done += world.completed;
+    }
+    assert!(done > 500, "the world does some work: {done} jobs");
+}
+
+#[test]
+fn without_faults_every_job_is_done_once() {
+    let mut world = World::new(1, WorldFaults::none());
+    world.play(10_000);
+    assert!(world.completed > 50, "{}", world.completed);
+    assert_eq!(world.starts, world.tasks_completed, "each task ran once");
+}
+
+#[test]
+fn the_checker_notices_an_overlap() {
+    // A session that outlives the client's pause before it sends again.
+    let outcome = std::panic::catch_unwind(|| {
+        for seed in 0..SEEDS {
+            let mut faults = WorldFaults::all();
+            faults.session_ms = 3_000;
+            World::new(seed, faults).play(20_000);
+        }
+    });
+    assert!(outcome.is_err());
+}
--- /dev/null
+++ b/crates/cloverfold_lease/tests/world/target.rs
@@ -0,0 +1,233 @@
+//! A target as the protocol tells it: runs under one lease, ends listed until they are noted, late orders.
+
+use std::collections::BTreeMap;
+
+use cloverfold_lease::{
+    EndCause, EndedRun, HeldRun, HoldAnswer, HoldOrder, Resources, StartAnswer, StartOrder,
+    StartRefusal, StopOrder, TargetRegistration, TaskId,
+};
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+const CAPACITY: i64 = 16_000;
+const DEMAND: i64 = 1_600;
+
+enum Late {
+    Start(StartOrder),
+    Stop(StopOrder),
+}
+
+pub struct Target {
+    index: usize,
+    rate: f64,
+    life: u64,
+    life_began: u64,
+    pub cut_until: u64,
+    lease: u64,
+    token: u64,
+    sequence: u64,
+    running: BTreeMap<TaskId, (u64, u64)>,
+    ended: Vec<EndedRun>,
+    last_end: u64,
+    highest_run: BTreeMap<TaskId, u64>,
+    late: Vec<(u64, u64, Late)>,
+    started: u64,
+    done: BTreeMap<String, u64>,
+}
+
+impl Target {
+    pub fn new(index: usize, rate: f64) -> Self {
+        Self {
+            index,
+            rate,
+            life: 1,
+            life_began: 0,
+            cut_until: 0,
+            lease: 0,
+            token: 0,
+            sequence: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            last_end: 0,
+            highest_run: BTreeMap::new(),
+            late: Vec::new(),
+            started: 0,
+            done: BTreeMap::new(),
+        }
+    }
+
+    fn clock(&self, now: u64) -> u64 {
+        1_000 + (now as f64 * self.rate) as u64
+    }
+
+    pub fn is_up(&self, now: u64) -> bool {
+        now >= self.life_began && now >= self.cut_until
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = &TaskId> {
+        self.running.keys()
+    }
+
+    pub fn count_done(&self, job: &str) -> u64 {
+        self.done.get(job).copied().unwrap_or(0)
+    }
+
+    pub fn crash(&mut self, now: u64, gap: u64) {
+        self.life += 1;
+        self.life_began = now + gap;
+        self.running.clear();
+        self.ended.clear();
+        self.late.clear();
+        self.highest_run.clear();
+        self.last_end = 0;
+        self.lease = 0;
+        self.token = 0;
+    }
+
+    fn instance(&self) -> String {
+        format!("target-{}-{}", self.index, self.life)
+    }
+
+    pub fn register(&mut self, now: u64) -> TargetRegistration {
+        self.sequence += 1;
+        TargetRegistration {
+            instance: self.instance(),
+            service: "service".into(),
+            address: "127.0.0.1:1".into(),
+            capacity: Resources { cpu_milli: CAPACITY, memory_mb: 32_000, accelerators: 0 },
+            labels: Vec::new(),
+            is_draining: false,
+            clock: Some(self.clock(now)),
+            sequence: self.sequence,
+        }
+    }
+
+    fn end(&mut self, task: &TaskId, cause: EndCause) {
+        if let Some((run, _)) = self.running.remove(task) {
+            self.last_end += 1;
+            self.ended.push(EndedRun { number: self.last_end, task: task.clone(), run, cause });
+        }
+    }
+
+    /// Ends what is done or has lapsed and carries out late orders; returns how many runs began since the last call.
+    pub fn step(&mut self, now: u64) -> u64 {
+        let late = std::mem::take(&mut self.late);
+        for (at, life, order) in late {
+            if life != self.life {
+                continue;
+            }
+            if at > now {
+                self.late.push((at, life, order));
+                continue;
+            }
+            match order {
+                Late::Start(order) => drop(self.do_start(&order, now)),
+                Late::Stop(order) => self.do_stop(&order),
+            }
+        }
+        let tasks: Vec<(TaskId, u64)> =
+            self.running.iter().map(|(task, (_, ends_at))| (task.clone(), *ends_at)).collect();
+        let has_lapsed = self.clock(now) > self.lease;
+        for (task, ends_at) in tasks {
+            if ends_at <= now {
+                *self.done.entry(task.job.clone()).or_default() += 1;
+                self.end(&task, EndCause::Done);
+            } else if has_lapsed {
+                self.end(&task, EndCause::Lapsed);
+            }
+        }
+        std::mem::take(&mut self.started)
+    }
+
+    fn is_reached(&self, instance: &str, now: u64) -> bool {
+        self.is_up(now) && instance == self.instance()
+    }
+
+    pub fn start(
+        &mut self,
+        order: &StartOrder,
+        now: u64,
+        is_late: bool,
+        rng: &mut SmallRng,
+    ) -> StartAnswer {
+        if !self.is_reached(&order.instance, now) {
+            return StartAnswer::Unanswered;
+        }
+        if is_late {
+            let at = now + rng.random_range(200..12_000);
+            self.late.push((at, self.life, Late::Start(order.clone())));
+            return StartAnswer::Unanswered;
+        }
+        self.do_start(order, now)
+    }
+
+    fn do_start(&mut self, order: &StartOrder, now: u64) -> StartAnswer {
+        let clock = self.clock(now);
+        let refused = |refusal| StartAnswer::Refused(refusal, Some(clock));
+        if order.token < self.token {
+            return refused(StartRefusal::Fenced);
+        }
+        self.token = order.token;
+        if order.deadline <= clock {
+            return refused(StartRefusal::Late);
+        }
+        self.lease = self.lease.max(order.deadline);
+        if self.running.get(&order.task).is_some_and(|(run, _)| *run == order.run) {
+            return StartAnswer::Started { clock };
+        }
+        if self.highest_run.get(&order.task).is_some_and(|highest| order.run <= *highest) {
+            return refused(StartRefusal::Stale);
+        }
+        if (self.running.len() as i64 + 1) * DEMAND > CAPACITY {
+            return refused(StartRefusal::NoRoom);
+        }
+        let work: u64 = order.spec.parse().unwrap();
+        self.highest_run.insert(order.task.clone(), order.run);
+        self.running.insert(order.task.clone(), (order.run, now + work));
+        self.started += 1;
+        StartAnswer::Started { clock }
+    }
+
+    pub fn stop(&mut self, order: &StopOrder, now: u64, is_late: bool, rng: &mut SmallRng) {
+        if !self.is_reached(&order.instance, now) {
+            return;
+        }
+        if is_late {
+            let at = now + rng.random_range(200..12_000);
+            self.late.push((at, self.life, Late::Stop(order.clone())));
+            return;
+        }
+        self.do_stop(order);
+    }
+
+    fn do_stop(&mut self, order: &StopOrder) {
+        if order.token < self.token {
+            return;
+        }
+        if self.running.get(&order.task).is_some_and(|(run, _)| *run == order.run) {
+            self.end(&order.task, EndCause::Stopped);
+        }
+    }
+
+    pub fn hold(&mut self, order: &HoldOrder, now: u64, is_late: bool) -> HoldAnswer {
+        if !self.is_reached(&order.instance, now) || is_late {
+            return HoldAnswer::Unanswered;
+        }
+        if order.token < self.token {
+            return HoldAnswer::Fenced;
+        }
+        self.token = order.token;
+        self.ended.retain(|end| end.number > order.last_noted);
+        if let Some(deadline) = order.deadline {
+            self.lease = self.lease.max(deadline);
+        }
+        let running = self.running.iter();
+        HoldAnswer::Listed {
+            clock: self.clock(now),
+            running: running
+                .map(|(task, (run, _))| HeldRun { task: task.clone(), run: *run })
+                .collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
