--- a/crates/cloverfold_lease/src/runner/orders.rs
+++ b/crates/cloverfold_lease/src/runner/orders.rs
@@ -46,6 +46,8 @@
     pub token: u64,
     /// How many times this start was sent, this one included.
     pub attempt: u32,
+    /// How long its answer is waited for.
+    pub limit: Duration,
 }
 
 /// Stop a run.
@@ -61,6 +63,8 @@
     pub run: u64,
     /// Refused if the target has seen a higher one.
     pub token: u64,
+    /// How long its answer is waited for.
+    pub limit: Duration,
 }
 
 /// Renew the lease, note ends, and tell what runs.
@@ -78,6 +82,8 @@
     pub last_noted: u64,
     /// How long the answer may wait for an end.
     pub wait: Duration,
+    /// How long the answer is waited for in all.
+    pub limit: Duration,
     /// When it was sent.
     pub sent_at: Moment,
 }
--- a/crates/cloverfold_lease/src/runner/target.rs
+++ b/crates/cloverfold_lease/src/runner/target.rs
@@ -171,8 +171,10 @@
     /// An unclean target gets no longer lease, so that what nobody vouches for may lapse.
     pub fn plan_hold(&mut self, now: Moment) -> Option<HoldOrder> {
         let lease = self.timings.lease;
+        let slack = self.timings.answer_slack;
         let wait = self.timings.hold_wait;
         let target = self.target.as_mut()?;
+        let wait = if target.is_clean { wait } else { Duration::ZERO };
         let deadline = target.next_deadline(now, lease).filter(|_| target.is_clean);
         target.latest_deadline = target.latest_deadline.max(deadline.unwrap_or_default());
         Some(HoldOrder {
@@ -181,7 +183,8 @@
             deadline,
             token: target.token,
             last_noted: target.last_noted,
-            wait: if target.is_clean { wait } else { Duration::ZERO },
+            wait,
+            limit: wait + slack,
             sent_at: now,
         })
     }
@@ -341,6 +344,7 @@
             deadline,
             token: target.token,
             attempt,
+            limit: self.timings.order_timeout,
             task,
         };
         self.actions.push(RunnerAction::Start(order));
@@ -356,6 +360,7 @@
             task,
             run,
             token: target.token,
+            limit: self.timings.order_timeout,
         };
         self.actions.push(RunnerAction::Stop(order));
     }
--- a/crates/cloverfold_lease/src/timings.rs
+++ b/crates/cloverfold_lease/src/timings.rs
@@ -23,6 +23,10 @@
     pub heartbeat: Duration,
     /// How long a hold waits at the target for an end.
     pub hold_wait: Duration,
+    /// How long the answer to an order may take beyond the time that it may wait.
+    pub answer_slack: Duration,
+    /// How long the answer to a start or a stop is waited for at all.
+    pub order_timeout: Duration,
     /// How long the answer to a start may take before the start is sent again.
     pub start_timeout: Duration,
     /// A gap between two calls of a dispatcher from which callers may have left it and asked elsewhere without its knowing.
@@ -39,10 +43,12 @@
             stop: Duration::from_millis(50),
             clock_drift_permille: 20,
             heartbeat: Duration::from_millis(120),
-            hold_wait: Duration::from_millis(120),
-            start_timeout: Duration::from_millis(60),
+            hold_wait: Duration::from_millis(40),
+            answer_slack: Duration::from_millis(30),
+            order_timeout: Duration::from_millis(300),
+            start_timeout: Duration::from_millis(20),
             stall: Duration::from_millis(700),
-            silence: Duration::from_millis(350),
+            silence: Duration::from_millis(430),
         }
     }
 }
