--- a/crates/cloverfold/src/bin/cloverfold-guard.rs
+++ b/crates/cloverfold/src/bin/cloverfold-guard.rs
@@ -6,7 +6,7 @@
 use argh::FromArgs;
 use cloverfold_app::start_logging;
 use cloverfold_platform::Platform;
-use cloverfold_process::{start_guard, start_leased_runtime, wait_for_stop_signal};
+use cloverfold_process::{SettingsWatch, start_guard, start_leased_runtime};
 use cloverfold_runner::start_leased_guard;
 use cloverfold_settings::{GuardSettings, LeasedGuardSettings};
 use eyre::{Result, WrapErr};
@@ -52,7 +52,9 @@
     start_logging(&settings.log)?;
     start_leased_runtime()?.block_on(async {
         let process = start_leased_guard(&settings, Arc::new(Platform::default()))?;
-        wait_for_stop_signal(file).await?;
+        let watch = SettingsWatch::start(file)?;
+        let take = |settings| process.reload(&settings);
+        watch.run_until_stop(LeasedGuardSettings::read, take).await;
         process.stop().await;
         Ok(())
     })
--- a/crates/cloverfold/src/bin/cloverfold/check.rs
+++ b/crates/cloverfold/src/bin/cloverfold/check.rs
@@ -3,7 +3,10 @@
 use std::path::{Path, PathBuf};
 
 use argh::{FromArgValue, FromArgs};
-use cloverfold_settings::{CellSettings, EntrySettings, GuardSettings, read_settings};
+use cloverfold_settings::{
+    CellSettings, ControlSettings, EntrySettings, GuardSettings, LeasedEntrySettings,
+    LeasedGuardSettings, read_settings,
+};
 use eyre::{Result, bail};
 
 /// Check a settings file, and the cell's file that it names.
@@ -13,7 +16,7 @@
     /// settings file, JSON with comments
     #[argh(positional)]
     file: PathBuf,
-    /// what the file is for: cell, entry or guard; read off its fields where left out
+    /// what the file is for: cell, control, entry, guard, leased-entry or leased-guard; read off its fields where left out
     #[argh(option)]
     role: Option<Role>,
 }
@@ -21,17 +24,23 @@
 #[derive(Clone, Copy)]
 enum Role {
     Cell,
+    Control,
     Entry,
     Guard,
+    LeasedEntry,
+    LeasedGuard,
 }
 
 impl FromArgValue for Role {
     fn from_arg_value(value: &str) -> Result<Self, String> {
         match value {
             "cell" => Ok(Self::Cell),
+            "control" => Ok(Self::Control),
             "entry" => Ok(Self::Entry),
             "guard" => Ok(Self::Guard),
-            _ => Err("must be cell, entry or guard".into()),
+            "leased-entry" => Ok(Self::LeasedEntry),
+            "leased-guard" => Ok(Self::LeasedGuard),
+            _ => Err("must be cell, control, entry, guard, leased-entry or leased-guard".into()),
         }
     }
 }
@@ -44,6 +53,9 @@
         };
         match role {
             Role::Cell => check_cell(&self.file)?,
+            Role::Control => drop(ControlSettings::read(&self.file)?),
+            Role::LeasedEntry => drop(LeasedEntrySettings::read(&self.file)?),
+            Role::LeasedGuard => drop(LeasedGuardSettings::read(&self.file)?),
             Role::Entry => check_cell(&EntrySettings::read(&self.file)?.cell)?,
             Role::Guard => {
                 let settings = GuardSettings::read(&self.file)?;
@@ -71,7 +83,13 @@
 fn guess_role(file: &Path) -> Result<Role> {
     let text = std::fs::read_to_string(file)?;
     let has = |field: &str| text.contains(&format!("\"{field}\""));
-    if has("guards") {
+    if has("operator_address") {
+        Ok(Role::Control)
+    } else if has("client_address") {
+        Ok(Role::LeasedEntry)
+    } else if has("registration_address") {
+        Ok(Role::LeasedGuard)
+    } else if has("guards") {
         Ok(Role::Cell)
     } else if has("target") {
         Ok(Role::Guard)
--- a/crates/cloverfold/src/bin/cloverfold/leased.rs
+++ b/crates/cloverfold/src/bin/cloverfold/leased.rs
@@ -8,7 +8,7 @@
 use cloverfold_control::start_control;
 use cloverfold_gateway::start_gateway;
 use cloverfold_platform::Platform;
-use cloverfold_process::{start_leased_runtime, wait_for_stop_signal};
+use cloverfold_process::{SettingsWatch, start_leased_runtime};
 use cloverfold_settings::{ControlSettings, LeasedEntrySettings};
 use eyre::Result;
 
@@ -27,7 +27,9 @@
         start_logging(&settings.log)?;
         start_leased_runtime()?.block_on(async {
             let process = start_gateway(&settings, Arc::new(Platform::default()))?;
-            wait_for_stop_signal(&self.settings).await?;
+            let watch = SettingsWatch::start(&self.settings)?;
+            let take = |settings| process.reload(&settings);
+            watch.run_until_stop(LeasedEntrySettings::read, take).await;
             process.stop().await;
             Ok(())
         })
@@ -49,7 +51,9 @@
         start_logging(&settings.log)?;
         start_leased_runtime()?.block_on(async {
             let process = start_control(&settings, Arc::new(Platform::default()))?;
-            wait_for_stop_signal(&self.settings).await?;
+            let watch = SettingsWatch::start(&self.settings)?;
+            let take = |settings| process.reload(&settings);
+            watch.run_until_stop(ControlSettings::read, take).await;
             process.stop().await;
             Ok(())
         })
--- a/crates/cloverfold/src/bin/cloverfold/main.rs
+++ b/crates/cloverfold/src/bin/cloverfold/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod entry;
+mod installation;
 mod keys;
 mod leased;
 mod operator;
@@ -21,6 +22,7 @@
 #[argh(subcommand)]
 enum Command {
     Check(check::Check),
+    Configuration(installation::ConfigurationCommand),
     Control(leased::ControlCommand),
     Entry(entry::Entry),
     Found(operator::Found),
@@ -36,6 +38,7 @@
     let args: Args = argh::from_env();
     match args.command {
         Command::Check(command) => command.run(),
+        Command::Configuration(command) => command.run(),
         Command::Control(command) => command.run(),
         Command::Entry(command) => command.run(),
         Command::Found(command) => command.run(),
--- a/crates/cloverfold_app/src/bounded_log.rs
+++ b/crates/cloverfold_app/src/bounded_log.rs
@@ -9,9 +9,9 @@
 use cloverfold_settings::LogStream;
 use log::Record;
 use log4rs::append::Append;
+use log4rs::encode::Encode;
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::writer::simple::SimpleWriter;
-use log4rs::encode::Encode;
 
 /// Lines that may wait to be written.
 const QUEUE: usize = 2_048;
--- a/crates/cloverfold_configuration/src/configuration.rs
+++ b/crates/cloverfold_configuration/src/configuration.rs
@@ -119,7 +119,8 @@
                 });
             }
             let is_twin = |other: &&Route| {
-                other.path_prefix == route.path_prefix && other.host.eq_ignore_ascii_case(&route.host)
+                other.path_prefix == route.path_prefix
+                    && other.host.eq_ignore_ascii_case(&route.host)
             };
             if let Some(twin) = self.routes[..index].iter().find(is_twin) {
                 faults.push(ConfigurationFault::SamePlace {
--- a/crates/cloverfold_configuration/src/lib.rs
+++ b/crates/cloverfold_configuration/src/lib.rs
@@ -7,6 +7,8 @@
 mod format;
 mod state;
 
-pub use configuration::{Configuration, ConfigurationFault, Route, Service, TrafficLimits, Version};
+pub use configuration::{
+    Configuration, ConfigurationFault, Route, Service, TrafficLimits, Version,
+};
 pub use format::ConfigurationFormat;
 pub use state::{AuditRecord, ConfigurationState, Offer, OfferOutcome, StoredConfiguration};
--- a/crates/cloverfold_consensus/src/lib.rs
+++ b/crates/cloverfold_consensus/src/lib.rs
@@ -19,7 +19,5 @@
 pub use log_entries::{Entry, LogIndex, Payload, Snapshot, Term};
 pub use membership::{Member, Members, ReplicaId};
 pub use messages::{Append, AppendReply, InstallSnapshot, Message, Vote, VoteReply};
-pub use replica::{
-    Outgoing, ProposeError, Ready, Replica, ReplicaConfig, ReplicaStatus, Role,
-};
+pub use replica::{Outgoing, ProposeError, Ready, Replica, ReplicaConfig, ReplicaStatus, Role};
 pub use store::{Record, RecoveredState, Store, StoreError};
--- a/crates/cloverfold_consensus/src/log_entries.rs
+++ b/crates/cloverfold_consensus/src/log_entries.rs
@@ -62,11 +62,15 @@
     }
 
     pub(crate) fn last_index(&self) -> LogIndex {
-        self.entries.back().map_or(self.snapshot.index, |entry| entry.index)
+        self.entries
+            .back()
+            .map_or(self.snapshot.index, |entry| entry.index)
     }
 
     pub(crate) fn last_term(&self) -> Term {
-        self.entries.back().map_or(self.snapshot.term, |entry| entry.term)
+        self.entries
+            .back()
+            .map_or(self.snapshot.term, |entry| entry.term)
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -89,7 +93,12 @@
     /// Returns entries after `index`, `most` at the most.
     pub(crate) fn after(&self, index: LogIndex, most: usize) -> Vec<Entry> {
         let offset = index.saturating_sub(self.snapshot.index) as usize;
-        self.entries.iter().skip(offset).take(most).cloned().collect()
+        self.entries
+            .iter()
+            .skip(offset)
+            .take(most)
+            .cloned()
+            .collect()
     }
 
     pub(crate) fn push(&mut self, entry: Entry) {
@@ -105,7 +114,11 @@
 
     /// Replaces the entries up to the snapshot's place by it.
     pub(crate) fn compact(&mut self, snapshot: Snapshot) {
-        while self.entries.front().is_some_and(|entry| entry.index <= snapshot.index) {
+        while self
+            .entries
+            .front()
+            .is_some_and(|entry| entry.index <= snapshot.index)
+        {
             self.entries.pop_front();
         }
         self.snapshot = snapshot;
@@ -119,10 +132,14 @@
 
     /// Returns the newest members in the log, committed or not, and where they stand.
     pub(crate) fn newest_members(&self) -> (LogIndex, &Members) {
-        let newest = self.entries.iter().rev().find_map(|entry| match &entry.payload {
-            Payload::Members(members) => Some((entry.index, members)),
-            _ => None,
-        });
+        let newest = self
+            .entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.payload {
+                Payload::Members(members) => Some((entry.index, members)),
+                _ => None,
+            });
         newest.unwrap_or((self.snapshot.index, &self.snapshot.members))
     }
 
--- a/crates/cloverfold_consensus/src/replica/election.rs
+++ b/crates/cloverfold_consensus/src/replica/election.rs
@@ -43,12 +43,15 @@
 
     pub(super) fn other_voters(&self) -> Vec<ReplicaId> {
         let voters = self.members().voters.iter();
-        voters.map(|member| member.id).filter(|&id| id != self.id).collect()
+        voters
+            .map(|member| member.id)
+            .filter(|&id| id != self.id)
+            .collect()
     }
 
     pub(super) fn take_vote(&mut self, from: ReplicaId, vote: &Vote, now: Moment) {
-        let is_current = (vote.last_term, vote.last_index)
-            >= (self.log.last_term(), self.log.last_index());
+        let is_current =
+            (vote.last_term, vote.last_index) >= (self.log.last_term(), self.log.last_index());
         if vote.is_trial {
             let has_leader = self.has_recent_leader(now);
             let is_granted = vote.term > self.term && is_current && !has_leader;
@@ -64,7 +67,8 @@
             self.follow(vote.term, None, now);
         }
         let may_vote = self.voted_for.is_none_or(|held| held == from);
-        let is_granted = vote.term == self.term && is_current && may_vote && self.role == Role::Follower;
+        let is_granted =
+            vote.term == self.term && is_current && may_vote && self.role == Role::Follower;
         if is_granted {
             self.voted_for = Some(from);
             self.write_hard_state();
@@ -80,7 +84,10 @@
 
     fn has_recent_leader(&self, now: Moment) -> bool {
         let is_leading = self.role == Role::Leader;
-        is_leading || self.heard_leader_at.is_some_and(|at| now < at + self.config.election_min)
+        is_leading
+            || self
+                .heard_leader_at
+                .is_some_and(|at| now < at + self.config.election_min)
     }
 
     pub(super) fn take_vote_reply(&mut self, from: ReplicaId, reply: &VoteReply, now: Moment) {
@@ -103,7 +110,11 @@
 
     fn count_votes(&mut self, now: Moment) {
         let members = self.members();
-        let votes = self.votes.iter().filter(|&&id| members.contains(id)).count();
+        let votes = self
+            .votes
+            .iter()
+            .filter(|&&id| members.contains(id))
+            .count();
         if votes < members.majority() {
             return;
         }
--- a/crates/cloverfold_consensus/src/replica/mod.rs
+++ b/crates/cloverfold_consensus/src/replica/mod.rs
@@ -302,7 +302,9 @@
         self.log.compact(snapshot.clone());
         self.ready.records.push(Record::Snapshot(snapshot));
         let kept: Vec<Entry> = self.log.entries().cloned().collect();
-        self.ready.records.extend(kept.into_iter().map(Record::Entry));
+        self.ready
+            .records
+            .extend(kept.into_iter().map(Record::Entry));
     }
 
     /// Returns how the replica stands.
--- a/crates/cloverfold_consensus/src/replica/reads.rs
+++ b/crates/cloverfold_consensus/src/replica/reads.rs
@@ -35,19 +35,26 @@
         let is_proved = |read: &PendingRead| {
             let acked = members.voters.iter().filter(|member| {
                 member.id == self.id
-                    || self.progress.get(&member.id).is_some_and(|p| p.acked_round >= read.round)
+                    || self
+                        .progress
+                        .get(&member.id)
+                        .is_some_and(|p| p.acked_round >= read.round)
             });
             acked.count() >= majority
         };
         let (proved, open): (Vec<_>, Vec<_>) = self.reads.iter().copied().partition(is_proved);
         self.reads = open;
-        let answers = proved.into_iter().map(|read| (read.token, Some(read.index)));
+        let answers = proved
+            .into_iter()
+            .map(|read| (read.token, Some(read.index)));
         self.ready.reads.extend(answers);
     }
 
     pub(super) fn fail_reads(&mut self) {
         let failed = std::mem::take(&mut self.reads).into_iter();
-        self.ready.reads.extend(failed.map(|read| (read.token, None)));
+        self.ready
+            .reads
+            .extend(failed.map(|read| (read.token, None)));
     }
 
     /// Counts the voters, this one included, that were heard of within `span`.
--- a/crates/cloverfold_consensus/src/replica/replication.rs
+++ b/crates/cloverfold_consensus/src/replica/replication.rs
@@ -100,7 +100,10 @@
         let Some(progress) = self.progress.get_mut(&id) else {
             return;
         };
-        if progress.snapshot_sent_at.is_some_and(|at| now < at + SNAPSHOT_PATIENCE) {
+        if progress
+            .snapshot_sent_at
+            .is_some_and(|at| now < at + SNAPSHOT_PATIENCE)
+        {
             return;
         }
         progress.snapshot_sent_at = Some(now);
@@ -237,7 +240,8 @@
         } else {
             progress.next = (reply.index + 1).min(progress.next).max(1);
         }
-        let has_more = progress.next <= last && (!reply.is_matching || progress.matching + 1 == progress.next);
+        let has_more =
+            progress.next <= last && (!reply.is_matching || progress.matching + 1 == progress.next);
         if has_more {
             self.send_entries(from, now);
         }
@@ -258,7 +262,11 @@
             })
             .collect();
         places.sort_unstable();
-        let Some(&place) = places.len().checked_sub(members.majority()).and_then(|i| places.get(i)) else {
+        let Some(&place) = places
+            .len()
+            .checked_sub(members.majority())
+            .and_then(|i| places.get(i))
+        else {
             return;
         };
         if place <= self.commit || self.log.term_at(place) != Some(self.term) {
--- a/crates/cloverfold_consensus/src/replica/roster.rs
+++ b/crates/cloverfold_consensus/src/replica/roster.rs
@@ -13,7 +13,8 @@
         if member.id == self.id {
             return;
         }
-        self.listeners.retain(|_, held| held.address != member.address);
+        self.listeners
+            .retain(|_, held| held.address != member.address);
         self.listeners.insert(member.id, member);
         if self.role == Role::Leader {
             self.follow_progress(now);
@@ -70,7 +71,9 @@
             !members.contains(listener.id)
                 && progress.is_some_and(|progress| {
                     let is_heard = progress.heard_at.is_some_and(|at| now < at + span);
-                    is_heard && progress.matching + CAUGHT_UP >= self.commit && progress.matching > 0
+                    is_heard
+                        && progress.matching + CAUGHT_UP >= self.commit
+                        && progress.matching > 0
                 })
         });
         ready.cloned()
--- a/crates/cloverfold_consensus/tests/group.rs
+++ b/crates/cloverfold_consensus/tests/group.rs
@@ -1,6 +1,8 @@
 //! A group of replicas under random schedules: messages lost, repeated and reordered, crashes at every sync point, disks
 //! lost within what is tolerated, cuts, and members replaced.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -71,9 +73,18 @@
         for index in 0..size {
             group.add_box(index);
         }
-        let voters = group.boxes.iter().map(|held| Member { id: held.id, address: held.address });
-        let members = Members { voters: voters.collect() };
-        group.boxes[0].process.as_mut().unwrap().found(members, Vec::new());
+        let voters = group.boxes.iter().map(|held| Member {
+            id: held.id,
+            address: held.address,
+        });
+        let members = Members {
+            voters: voters.collect(),
+        };
+        group.boxes[0]
+            .process
+            .as_mut()
+            .unwrap()
+            .found(members, Vec::new());
         group.settle(0);
         // A founder that dies before this founds anew; that is the process's part.
         group.sync(0);
@@ -99,22 +110,40 @@
 
     fn start(&mut self, place: usize) {
         let held = &mut self.boxes[place];
-        let config = ReplicaConfig { keep_entries: 8, batch: 3, ..ReplicaConfig::default() };
+        let config = ReplicaConfig {
+            keep_entries: 8,
+            batch: 3,
+            ..ReplicaConfig::default()
+        };
         let state = recover(&held.synced);
         self.next_seed += 1;
         held.applied.clear();
-        held.process = Some(Replica::new(held.id, config, state, self.next_seed, self.now));
+        held.process = Some(Replica::new(
+            held.id,
+            config,
+            state,
+            self.next_seed,
+            self.now,
+        ));
         self.settle(place);
         self.meet(place);
     }
 
     /// Lets a process that starts greet the others, and they it.
     fn meet(&mut self, place: usize) {
-        let known: Vec<Member> =
-            self.boxes.iter().map(|held| Member { id: held.id, address: held.address }).collect();
+        let known: Vec<Member> = self
+            .boxes
+            .iter()
+            .map(|held| Member {
+                id: held.id,
+                address: held.address,
+            })
+            .collect();
         let newcomer = known[place].clone();
         for (index, held) in self.boxes.iter_mut().enumerate() {
-            let Some(process) = &mut held.process else { continue };
+            let Some(process) = &mut held.process else {
+                continue;
+            };
             if index == place {
                 for member in &known {
                     process.add_listener(member.clone(), self.now);
@@ -135,7 +164,8 @@
         held.unsynced.clear();
         held.held.clear();
         let id = held.id;
-        self.network.retain(|(from, to, _)| *from != id && *to != id);
+        self.network
+            .retain(|(from, to, _)| *from != id && *to != id);
         for other in &mut self.boxes {
             if let Some(process) = &mut other.process {
                 process.remove_listener(id, self.now);
@@ -162,7 +192,9 @@
     fn settle(&mut self, place: usize) {
         let now = self.now;
         let held = &mut self.boxes[place];
-        let Some(process) = &mut held.process else { return };
+        let Some(process) = &mut held.process else {
+            return;
+        };
         let ready = process.take_ready();
         let status = process.status();
         if let Some(batch) = ready.batch {
@@ -180,9 +212,21 @@
             held.applied.retain(|(applied, _, _)| *applied <= index);
         }
         let mut last = 0;
-        for Entry { index, term, payload } in ready.committed {
-            let first = self.committed.entry(index).or_insert((term, payload.clone()));
-            assert_eq!(*first, (term, payload.clone()), "place {index} was committed otherwise");
+        for Entry {
+            index,
+            term,
+            payload,
+        } in ready.committed
+        {
+            let first = self
+                .committed
+                .entry(index)
+                .or_insert((term, payload.clone()));
+            assert_eq!(
+                *first,
+                (term, payload.clone()),
+                "place {index} was committed otherwise"
+            );
             held.applied.push((index, term, payload));
             last = index;
         }
@@ -191,9 +235,14 @@
             process.offer_snapshot(last, || last.to_le_bytes().to_vec());
         }
         for (token, index) in ready.reads {
-            let Some(at_least) = self.reads.remove(&token) else { continue };
+            let Some(at_least) = self.reads.remove(&token) else {
+                continue;
+            };
             if let Some(index) = index {
-                assert!(index >= at_least, "a read of place {index} after {at_least} was acknowledged");
+                assert!(
+                    index >= at_least,
+                    "a read of place {index} after {at_least} was acknowledged"
+                );
             }
         }
         if status.role == Role::Leader {
@@ -217,7 +266,10 @@
         let later = held.held.split_off(&(batch + 1));
         let due = std::mem::replace(&mut held.held, later);
         let id = held.id;
-        let sent = due.into_values().flatten().map(|outgoing| (id, outgoing.to, outgoing.message));
+        let sent = due
+            .into_values()
+            .flatten()
+            .map(|outgoing| (id, outgoing.to, outgoing.message));
         self.network.extend(sent);
         held.process.as_mut().unwrap().persisted(batch, self.now);
         self.settle(place);
@@ -228,8 +280,11 @@
             return;
         }
         let number = number % self.network.len();
-        let (from, to, message) =
-            if is_kept { self.network[number].clone() } else { self.network.remove(number) };
+        let (from, to, message) = if is_kept {
+            self.network[number].clone()
+        } else {
+            self.network.remove(number)
+        };
         let (Some(sender), Some(receiver)) = (self.place_of(from), self.place_of(to)) else {
             return;
         };
@@ -308,7 +363,10 @@
 #[derive(Clone, Debug)]
 enum Step {
     /// Time passes; some messages arrive, and the disks of some boxes (one bit each) sync.
-    Round { deliveries: usize, syncing: u8 },
+    Round {
+        deliveries: usize,
+        syncing: u8,
+    },
     Repeat(usize),
     Lose(usize),
     Propose(usize),
@@ -339,7 +397,10 @@
     for step in schedule {
         let size = group.boxes.len();
         match step {
-            Step::Round { deliveries, syncing } => {
+            Step::Round {
+                deliveries,
+                syncing,
+            } => {
                 group.tick_all();
                 for number in 0..deliveries {
                     group.deliver(number * 7, false);
@@ -370,14 +431,21 @@
 
 /// The same schedules in every run.
 fn runner(cases: u32) -> proptest::test_runner::TestRunner {
-    let config = ProptestConfig { cases, failure_persistence: None, ..ProptestConfig::default() };
+    let config = ProptestConfig {
+        cases,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     proptest::test_runner::TestRunner::new_with_rng(config, rng)
 }
 
 #[test]
 fn nothing_committed_changes_and_the_group_always_recovers() {
-    let schedules = (prop_oneof![Just(3_usize), Just(5)], prop::collection::vec(steps(), 100..500));
+    let schedules = (
+        prop_oneof![Just(3_usize), Just(5)],
+        prop::collection::vec(steps(), 100..500),
+    );
     runner(300)
         .run(&schedules, |(size, schedule)| {
             let mut group = Group::found(size);
@@ -401,10 +469,16 @@
                 group.wipe(place);
                 play(&mut group, after);
                 prop_assert!(group.recover_all(), "the group commits again");
-                let members = group.boxes[place].process.as_ref().unwrap().members().clone();
+                let members = group.boxes[place]
+                    .process
+                    .as_ref()
+                    .unwrap()
+                    .members()
+                    .clone();
                 let mut ids: Vec<ReplicaId> = group.boxes.iter().map(|held| held.id).collect();
                 ids.sort_unstable();
-                let voters: Vec<ReplicaId> = members.voters.iter().map(|member| member.id).collect();
+                let voters: Vec<ReplicaId> =
+                    members.voters.iter().map(|member| member.id).collect();
                 prop_assert_eq!(voters, ids, "the new replica votes, the lost one does not");
             }
             Ok(())
@@ -439,9 +513,10 @@
         held.process.as_ref().unwrap().status().term
     };
     let term = leader(&group);
-    let cut = group.boxes.iter().position(|held| {
-        held.process.as_ref().unwrap().status().role != Role::Leader
-    });
+    let cut = group
+        .boxes
+        .iter()
+        .position(|held| held.process.as_ref().unwrap().status().role != Role::Leader);
     group.cut = vec![cut.unwrap()];
     for _ in 0..200 {
         group.tick_all();
--- a/crates/cloverfold_consensus/tests/rules.rs
+++ b/crates/cloverfold_consensus/tests/rules.rs
@@ -1,5 +1,7 @@
 //! Single rules of the log, each seen on one replica that is spoken to by hand.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use cloverfold_consensus::{
@@ -15,19 +17,34 @@
         id,
         address: format!("10.0.0.{id}:7000").parse().unwrap(),
     };
-    Members { voters: vec![member(1), member(2), member(3)] }
+    Members {
+        voters: vec![member(1), member(2), member(3)],
+    }
 }
 
 fn entry(index: LogIndex, term: Term) -> Entry {
-    Entry { index, term, payload: Payload::Command(vec![term as u8]) }
+    Entry {
+        index,
+        term,
+        payload: Payload::Command(vec![term as u8]),
+    }
 }
 
 /// A replica with a founding snapshot at place 1 and entries of the given terms after it.
 fn replica(term: Term, terms: &[Term]) -> Replica {
-    let entries = terms.iter().zip(2..).map(|(term, index)| entry(index, *term)).collect();
+    let entries = terms
+        .iter()
+        .zip(2..)
+        .map(|(term, index)| entry(index, *term))
+        .collect();
     let state = RecoveredState {
         term,
-        snapshot: Snapshot { index: 1, term: 1, members: members(), state: Vec::new() },
+        snapshot: Snapshot {
+            index: 1,
+            term: 1,
+            members: members(),
+            state: Vec::new(),
+        },
         entries,
         ..RecoveredState::default()
     };
@@ -36,7 +53,12 @@
     replica
 }
 
-fn append(term: Term, previous: (LogIndex, Term), entries: Vec<Entry>, commit: LogIndex) -> Message {
+fn append(
+    term: Term,
+    previous: (LogIndex, Term),
+    entries: Vec<Entry>,
+    commit: LogIndex,
+) -> Message {
     Message::Append(Append {
         term,
         previous_index: previous.0,
@@ -48,22 +70,33 @@
 }
 
 fn vote(term: Term, last: (LogIndex, Term), is_trial: bool) -> Message {
-    Message::Vote(Vote { term, is_trial, last_index: last.0, last_term: last.1 })
+    Message::Vote(Vote {
+        term,
+        is_trial,
+        last_index: last.0,
+        last_term: last.1,
+    })
 }
 
 fn vote_reply(ready: &Ready) -> (&VoteReply, bool) {
-    let found = ready.messages.iter().find_map(|outgoing| match &outgoing.message {
-        Message::VoteReply(reply) => Some((reply, outgoing.after_sync)),
-        _ => None,
-    });
+    let found = ready
+        .messages
+        .iter()
+        .find_map(|outgoing| match &outgoing.message {
+            Message::VoteReply(reply) => Some((reply, outgoing.after_sync)),
+            _ => None,
+        });
     found.expect("a reply to the vote")
 }
 
 fn append_reply(messages: &[Outgoing]) -> &AppendReply {
-    let found = messages.iter().rev().find_map(|outgoing| match &outgoing.message {
-        Message::AppendReply(reply) => Some(reply),
-        _ => None,
-    });
+    let found = messages
+        .iter()
+        .rev()
+        .find_map(|outgoing| match &outgoing.message {
+            Message::AppendReply(reply) => Some(reply),
+            _ => None,
+        });
     found.expect("a reply to the entries")
 }
 
@@ -73,8 +106,17 @@
     replica.tick(now);
     let asked = replica.take_ready();
     let term = replica.status().term + 1;
-    assert!(matches!(asked.messages[0].message, Message::Vote(Vote { is_trial: true, .. })));
-    let granted = |is_trial| Message::VoteReply(VoteReply { term, is_trial, is_granted: true });
+    assert!(matches!(
+        asked.messages[0].message,
+        Message::Vote(Vote { is_trial: true, .. })
+    ));
+    let granted = |is_trial| {
+        Message::VoteReply(VoteReply {
+            term,
+            is_trial,
+            is_granted: true,
+        })
+    };
     replica.receive(2, granted(true), now);
     replica.take_ready();
     replica.receive(2, granted(false), now);
@@ -83,7 +125,12 @@
 }
 
 fn matching(term: Term, index: LogIndex, round: u64) -> Message {
-    Message::AppendReply(AppendReply { term, is_matching: true, index, round })
+    Message::AppendReply(AppendReply {
+        term,
+        is_matching: true,
+        index,
+        round,
+    })
 }
 
 #[test]
@@ -93,7 +140,10 @@
     let first = replica.take_ready();
     let (reply, after_sync) = vote_reply(&first);
     assert!(reply.is_granted);
-    assert!(after_sync && first.batch.is_some(), "the vote is synced before it leaves");
+    assert!(
+        after_sync && first.batch.is_some(),
+        "the vote is synced before it leaves"
+    );
 
     replica.receive(3, vote(4, (2, 3), false), NOW);
 
@@ -102,11 +152,20 @@
 
 #[test]
 fn no_vote_for_a_log_that_lacks_something() {
-    for (last, is_granted) in [((2, 3), true), ((3, 3), true), ((9, 2), false), ((1, 1), false)] {
+    for (last, is_granted) in [
+        ((2, 3), true),
+        ((3, 3), true),
+        ((9, 2), false),
+        ((1, 1), false),
+    ] {
         for is_trial in [true, false] {
             let mut replica = replica(3, &[3]);
             replica.receive(2, vote(4, last, is_trial), NOW);
-            assert_eq!(vote_reply(&replica.take_ready()).0.is_granted, is_granted, "{last:?}");
+            assert_eq!(
+                vote_reply(&replica.take_ready()).0.is_granted,
+                is_granted,
+                "{last:?}"
+            );
         }
     }
 }
@@ -128,7 +187,11 @@
     let mut replica = replica(3, &[3]);
     replica.receive(2, append(3, (2, 3), vec![entry(3, 3), entry(4, 3)], 2), NOW);
     let ready = replica.take_ready();
-    assert_eq!(append_reply(&ready.messages).index, 2, "only what was there before");
+    assert_eq!(
+        append_reply(&ready.messages).index,
+        2,
+        "only what was there before"
+    );
 
     replica.persisted(ready.batch.unwrap(), NOW);
 
@@ -157,7 +220,11 @@
     let second = replica.take_ready();
 
     replica.persisted(first.batch.unwrap(), NOW);
-    assert_eq!(append_reply(&replica.take_ready().messages).index, 2, "the new entry is not synced");
+    assert_eq!(
+        append_reply(&replica.take_ready().messages).index,
+        2,
+        "the new entry is not synced"
+    );
     replica.persisted(second.batch.unwrap(), NOW);
 
     assert_eq!(append_reply(&replica.take_ready().messages).index, 3);
@@ -185,7 +252,11 @@
     let (term, last) = (replica.status().term, replica.status().last_index);
     replica.persisted(ready.batch.unwrap(), NOW);
     replica.receive(2, matching(term, last - 1, 1), NOW);
-    assert_eq!(replica.status().commit, 1, "a majority has them, but none of this term");
+    assert_eq!(
+        replica.status().commit,
+        1,
+        "a majority has them, but none of this term"
+    );
 
     replica.receive(2, matching(term, last, 1), NOW);
 
@@ -223,8 +294,17 @@
 #[test]
 fn a_snapshot_of_what_is_there_drops_no_entry_after_it() {
     let mut replica = replica(3, &[3, 3, 3]);
-    let snapshot = Snapshot { index: 3, term: 3, members: members(), state: vec![1] };
-    let install = InstallSnapshot { term: 3, snapshot, round: 4 };
+    let snapshot = Snapshot {
+        index: 3,
+        term: 3,
+        members: members(),
+        state: vec![1],
+    };
+    let install = InstallSnapshot {
+        term: 3,
+        snapshot,
+        round: 4,
+    };
 
     replica.receive(2, Message::InstallSnapshot(install), NOW);
 
@@ -243,7 +323,10 @@
     replica.receive(2, matching(term, last, 1), NOW);
     replica.take_ready();
     // The disk at the address of replica 3 is another now, and so is that of a further box.
-    let newcomer = |id, at: u8| Member { id, address: format!("10.0.0.{at}:7000").parse().unwrap() };
+    let newcomer = |id, at: u8| Member {
+        id,
+        address: format!("10.0.0.{at}:7000").parse().unwrap(),
+    };
     replica.add_listener(newcomer(33, 3), NOW);
     replica.add_listener(newcomer(44, 4), NOW);
     let mut now = NOW + Duration::from_millis(50);
@@ -257,5 +340,9 @@
     now += Duration::from_millis(50);
     replica.tick(now);
 
-    assert_eq!(replica.members().voters.len(), 2, "the first change is not committed");
+    assert_eq!(
+        replica.members().voters.len(),
+        2,
+        "the first change is not committed"
+    );
 }
--- a/crates/cloverfold_consensus/tests/store.rs
+++ b/crates/cloverfold_consensus/tests/store.rs
@@ -1,5 +1,7 @@
 //! Records survive; torn tails and writes that failed do not count.
 
+#![allow(clippy::unwrap_used)]
+
 use std::fs::OpenOptions;
 use std::io::Write;
 
@@ -22,9 +24,26 @@
     let folder = tempfile::tempdir().unwrap();
     let (mut store, empty) = Store::open(folder.path()).unwrap();
     assert!(empty.identity.is_none());
-    store.append(&[Record::Identity { id: 9, may_found: true }]).unwrap();
-    store.append(&[Record::HardState { term: 4, voted_for: Some(9) }, entry(1), entry(2), entry(3)]).unwrap();
-    store.append(&[Record::Truncate { from: 3 }, entry(3)]).unwrap();
+    store
+        .append(&[Record::Identity {
+            id: 9,
+            may_found: true,
+        }])
+        .unwrap();
+    store
+        .append(&[
+            Record::HardState {
+                term: 4,
+                voted_for: Some(9),
+            },
+            entry(1),
+            entry(2),
+            entry(3),
+        ])
+        .unwrap();
+    store
+        .append(&[Record::Truncate { from: 3 }, entry(3)])
+        .unwrap();
     drop(store);
 
     let (_, state) = Store::open(folder.path()).unwrap();
@@ -47,7 +66,10 @@
 
     for len in sound as usize..whole.len() {
         let mut torn = whole[..len].to_vec();
-        if let Some(last) = torn.get_mut(len.saturating_sub(1)).filter(|_| len > sound as usize) {
+        if let Some(last) = torn
+            .get_mut(len.saturating_sub(1))
+            .filter(|_| len > sound as usize)
+        {
             *last ^= 0x55;
         }
         std::fs::write(&file, &torn).unwrap();
@@ -81,15 +103,29 @@
 fn a_long_file_is_written_anew_and_says_the_same() {
     let folder = tempfile::tempdir().unwrap();
     let (mut store, _) = Store::open(folder.path()).unwrap();
-    store.append(&[Record::Identity { id: 3, may_found: false }]).unwrap();
+    store
+        .append(&[Record::Identity {
+            id: 3,
+            may_found: false,
+        }])
+        .unwrap();
     let state = vec![7; 200_000];
     for index in 1..=60 {
-        let snapshot = Snapshot { index, term: 1, state: state.clone(), ..Snapshot::default() };
-        store.append(&[Record::Snapshot(snapshot), entry(index + 1)]).unwrap();
+        let snapshot = Snapshot {
+            index,
+            term: 1,
+            state: state.clone(),
+            ..Snapshot::default()
+        };
+        store
+            .append(&[Record::Snapshot(snapshot), entry(index + 1)])
+            .unwrap();
     }
     drop(store);
 
-    let len = std::fs::metadata(folder.path().join("replica.log")).unwrap().len();
+    let len = std::fs::metadata(folder.path().join("replica.log"))
+        .unwrap()
+        .len();
     let (_, state) = Store::open(folder.path()).unwrap();
 
     assert!(len < 6 * 1024 * 1024, "{len} bytes");
@@ -105,7 +141,11 @@
     store.append(&[entry(1)]).unwrap();
     drop(store);
     let mut options = OpenOptions::new();
-    let mut rest = options.create(true).append(true).open(folder.path().join("replica.log.new")).unwrap();
+    let mut rest = options
+        .create(true)
+        .append(true)
+        .open(folder.path().join("replica.log.new"))
+        .unwrap();
     rest.write_all(b"half a record").unwrap();
 
     let (_, state) = Store::open(folder.path()).unwrap();
--- a/crates/cloverfold_control/src/core.rs
+++ b/crates/cloverfold_control/src/core.rs
@@ -110,11 +110,16 @@
 
     /// Dials the seeds and takes up the state on disk.
     pub(crate) fn begin(&mut self, seeds: &[SocketAddr]) {
+        self.dial_seeds(seeds);
+        self.advance();
+    }
+
+    /// Dials further seeds; those of earlier settings are kept.
+    pub(crate) fn dial_seeds(&mut self, seeds: &[SocketAddr]) {
         for seed in seeds {
             self.controls.insert(*seed);
             self.dialed.add(*seed);
         }
-        self.advance();
     }
 
     pub(crate) fn follow_version(&self) -> watch::Receiver<Version> {
@@ -162,11 +167,26 @@
             "last_index": status.last_index,
             "commit": status.commit,
             "version": self.state.version(),
-            "entries": self.entries.keys().collect::<Vec<_>>(),
-            "links": self.links.len(),
+            "processes": self.describe_processes(),
         })
     }
 
+    /// Describes the processes in touch, each once, with the version in force there.
+    fn describe_processes(&self) -> Vec<serde_json::Value> {
+        let hellos = self.links.values().filter_map(|link| link.hello.as_ref());
+        let by_name: BTreeMap<&str, &Hello> =
+            hellos.map(|hello| (hello.name.as_str(), hello)).collect();
+        let describe = |hello: &Hello| {
+            let role = match hello.role {
+                PeerRole::Entry => "entry",
+                PeerRole::Guard => "guard",
+                PeerRole::Control { .. } => "control",
+            };
+            json!({ "name": hello.name, "role": role, "address": hello.address, "version": hello.version })
+        };
+        by_name.into_values().map(describe).collect()
+    }
+
     /// Appends an offer if this process leads, and passes it to the leader otherwise.
     pub(crate) fn offer(&mut self, offer: &Offer) {
         let version = offer.configuration.version;
@@ -177,7 +197,10 @@
             }
             return;
         }
-        let is_under_way = self.offered.get(&version).is_some_and(|&index| index > status.commit);
+        let is_under_way = self
+            .offered
+            .get(&version)
+            .is_some_and(|&index| index > status.commit);
         if version <= self.state.version() || is_under_way {
             return;
         }
@@ -286,7 +309,14 @@
                 self.own.role = self.own_role();
                 sender.send(&PeerMessage::Hello(self.own.clone()));
                 let hello = None;
-                self.links.insert(link, Link { sender, dialed, hello });
+                self.links.insert(
+                    link,
+                    Link {
+                        sender,
+                        dialed,
+                        hello,
+                    },
+                );
             }
             LinkEvent::Received { link, message } => self.receive(link, message),
             LinkEvent::Closed { link } => self.link_closed(link),
@@ -326,9 +356,17 @@
                 self.replica.begin_read(own, now);
             }
             PeerMessage::ReadReply { token, index } => self.finish_read(token, index),
+            PeerMessage::Holding { version, .. } => {
+                let held = self
+                    .links
+                    .get_mut(&link)
+                    .and_then(|held| held.hello.as_mut());
+                if let Some(hello) = held {
+                    hello.version = version;
+                }
+            }
             PeerMessage::ToRunner(_)
             | PeerMessage::ToDispatcher(_)
-            | PeerMessage::Holding { .. }
             | PeerMessage::Configuration(_)
             | PeerMessage::Directory(_)
             | PeerMessage::Invite { .. } => {}
@@ -360,7 +398,13 @@
                 if dialed {
                     self.replica_links.insert(replica, link);
                     self.replica.link_renewed(replica);
-                    self.replica.add_listener(Member { id: replica, address }, now);
+                    self.replica.add_listener(
+                        Member {
+                            id: replica,
+                            address,
+                        },
+                        now,
+                    );
                 }
             }
             PeerRole::Entry => {
@@ -390,7 +434,9 @@
         };
         log::info!(peer = hello.name.as_str(), link; "a peer is out of touch");
         match hello.role {
-            PeerRole::Control { replica, .. } if self.replica_links.get(&replica) == Some(&link) => {
+            PeerRole::Control { replica, .. }
+                if self.replica_links.get(&replica) == Some(&link) =>
+            {
                 self.replica_links.remove(&replica);
                 self.replica.remove_listener(replica, now);
             }
@@ -416,7 +462,12 @@
     /// Lists the voters first, then whoever else keeps the log, then the seeds.
     fn list_controls(&self) -> Vec<SocketAddr> {
         let mut controls: Vec<SocketAddr> = Vec::new();
-        let voters = self.replica.members().voters.iter().map(|member| member.address);
+        let voters = self
+            .replica
+            .members()
+            .voters
+            .iter()
+            .map(|member| member.address);
         let linked = self.links.values().filter_map(|link| link.hello.as_ref());
         let linked = linked.filter(|hello| matches!(hello.role, PeerRole::Control { .. }));
         let linked = linked.map(|hello| hello.address);
@@ -430,7 +481,9 @@
     }
 
     fn send(&self, link: LinkId, message: &PeerMessage) -> bool {
-        self.links.get(&link).is_some_and(|link| link.sender.send(message))
+        self.links
+            .get(&link)
+            .is_some_and(|link| link.sender.send(message))
     }
 
     fn send_to_replica(&self, replica: ReplicaId, message: &PeerMessage) -> bool {
@@ -480,14 +533,23 @@
         let mut voters = Vec::new();
         for seed in &founding.seeds {
             if *seed == self.own.address {
-                voters.push(Member { id: self.replica_id, address: *seed });
+                voters.push(Member {
+                    id: self.replica_id,
+                    address: *seed,
+                });
                 continue;
             }
             let mut links = self.links.values().filter(|link| link.dialed);
             let hello = links.find_map(|link| link.hello.as_ref().filter(|h| h.address == *seed));
             match hello.map(|hello| hello.role) {
-                Some(PeerRole::Control { replica, is_blank: true }) => {
-                    voters.push(Member { id: replica, address: *seed });
+                Some(PeerRole::Control {
+                    replica,
+                    is_blank: true,
+                }) => {
+                    voters.push(Member {
+                        id: replica,
+                        address: *seed,
+                    });
                 }
                 _ => return,
             }
@@ -555,8 +617,11 @@
                 Err(cause) => log::error!(index; "an entry cannot be read: {cause}"),
             },
             Payload::Members(members) => {
-                let voters: Vec<String> =
-                    members.voters.iter().map(|member| member.address.to_string()).collect();
+                let voters: Vec<String> = members
+                    .voters
+                    .iter()
+                    .map(|member| member.address.to_string())
+                    .collect();
                 log::info!(index, voters = voters.join(",").as_str(); "the voters have changed");
                 for member in &members.voters {
                     self.dialed.add(member.address);
@@ -578,7 +643,10 @@
             return;
         }
         self.believed = belief;
-        let leader = status.leader.map(|id| format!("{id:016x}")).unwrap_or_default();
+        let leader = status
+            .leader
+            .map(|id| format!("{id:016x}"))
+            .unwrap_or_default();
         log::info!(
             term = status.term, role = format!("{:?}", status.role).as_str(),
             leader = leader.as_str(), commit = status.commit;
--- a/crates/cloverfold_control/src/operators.rs
+++ b/crates/cloverfold_control/src/operators.rs
@@ -34,7 +34,7 @@
     GetStatus,
 }
 
-/// How operators' calls are written.
+/// How operators' calls are written beside the product's own (`/v1/configuration`, `/v1/audit`, `/v1/status`).
 pub trait OperatorInterface: ConfigurationFormat {
     /// Tells what a request asks; `None` if nothing that this process knows.
     fn classify(&self, method: &Method, path: &str) -> Option<OperatorCall>;
@@ -63,7 +63,8 @@
     /// Answers one request.
     pub(crate) async fn answer(&self, request: Request) -> Response {
         let path = request.uri.path();
-        match self.interface.classify(&request.method, path) {
+        let own = classify_own(&request.method, path);
+        match own.or_else(|| self.interface.classify(&request.method, path)) {
             Some(OperatorCall::PutConfiguration) => self.put(&request).await,
             Some(OperatorCall::GetConfiguration) => self.get().await,
             Some(OperatorCall::GetAudit) => self.show_audit(),
@@ -163,8 +164,23 @@
     }
 }
 
+/// The product's own calls.
+fn classify_own(method: &Method, path: &str) -> Option<OperatorCall> {
+    match (method, path) {
+        (&Method::PUT, "/v1/configuration") => Some(OperatorCall::PutConfiguration),
+        (&Method::GET, "/v1/configuration") => Some(OperatorCall::GetConfiguration),
+        (&Method::GET, "/v1/audit") => Some(OperatorCall::GetAudit),
+        (&Method::GET, "/v1/status") => Some(OperatorCall::GetStatus),
+        _ => None,
+    }
+}
+
 fn describe(record: &AuditRecord) -> serde_json::Value {
-    let digest: String = record.digest.iter().map(|byte| format!("{byte:02x}")).collect();
+    let digest: String = record
+        .digest
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
     json!({
         "version": record.version,
         "held_before": record.held_before,
@@ -180,6 +196,8 @@
 fn try_elsewhere(text: &str) -> Response {
     let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, text);
     let soon = HeaderValue::from_static("1");
-    response.headers_mut().insert(http::header::RETRY_AFTER, soon);
+    response
+        .headers_mut()
+        .insert(http::header::RETRY_AFTER, soon);
     response
 }
--- a/crates/cloverfold_control/src/process.rs
+++ b/crates/cloverfold_control/src/process.rs
@@ -27,6 +27,7 @@
 
 /// A control process that runs.
 pub struct ControlProcess {
+    core: Arc<Mutex<ControlCore>>,
     operators: Serving,
     _metrics: Option<Serving>,
     /// Aborted on drop.
@@ -39,6 +40,12 @@
         self.operators.address()
     }
 
+    /// Takes what may change under way: the seeds. The rest holds for the life of the process.
+    pub fn reload(&self, settings: &ControlSettings) {
+        let mut core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
+        core.dial_seeds(&settings.peer.seed_addresses());
+    }
+
     /// Answers what is under way and stops.
     pub async fn stop(self) {
         const PATIENCE: Duration = Duration::from_millis(1_000);
@@ -78,10 +85,15 @@
     let own_address = settings.peer.address();
     let seeds = settings.peer.seed_addresses();
     let is_founder = may_found && is_blank && seeds.first() == Some(&own_address);
-    let founding = is_founder.then(|| Founding { seeds: seeds.clone() });
+    let founding = is_founder.then(|| Founding {
+        seeds: seeds.clone(),
+    });
     let own = Hello {
         name: settings.peer.name.clone(),
-        role: PeerRole::Control { replica: replica_id, is_blank },
+        role: PeerRole::Control {
+            replica: replica_id,
+            is_blank,
+        },
         address: own_address,
         version: 0,
     };
@@ -97,12 +109,13 @@
         "a control process starts"
     );
 
-    let listener = listen(own_address)
-        .map_err(|cause| system(&format!("peer.port {own_address}"), cause))?;
+    let listener =
+        listen(own_address).map_err(|cause| system(&format!("peer.port {own_address}"), cause))?;
     let operators = start_operators(settings, &core, interface)?;
     let metrics = start_metrics(settings, &core)?;
     let mut tasks = JoinSet::new();
     tasks.spawn(accept_links(listener, link_tx));
+    let shared = core.clone();
     tasks.spawn(async move {
         let lock = || core.lock().unwrap_or_else(PoisonError::into_inner);
         lock().begin(&seeds);
@@ -117,6 +130,7 @@
         }
     });
     Ok(ControlProcess {
+        core: shared,
         operators,
         _metrics: metrics,
         _tasks: tasks,
--- a/crates/cloverfold_gateway/src/callers.rs
+++ b/crates/cloverfold_gateway/src/callers.rs
@@ -149,6 +149,8 @@
 fn refuse(text: &str, retry_after: Duration) -> Response {
     let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, text);
     let seconds = HeaderValue::from(retry_after.as_secs().max(1));
-    response.headers_mut().insert(http::header::RETRY_AFTER, seconds);
+    response
+        .headers_mut()
+        .insert(http::header::RETRY_AFTER, seconds);
     response
 }
--- a/crates/cloverfold_gateway/src/core.rs
+++ b/crates/cloverfold_gateway/src/core.rs
@@ -52,6 +52,7 @@
     fetching: Option<(u64, Duration)>,
     links: HashMap<LinkId, Link>,
     controls: DialedPeers,
+    named_controls: Vec<SocketAddr>,
     guards: BTreeMap<SocketAddr, KnownGuard>,
     invited_at: Duration,
     answers: HashMap<JobNumber, oneshot::Sender<JobAnswer>>,
@@ -78,6 +79,7 @@
             fetching: None,
             links: HashMap::new(),
             controls,
+            named_controls: Vec::new(),
             guards: BTreeMap::new(),
             invited_at: Duration::ZERO,
             answers: HashMap::new(),
@@ -89,8 +91,29 @@
 
     /// Dials the seeds.
     pub(crate) fn begin(&mut self) {
-        let seeds = self.seeds.clone();
-        self.controls.set(&seeds);
+        self.dial_controls(Vec::new());
+    }
+
+    /// Takes other seeds; control processes that are in touch stay so.
+    pub(crate) fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        if seeds != self.seeds {
+            log::info!(seeds = seeds.len(); "the seeds have changed");
+            self.seeds = seeds;
+            self.dial_controls(self.named_controls.clone());
+        }
+    }
+
+    /// Dials the control processes that were named last, and seeds as far as there is place.
+    fn dial_controls(&mut self, named: Vec<SocketAddr>) {
+        let mut dialed = named.clone();
+        dialed.truncate(MAX_CONTROLS);
+        for seed in &self.seeds {
+            if dialed.len() < MAX_CONTROLS && !dialed.contains(seed) {
+                dialed.push(*seed);
+            }
+        }
+        self.named_controls = named;
+        self.controls.set(&dialed);
     }
 
     pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
@@ -133,7 +156,10 @@
     }
 
     /// Takes a job; its one answer comes through the channel.
-    pub(crate) fn submit(&mut self, request: JobRequest) -> (JobNumber, oneshot::Receiver<JobAnswer>) {
+    pub(crate) fn submit(
+        &mut self,
+        request: JobRequest,
+    ) -> (JobNumber, oneshot::Receiver<JobAnswer>) {
         let (tx, rx) = oneshot::channel();
         let now = self.clock.now();
         if now > self.ticked_at + STALL {
@@ -148,7 +174,8 @@
             return (0, rx);
         }
         let since_epoch = unix_now().saturating_sub(RUN_EPOCH).as_millis();
-        self.dispatcher.set_first_run((since_epoch / RUN_UNIT_MS) as u64 + 1);
+        self.dispatcher
+            .set_first_run((since_epoch / RUN_UNIT_MS) as u64 + 1);
         let number = self.dispatcher.submit(request, now);
         self.answers.insert(number, tx);
         self.advance();
@@ -194,7 +221,13 @@
             LinkEvent::Opened { link, sender, .. } => {
                 self.own.version = self.in_force.version();
                 sender.send(&PeerMessage::Hello(self.own.clone()));
-                self.links.insert(link, Link { sender, hello: None });
+                self.links.insert(
+                    link,
+                    Link {
+                        sender,
+                        hello: None,
+                    },
+                );
             }
             LinkEvent::Received { link, message } => self.receive(link, message),
             LinkEvent::Closed { link } => self.link_closed(link),
@@ -216,17 +249,12 @@
             PeerMessage::Configuration(stored) => {
                 self.fetching = None;
                 let format = self.protocol.clone();
-                self.in_force.take(stored, format.as_ref());
+                if self.in_force.take(stored, format.as_ref()) {
+                    self.tell_controls();
+                }
             }
             PeerMessage::Directory(directory) => {
-                let mut controls = directory.controls;
-                controls.truncate(MAX_CONTROLS);
-                for seed in &self.seeds {
-                    if controls.len() < MAX_CONTROLS && !controls.contains(seed) {
-                        controls.push(*seed);
-                    }
-                }
-                self.controls.set(&controls);
+                self.dial_controls(directory.controls);
             }
             PeerMessage::ToRunner(_)
             | PeerMessage::Invite { .. }
@@ -237,6 +265,20 @@
         }
     }
 
+    /// Tells the control processes which version is in force here, for operators who ask them.
+    fn tell_controls(&self) {
+        let holding = PeerMessage::Holding {
+            version: self.in_force.version(),
+            is_fresh: false,
+        };
+        for link in self.links.values() {
+            let role = link.hello.as_ref().map(|hello| hello.role);
+            if matches!(role, Some(PeerRole::Control { .. })) {
+                link.sender.send(&holding);
+            }
+        }
+    }
+
     /// Asks a peer for its configuration if it is newer and nobody was asked just now.
     fn fetch(&mut self, link: LinkId, version: u64) {
         const PATIENCE: Duration = Duration::from_millis(200);
@@ -244,7 +286,10 @@
         if version <= self.in_force.version() {
             return;
         }
-        if self.fetching.is_some_and(|(held, at)| held >= version && now < at + PATIENCE) {
+        if self
+            .fetching
+            .is_some_and(|(held, at)| held >= version && now < at + PATIENCE)
+        {
             return;
         }
         self.fetching = Some((version, now));
@@ -293,7 +338,8 @@
             return;
         }
         self.invited_at = now;
-        self.guards.retain(|_, known| known.links > 0 || now < known.seen_at + GUARD_MEMORY);
+        self.guards
+            .retain(|_, known| known.links > 0 || now < known.seen_at + GUARD_MEMORY);
         for (address, known) in &self.guards {
             if known.links == 0 {
                 let address = *address;
--- a/crates/cloverfold_gateway/src/in_force.rs
+++ b/crates/cloverfold_gateway/src/in_force.rs
@@ -18,7 +18,9 @@
 
     /// Returns the configuration.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
-        self.held.as_ref().map(|(_, configuration)| configuration.clone())
+        self.held
+            .as_ref()
+            .map(|(_, configuration)| configuration.clone())
     }
 
     /// Returns it as it was sent.
--- a/crates/cloverfold_gateway/src/metrics.rs
+++ b/crates/cloverfold_gateway/src/metrics.rs
@@ -47,7 +47,11 @@
         let seconds = Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS));
         registry.register("answer_seconds", "Time to the answer", seconds.clone());
         let runs = Family::<CauseLabel, Gauge>::default();
-        registry.register("runs", "Runs since the start, by what became of them", runs.clone());
+        registry.register(
+            "runs",
+            "Runs since the start, by what became of them",
+            runs.clone(),
+        );
         let mut add = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -87,7 +91,9 @@
             ("target_pauses", counts.pauses),
         ];
         for (cause, count) in causes {
-            self.runs.get_or_create(&CauseLabel { cause }).set(count as i64);
+            self.runs
+                .get_or_create(&CauseLabel { cause })
+                .set(count as i64);
         }
         self.version.set(core.version() as i64);
         self.targets.set(core.ready_targets() as i64);
--- a/crates/cloverfold_gateway/src/process.rs
+++ b/crates/cloverfold_gateway/src/process.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use cloverfold_app::random_u64;
-use cloverfold_http::{HttpLimits, Request, Serving, StopPhase, json_response, plain_response, serve};
+use cloverfold_http::{
+    HttpLimits, Request, Serving, StopPhase, json_response, plain_response, serve,
+};
 use cloverfold_lease::{Dispatcher, HealthLimits, Timings};
 use cloverfold_link::{accept_links, listen};
 use cloverfold_peer::{DialedPeers, Hello, PeerRole};
@@ -47,6 +49,13 @@
         self.readiness.address()
     }
 
+    /// Takes what may change under way: the seeds. The rest holds for the life of the process.
+    pub fn reload(&self, settings: &LeasedEntrySettings) {
+        self.callers
+            .lock()
+            .set_seeds(settings.peer.seed_addresses());
+    }
+
     /// Stops as planned: the balancer is told, then no new job is taken, then what is open is answered.
     pub async fn stop(self) {
         log::info!("draining");
@@ -96,8 +105,8 @@
     });
     log::info!(name = settings.peer.name.as_str(); "an entry starts");
 
-    let listener = listen(own_address)
-        .map_err(|cause| system(&format!("peer.port {own_address}"), cause))?;
+    let listener =
+        listen(own_address).map_err(|cause| system(&format!("peer.port {own_address}"), cause))?;
     let clients = start_clients(settings.client_address, &callers)?;
     let readiness = start_readiness(settings.ready_address, &callers)?;
     let metrics = start_metrics(settings.peer.metrics_address(), &callers)?;
@@ -160,7 +169,9 @@
     let listener = listen(address).map_err(refused)?;
     let callers = callers.clone();
     let answer = move |request: Request| {
-        let is_meant = callers.protocol.asks_readiness(&request.method, request.uri.path());
+        let is_meant = callers
+            .protocol
+            .asks_readiness(&request.method, request.uri.path());
         let response = match callers.lock().find_unreadiness() {
             _ if !is_meant => plain_response(StatusCode::NOT_FOUND, "no such call\n"),
             None => json_response(StatusCode::OK, "{}"),
--- a/crates/cloverfold_http/src/lib.rs
+++ b/crates/cloverfold_http/src/lib.rs
@@ -7,4 +7,6 @@
 mod server;
 
 pub use client::{HttpCallError, HttpClient};
-pub use server::{HttpLimits, Request, Response, Serving, StopPhase, json_response, plain_response, serve};
+pub use server::{
+    HttpLimits, Request, Response, Serving, StopPhase, json_response, plain_response, serve,
+};
--- a/crates/cloverfold_http/src/server.rs
+++ b/crates/cloverfold_http/src/server.rs
@@ -73,7 +73,9 @@
     /// Returns the host that is asked, without its port.
     pub fn host(&self) -> &str {
         let header = self.headers.get(http::header::HOST);
-        let host = header.and_then(|value| value.to_str().ok()).or(self.uri.host());
+        let host = header
+            .and_then(|value| value.to_str().ok())
+            .or(self.uri.host());
         let host = host.unwrap_or_default();
         host.rsplit_once(':').map_or(host, |(name, _)| name)
     }
--- a/crates/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/cloverfold_lease/src/dispatcher/job.rs
@@ -89,7 +89,9 @@
     }
 
     pub(crate) fn has_waiting(&self) -> bool {
-        self.tasks.iter().any(|task| task.phase == TaskPhase::Waiting)
+        self.tasks
+            .iter()
+            .any(|task| task.phase == TaskPhase::Waiting)
     }
 
     pub(crate) fn find_task(&self, id: &TaskId) -> Option<usize> {
@@ -124,7 +126,11 @@
 fn build_tasks(request: &JobRequest, first_run: u64) -> Vec<Task> {
     let mut tasks = Vec::new();
     for (step_number, step) in request.steps.iter().enumerate() {
-        let phase = if step.depends_on.is_empty() { TaskPhase::Waiting } else { TaskPhase::Blocked };
+        let phase = if step.depends_on.is_empty() {
+            TaskPhase::Waiting
+        } else {
+            TaskPhase::Blocked
+        };
         for index in 0..step.count {
             tasks.push(Task {
                 id: TaskId {
--- a/crates/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/cloverfold_lease/src/dispatcher/mod.rs
@@ -170,7 +170,8 @@
     /// Counts the open jobs of a service's queue of which no task has begun.
     pub fn count_unbegun(&self, is_meant: impl Fn(&JobRequest) -> bool) -> usize {
         let jobs = self.jobs.values();
-        jobs.filter(|job| !job.is_offered && is_meant(&job.request)).count()
+        jobs.filter(|job| !job.is_offered && is_meant(&job.request))
+            .count()
     }
 
     /// Says whether a job of this name is open.
@@ -283,7 +284,11 @@
             .collect();
         for number in late {
             let is_offered = self.jobs.get(&number).is_some_and(|job| job.is_offered);
-            let answer = if is_offered { JobAnswer::GivenUp } else { refuse(RefusalCause::NoRoom) };
+            let answer = if is_offered {
+                JobAnswer::GivenUp
+            } else {
+                refuse(RefusalCause::NoRoom)
+            };
             self.give_up(number, answer);
         }
     }
@@ -293,7 +298,13 @@
         let mut overdue = Vec::new();
         for (number, job) in &self.jobs {
             for (index, task) in job.tasks.iter().enumerate() {
-                let TaskPhase::Assigned { session, since, is_withdrawn: false, .. } = task.phase else {
+                let TaskPhase::Assigned {
+                    session,
+                    since,
+                    is_withdrawn: false,
+                    ..
+                } = task.phase
+                else {
                     continue;
                 };
                 let limit = job.overdue_after(task.step, usual);
--- a/crates/cloverfold_lease/src/dispatcher/placing.rs
+++ b/crates/cloverfold_lease/src/dispatcher/placing.rs
@@ -101,7 +101,8 @@
 
     fn assign(&mut self, number: JobNumber, index: usize, session: SessionId, now: Moment) {
         let session_span = self.timings.session;
-        let (Some(job), Some(view)) = (self.jobs.get_mut(&number), self.targets.get_mut(&session)) else {
+        let (Some(job), Some(view)) = (self.jobs.get_mut(&number), self.targets.get_mut(&session))
+        else {
             return;
         };
         let Some(echoed) = view.echoed_clock else {
--- a/crates/cloverfold_lease/src/dispatcher/targets.rs
+++ b/crates/cloverfold_lease/src/dispatcher/targets.rs
@@ -5,7 +5,9 @@
 
 use crate::dispatcher::{Dispatcher, DispatcherAction, EndingRun, JobNumber, TaskPhase};
 use crate::health::TargetHealth;
-use crate::messages::{DispatcherMessage, Room, RunnerMessage, SessionId, TargetDescription, TaskId};
+use crate::messages::{
+    DispatcherMessage, Room, RunnerMessage, SessionId, TargetDescription, TaskId,
+};
 use crate::resources::Resources;
 use crate::timings::Moment;
 
@@ -59,7 +61,10 @@
 
     /// Returns the share of the processors that would be free after `demand`.
     pub(crate) fn free_share_after(&self, demand: &Resources) -> f64 {
-        let capacity = self.description.as_ref().map_or(1, |d| d.capacity.cpu_milli.max(1));
+        let capacity = self
+            .description
+            .as_ref()
+            .map_or(1, |d| d.capacity.cpu_milli.max(1));
         (self.free().cpu_milli - demand.cpu_milli) as f64 / capacity as f64
     }
 
@@ -113,7 +118,8 @@
         let mut tasks = Vec::new();
         for (number, job) in &mut self.jobs {
             for task in &mut job.tasks {
-                let is_there = matches!(task.phase, TaskPhase::Assigned { session: s, .. } if s == session);
+                let is_there =
+                    matches!(task.phase, TaskPhase::Assigned { session: s, .. } if s == session);
                 if is_there {
                     task.phase = TaskPhase::Uncertain;
                     tasks.push((*number, task.id.clone()));
--- a/crates/cloverfold_lease/src/runner/mod.rs
+++ b/crates/cloverfold_lease/src/runner/mod.rs
@@ -115,8 +115,7 @@
     /// Begins a session with a dispatcher's process.
     pub fn open_session(&mut self, session: SessionId, now: Moment) {
         let valid_until = now + self.timings.session;
-        self.sessions
-            .insert(session, Session::new(valid_until));
+        self.sessions.insert(session, Session::new(valid_until));
         self.send_heartbeat(session, now);
         self.announce_target();
     }
@@ -187,7 +186,11 @@
         }
         let Some(target) = self.target.as_ref().filter(|target| target.takes_work()) else {
             let is_draining = self.target.as_ref().is_some_and(TargetLife::is_draining);
-            return Some(if is_draining { Refusal::Draining } else { Refusal::NoTarget });
+            return Some(if is_draining {
+                Refusal::Draining
+            } else {
+                Refusal::NoTarget
+            });
         };
         if self.is_leaving {
             return Some(Refusal::Draining);
@@ -206,7 +209,11 @@
         if held.run != run || held.session != Some(session) {
             return;
         }
-        self.stop_task(task.clone(), RunOutcome::NotStarted(Refusal::Withdrawn), now);
+        self.stop_task(
+            task.clone(),
+            RunOutcome::NotStarted(Refusal::Withdrawn),
+            now,
+        );
     }
 
     /// Gives a waiting run back at once, and stops one that may run.
@@ -292,7 +299,9 @@
 
     fn capacity_minus(&self, demands: impl Iterator<Item = Resources>) -> Resources {
         let capacity = self.target.as_ref().map(|target| *target.capacity());
-        demands.fold(capacity.unwrap_or_default(), |free, demand| free.minus(&demand))
+        demands.fold(capacity.unwrap_or_default(), |free, demand| {
+            free.minus(&demand)
+        })
     }
 
     /// Starts waiting runs in order of priority, then of arrival, while there is room.
@@ -323,7 +332,8 @@
     }
 
     fn expire_waiting(&mut self, now: Moment) {
-        let is_late = |held: &HeldTask| matches!(held.state, HeldState::Waiting { until } if now > until);
+        let is_late =
+            |held: &HeldTask| matches!(held.state, HeldState::Waiting { until } if now > until);
         let late: Vec<TaskId> = self
             .tasks
             .iter()
--- a/crates/cloverfold_lease/src/runner/target.rs
+++ b/crates/cloverfold_lease/src/runner/target.rs
@@ -174,7 +174,11 @@
         let slack = self.timings.answer_slack;
         let wait = self.timings.hold_wait;
         let target = self.target.as_mut()?;
-        let wait = if target.is_clean { wait } else { Duration::ZERO };
+        let wait = if target.is_clean {
+            wait
+        } else {
+            Duration::ZERO
+        };
         let deadline = target.next_deadline(now, lease).filter(|_| target.is_clean);
         target.latest_deadline = target.latest_deadline.max(deadline.unwrap_or_default());
         Some(HoldOrder {
@@ -231,7 +235,11 @@
                 continue;
             }
             target.last_noted = end.number;
-            if self.tasks.get(&end.task).is_some_and(|held| held.run == end.run) {
+            if self
+                .tasks
+                .get(&end.task)
+                .is_some_and(|held| held.run == end.run)
+            {
                 let outcome = match end.cause {
                     EndCause::Done => RunOutcome::Done,
                     EndCause::Failed => RunOutcome::Failed,
@@ -254,16 +262,17 @@
         for row in running {
             if let Some(held) = self.tasks.get_mut(&row.task)
                 && held.run == row.run
+                && let HeldState::Starting { since, .. } = held.state
             {
-                if let HeldState::Starting { since, .. } = held.state {
-                    held.state = HeldState::Running { since: now };
-                    held.started_at = Some(since);
-                    self.counts.started += 1;
-                }
+                held.state = HeldState::Running { since: now };
+                held.started_at = Some(since);
+                self.counts.started += 1;
             }
         }
         let is_listed = |task: &TaskId, run: u64| {
-            running.iter().any(|row| row.run == run && row.task == *task)
+            running
+                .iter()
+                .any(|row| row.run == run && row.task == *task)
         };
         let mut over = Vec::new();
         for (task, held) in &self.tasks {
@@ -304,7 +313,11 @@
             let held = self.tasks.get(&row.task);
             held.is_some_and(|held| held.run == row.run)
         };
-        let orphans: Vec<HeldRun> = running.iter().filter(|row| !is_ours(row)).cloned().collect();
+        let orphans: Vec<HeldRun> = running
+            .iter()
+            .filter(|row| !is_ours(row))
+            .cloned()
+            .collect();
         if let Some(target) = &mut self.target {
             target.is_clean = orphans.is_empty();
         }
@@ -388,7 +401,10 @@
         let Some(held) = self.tasks.get_mut(&order.task) else {
             return;
         };
-        let HeldState::Starting { since, attempts, .. } = held.state else {
+        let HeldState::Starting {
+            since, attempts, ..
+        } = held.state
+        else {
             return;
         };
         if held.run != order.run {
--- a/crates/cloverfold_lease/tests/overlap.rs
+++ b/crates/cloverfold_lease/tests/overlap.rs
@@ -1,6 +1,8 @@
 //! Dispatchers, runners and targets in a simulated world of kills, freezes, cuts, late orders and slow clocks: no two runs of
 //! a task are ever at work at the same time, also when a job comes again through another dispatcher.
 
+#![allow(clippy::unwrap_used)]
+
 mod world;
 
 use world::{World, WorldFaults};
--- a/crates/cloverfold_lease/tests/world/mod.rs
+++ b/crates/cloverfold_lease/tests/world/mod.rs
@@ -33,15 +33,24 @@
 
 impl WorldFaults {
     pub fn all() -> Self {
-        Self { is_troubled: true, session_ms: 500 }
+        Self {
+            is_troubled: true,
+            session_ms: 500,
+        }
     }
 
     pub fn none() -> Self {
-        Self { is_troubled: false, session_ms: 500 }
+        Self {
+            is_troubled: false,
+            session_ms: 500,
+        }
     }
 
     fn timings(&self) -> Timings {
-        Timings { session: Duration::from_millis(self.session_ms), ..Timings::default() }
+        Timings {
+            session: Duration::from_millis(self.session_ms),
+            ..Timings::default()
+        }
     }
 }
 
@@ -204,8 +213,13 @@
         node.dispatcher = None;
         node.starts_at = self.now + self.rng.random_range(100..2_000);
         for client in std::mem::take(&mut node.clients).into_values() {
-            let noticed = if is_silent { client.sent_at + CLIENT_PATIENCE_MS } else { self.now };
-            self.resends.push((noticed.max(self.now) + RESEND_MS, client.id));
+            let noticed = if is_silent {
+                client.sent_at + CLIENT_PATIENCE_MS
+            } else {
+                self.now
+            };
+            self.resends
+                .push((noticed.max(self.now) + RESEND_MS, client.id));
         }
         if is_silent {
             for (_, link) in self.links.iter_mut().filter(|(key, _)| key.0 == index) {
@@ -219,12 +233,23 @@
 
     fn close_links(&mut self, is_meant: impl Fn(&(usize, usize)) -> bool) {
         let now = ms(self.now);
-        let keys: Vec<_> = self.links.keys().copied().filter(|key| is_meant(key)).collect();
+        let keys: Vec<_> = self
+            .links
+            .keys()
+            .copied()
+            .filter(|key| is_meant(key))
+            .collect();
         for key in keys {
             let link = self.links.remove(&key).unwrap();
             if link.is_cut {
                 // Nobody hears of it: the other side finds out by itself.
-                self.links.insert(key, Link { is_cut: true, ..link });
+                self.links.insert(
+                    key,
+                    Link {
+                        is_cut: true,
+                        ..link
+                    },
+                );
                 continue;
             }
             if let Some(runner) = &mut self.runners[key.1].runner {
@@ -279,7 +304,12 @@
                 }
                 let id = self.next_link;
                 self.next_link += 1;
-                let open = Link { id, dispatcher_open: true, runner_open: true, ..Link::default() };
+                let open = Link {
+                    id,
+                    dispatcher_open: true,
+                    runner_open: true,
+                    ..Link::default()
+                };
                 self.links.insert(key, open);
                 let node = self.runners[runner].runner.as_mut().unwrap();
                 node.open_session(id, now);
@@ -296,7 +326,11 @@
             self.next_job += 1;
             self.submit(id);
         }
-        let (due, later) = self.resends.iter().cloned().partition(|(at, _)| *at <= self.now);
+        let (due, later) = self
+            .resends
+            .iter()
+            .cloned()
+            .partition(|(at, _)| *at <= self.now);
         self.resends = later;
         for (_, id) in Vec::<(u64, String)>::from_iter(due) {
             self.submit(id);
@@ -361,8 +395,7 @@
                 }
                 self.act_dispatcher(dispatcher);
             }
-            loop {
-                let Some(link) = self.links.get_mut(&key) else { break };
+            while let Some(link) = self.links.get_mut(&key) {
                 let is_due = link.to_runner.front().is_some_and(|(at, _)| *at <= now);
                 let node = &mut self.runners[runner];
                 if !is_due || link.is_cut || !link.runner_open || now < node.frozen_until {
@@ -390,7 +423,9 @@
         if now < node.frozen_until {
             return;
         }
-        let Some(runner) = &mut node.runner else { return };
+        let Some(runner) = &mut node.runner else {
+            return;
+        };
         if node.target.is_up(now) && now >= node.registered_at {
             runner.register(node.target.register(now), ms(now));
             node.registered_at = now + 1_500;
@@ -413,7 +448,9 @@
     fn act_runner(&mut self, index: usize) {
         let now = self.now;
         loop {
-            let Some(runner) = &mut self.runners[index].runner else { return };
+            let Some(runner) = &mut self.runners[index].runner else {
+                return;
+            };
             let actions = runner.take_actions();
             if actions.is_empty() {
                 return;
@@ -433,7 +470,9 @@
                     }
                     RunnerAction::Stop(order) => {
                         let is_late = self.faults.is_troubled && self.rng.random_bool(0.05);
-                        self.runners[index].target.stop(&order, now, is_late, &mut self.rng);
+                        self.runners[index]
+                            .target
+                            .stop(&order, now, is_late, &mut self.rng);
                     }
                     RunnerAction::HoldNow => self.runners[index].hold_at = now,
                 }
@@ -443,7 +482,10 @@
 
     fn send_up(&mut self, index: usize, session: u64, message: RunnerMessage) {
         let at = self.now + self.rng.random_range(1..12);
-        let link = self.links.iter_mut().find(|(key, link)| key.1 == index && link.id == session);
+        let link = self
+            .links
+            .iter_mut()
+            .find(|(key, link)| key.1 == index && link.id == session);
         if let Some((_, link)) = link {
             let last = link.to_dispatcher.back().map_or(0, |(at, _)| *at);
             link.to_dispatcher.push_back((at.max(last), message));
@@ -472,7 +514,9 @@
     }
 
     fn act_dispatcher(&mut self, index: usize) {
-        let Some(dispatcher) = &mut self.dispatchers[index].dispatcher else { return };
+        let Some(dispatcher) = &mut self.dispatchers[index].dispatcher else {
+            return;
+        };
         for action in dispatcher.take_actions() {
             match action {
                 DispatcherAction::Send(session, message) => {
@@ -497,7 +541,10 @@
         match answer {
             JobAnswer::Completed => {
                 self.completed += 1;
-                let tasks = self.runners.iter().map(|node| node.target.count_done(&client.id));
+                let tasks = self
+                    .runners
+                    .iter()
+                    .map(|node| node.target.count_done(&client.id));
                 self.tasks_completed += tasks.sum::<u64>();
             }
             JobAnswer::GivenUp => self.resends.push((self.now + RESEND_MS, client.id)),
@@ -529,7 +576,11 @@
         spec: work_ms.to_string(),
         steps: vec![StepRequest {
             count,
-            demand: Resources { cpu_milli: 1_600, memory_mb: 64, accelerators: 0 },
+            demand: Resources {
+                cpu_milli: 1_600,
+                memory_mb: 64,
+                accelerators: 0,
+            },
             estimate: ms(work_ms),
             depends_on: Vec::new(),
             required_label: None,
@@ -538,7 +589,10 @@
         }],
         priority: 0,
         max_attempts: 3,
-        objective: Objective { stretch: 1.6, allowance: ms(60) },
+        objective: Objective {
+            stretch: 1.6,
+            allowance: ms(60),
+        },
         patience: None,
     }
 }
--- a/crates/cloverfold_lease/tests/world/target.rs
+++ b/crates/cloverfold_lease/tests/world/target.rs
@@ -94,7 +94,11 @@
             instance: self.instance(),
             service: "service".into(),
             address: "127.0.0.1:1".into(),
-            capacity: Resources { cpu_milli: CAPACITY, memory_mb: 32_000, accelerators: 0 },
+            capacity: Resources {
+                cpu_milli: CAPACITY,
+                memory_mb: 32_000,
+                accelerators: 0,
+            },
             labels: Vec::new(),
             is_draining: false,
             clock: Some(self.clock(now)),
@@ -105,7 +109,12 @@
     fn end(&mut self, task: &TaskId, cause: EndCause) {
         if let Some((run, _)) = self.running.remove(task) {
             self.last_end += 1;
-            self.ended.push(EndedRun { number: self.last_end, task: task.clone(), run, cause });
+            self.ended.push(EndedRun {
+                number: self.last_end,
+                task: task.clone(),
+                run,
+                cause,
+            });
         }
     }
 
@@ -125,8 +134,11 @@
                 Late::Stop(order) => self.do_stop(&order),
             }
         }
-        let tasks: Vec<(TaskId, u64)> =
-            self.running.iter().map(|(task, (_, ends_at))| (task.clone(), *ends_at)).collect();
+        let tasks: Vec<(TaskId, u64)> = self
+            .running
+            .iter()
+            .map(|(task, (_, ends_at))| (task.clone(), *ends_at))
+            .collect();
         let has_lapsed = self.clock(now) > self.lease;
         for (task, ends_at) in tasks {
             if ends_at <= now {
@@ -172,10 +184,18 @@
             return refused(StartRefusal::Late);
         }
         self.lease = self.lease.max(order.deadline);
-        if self.running.get(&order.task).is_some_and(|(run, _)| *run == order.run) {
+        if self
+            .running
+            .get(&order.task)
+            .is_some_and(|(run, _)| *run == order.run)
+        {
             return StartAnswer::Started { clock };
         }
-        if self.highest_run.get(&order.task).is_some_and(|highest| order.run <= *highest) {
+        if self
+            .highest_run
+            .get(&order.task)
+            .is_some_and(|highest| order.run <= *highest)
+        {
             return refused(StartRefusal::Stale);
         }
         if (self.running.len() as i64 + 1) * DEMAND > CAPACITY {
@@ -183,7 +203,8 @@
         }
         let work: u64 = order.spec.parse().unwrap();
         self.highest_run.insert(order.task.clone(), order.run);
-        self.running.insert(order.task.clone(), (order.run, now + work));
+        self.running
+            .insert(order.task.clone(), (order.run, now + work));
         self.started += 1;
         StartAnswer::Started { clock }
     }
@@ -204,7 +225,11 @@
         if order.token < self.token {
             return;
         }
-        if self.running.get(&order.task).is_some_and(|(run, _)| *run == order.run) {
+        if self
+            .running
+            .get(&order.task)
+            .is_some_and(|(run, _)| *run == order.run)
+        {
             self.end(&order.task, EndCause::Stopped);
         }
     }
@@ -225,7 +250,10 @@
         HoldAnswer::Listed {
             clock: self.clock(now),
             running: running
-                .map(|(task, (run, _))| HeldRun { task: task.clone(), run: *run })
+                .map(|(task, (run, _))| HeldRun {
+                    task: task.clone(),
+                    run: *run,
+                })
                 .collect(),
             ended: self.ended.clone(),
         }
--- a/crates/cloverfold_link/tests/links.rs
+++ b/crates/cloverfold_link/tests/links.rs
@@ -1,5 +1,7 @@
 //! Links over loopback: messages both ways, a peer that goes, frames that are no messages.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use bytes::{BufMut, BytesMut};
@@ -29,10 +31,20 @@
     let _dialer = Dialer::start(address, DialBackoff::default(), client_tx);
 
     for _ in 0..2 {
-        let LinkEvent::Opened { sender: up, dialed: true, .. } = next(&mut client).await else {
+        let LinkEvent::Opened {
+            sender: up,
+            dialed: true,
+            ..
+        } = next(&mut client).await
+        else {
             panic!("the dialed link opens first");
         };
-        let LinkEvent::Opened { sender: down, dialed: false, .. } = next(&mut server).await else {
+        let LinkEvent::Opened {
+            sender: down,
+            dialed: false,
+            ..
+        } = next(&mut server).await
+        else {
             panic!("the accepted link opens first");
         };
 
@@ -62,7 +74,10 @@
 
     assert!(decode_frame::<String>(&mut whole).unwrap().is_none());
     whole.unsplit(last);
-    assert_eq!(decode_frame::<String>(&mut whole).unwrap().as_deref(), Some("text"));
+    assert_eq!(
+        decode_frame::<String>(&mut whole).unwrap().as_deref(),
+        Some("text")
+    );
     assert!(whole.is_empty());
 }
 
@@ -90,8 +105,16 @@
     let (living_tx, mut living_events) = mpsc::channel(16);
     let (silent_tx, mut silent_events) = mpsc::channel(16);
     let (dialed_tx, mut dialed_events) = mpsc::channel(16);
-    let _to_silent = Dialer::start(silent.local_addr().unwrap(), DialBackoff::default(), silent_tx);
-    let _to_living = Dialer::start(living.local_addr().unwrap(), DialBackoff::default(), dialed_tx);
+    let _to_silent = Dialer::start(
+        silent.local_addr().unwrap(),
+        DialBackoff::default(),
+        silent_tx,
+    );
+    let _to_living = Dialer::start(
+        living.local_addr().unwrap(),
+        DialBackoff::default(),
+        dialed_tx,
+    );
     tokio::spawn(accept_links(living, living_tx));
     let (_held, _) = silent.accept().await.unwrap();
     // The senders within the events keep the links open from this side.
@@ -100,7 +123,11 @@
         next(&mut living_events).await,
         next(&mut silent_events).await,
     ];
-    assert!(held_links.iter().all(|event| matches!(event, LinkEvent::Opened { .. })));
+    assert!(
+        held_links
+            .iter()
+            .all(|event| matches!(event, LinkEvent::Opened { .. }))
+    );
 
     let given_up = next(&mut silent_events).await;
 
--- a/crates/cloverfold_peer/src/addresses.rs
+++ b/crates/cloverfold_peer/src/addresses.rs
@@ -36,7 +36,8 @@
 
     /// Keeps links to these addresses and no others.
     pub fn set(&mut self, addresses: &[SocketAddr]) {
-        self.dialers.retain(|address, _| addresses.contains(address));
+        self.dialers
+            .retain(|address, _| addresses.contains(address));
         for address in addresses {
             self.add(*address);
         }
--- a/crates/cloverfold_process/src/leased.rs
+++ b/crates/cloverfold_process/src/leased.rs
@@ -1,9 +1,15 @@
-//! What the processes of a leased installation share: their runtime and their signals.
+//! What the processes of a leased installation share: their runtime, their signals, and settings that change under way.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
 
+use cloverfold_settings::SettingsError;
 use tokio::runtime::Runtime;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::{Interval, MissedTickBehavior, interval};
+
+/// How often the settings file is looked at: it may change without a signal.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Starts the runtime of a leased process: one thread. The boxes have a fraction of one core, where each further thread costs
 /// wake-ups, and control state and traffic are both served in microseconds.
@@ -12,27 +18,74 @@
 ///
 /// Returns the system's error.
 pub fn start_leased_runtime() -> std::io::Result<Runtime> {
-    tokio::runtime::Builder::new_current_thread().enable_all().build()
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
 }
 
-/// Waits for SIGTERM or SIGINT. A SIGHUP is logged: the settings of a leased process hold only addresses and bounds, which
-/// hold for the life of the process.
-///
-/// # Errors
-///
-/// Says that the system takes no signal handler.
-pub async fn wait_for_stop_signal(settings: &Path) -> std::io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    let mut hup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = term.recv() => return Ok(()),
-            _ = int.recv() => return Ok(()),
-            _ = hup.recv() => {
-                let file = settings.display().to_string();
-                log::info!(file = file.as_str(); "settings are read again at the next start");
+/// Follows a settings file and the signals of the process.
+pub struct SettingsWatch {
+    file: PathBuf,
+    seen: Option<(SystemTime, u64)>,
+    term: Signal,
+    int: Signal,
+    hup: Signal,
+    looks: Interval,
+}
+
+impl SettingsWatch {
+    /// Begins to follow.
+    ///
+    /// # Errors
+    ///
+    /// Says that the system takes no signal handler.
+    pub fn start(file: &Path) -> std::io::Result<Self> {
+        let mut looks = interval(LOOK_INTERVAL);
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        Ok(Self {
+            file: file.into(),
+            seen: stamp(file),
+            term: signal(SignalKind::terminate())?,
+            int: signal(SignalKind::interrupt())?,
+            hup: signal(SignalKind::hangup())?,
+            looks,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT. On SIGHUP and when the file has changed, reads it anew and hands sound settings to
+    /// `take`; unsound ones are logged with file, line and field, and change nothing.
+    pub async fn run_until_stop<T>(
+        mut self,
+        read: impl Fn(&Path) -> Result<T, SettingsError>,
+        take: impl Fn(T),
+    ) {
+        loop {
+            tokio::select! {
+                _ = self.term.recv() => return,
+                _ = self.int.recv() => return,
+                _ = self.hup.recv() => {}
+                _ = self.looks.tick() => {
+                    let found = stamp(&self.file);
+                    if found == self.seen {
+                        continue;
+                    }
+                }
+            }
+            self.seen = stamp(&self.file);
+            match read(&self.file) {
+                Ok(settings) => {
+                    let file = self.file.display().to_string();
+                    log::info!(file = file.as_str(); "settings are read anew");
+                    take(settings);
+                }
+                Err(fault) => log::error!("changed settings are not taken: {fault}"),
             }
         }
     }
 }
+
+/// Tells one content of a file from another without reading it.
+fn stamp(file: &Path) -> Option<(SystemTime, u64)> {
+    let found = std::fs::metadata(file).ok()?;
+    Some((found.modified().ok()?, found.len()))
+}
--- a/crates/cloverfold_process/src/lib.rs
+++ b/crates/cloverfold_process/src/lib.rs
@@ -12,5 +12,5 @@
 pub use entry::start_entry;
 pub use error::ProcessError;
 pub use guard::start_guard;
-pub use leased::{start_leased_runtime, wait_for_stop_signal};
+pub use leased::{SettingsWatch, start_leased_runtime};
 pub use operator::{list_guard_addresses, open_operator_network};
--- a/crates/cloverfold_runner/src/core.rs
+++ b/crates/cloverfold_runner/src/core.rs
@@ -46,6 +46,7 @@
     fetch: Option<(LinkId, Duration)>,
     links: HashMap<LinkId, Link>,
     controls: DialedPeers,
+    named_controls: Vec<SocketAddr>,
     entries: DialedPeers,
     orders: mpsc::UnboundedSender<TargetOrder>,
     hold_now: Arc<Notify>,
@@ -71,6 +72,7 @@
             fetch: None,
             links: HashMap::new(),
             controls,
+            named_controls: Vec::new(),
             entries,
             orders,
             hold_now,
@@ -80,8 +82,29 @@
 
     /// Dials the seeds.
     pub(crate) fn begin(&mut self) {
-        let seeds = self.seeds.clone();
-        self.controls.set(&seeds);
+        self.dial_controls(Vec::new());
+    }
+
+    /// Takes other seeds; control processes that are in touch stay so.
+    pub(crate) fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        if seeds != self.seeds {
+            log::info!(seeds = seeds.len(); "the seeds have changed");
+            self.seeds = seeds;
+            self.dial_controls(self.named_controls.clone());
+        }
+    }
+
+    /// Dials the control processes that were named last, and seeds as far as there is place.
+    fn dial_controls(&mut self, named: Vec<SocketAddr>) {
+        let mut dialed = named.clone();
+        dialed.truncate(MAX_CONTROLS);
+        for seed in &self.seeds {
+            if dialed.len() < MAX_CONTROLS && !dialed.contains(seed) {
+                dialed.push(*seed);
+            }
+        }
+        self.named_controls = named;
+        self.controls.set(&dialed);
     }
 
     pub(crate) fn counts(&self) -> RunnerCounts {
@@ -161,7 +184,13 @@
             LinkEvent::Opened { link, sender, .. } => {
                 self.own.version = self.version();
                 sender.send(&PeerMessage::Hello(self.own.clone()));
-                self.links.insert(link, Link { sender, hello: None });
+                self.links.insert(
+                    link,
+                    Link {
+                        sender,
+                        hello: None,
+                    },
+                );
             }
             LinkEvent::Received { link, message } => self.receive(link, message),
             LinkEvent::Closed { link } => self.link_closed(link),
@@ -222,25 +251,18 @@
         };
         self.configuration = Some(stored);
         for link in self.links.values() {
-            let role = link.hello.as_ref().map(|hello| hello.role);
-            if role == Some(PeerRole::Entry) {
-                link.sender.send(&notice);
-            }
+            link.sender.send(&notice);
         }
     }
 
     fn take_directory(&mut self, directory: Directory) {
-        for entry in directory.entries {
-            self.entries.add(entry);
-        }
-        let mut controls = directory.controls;
-        controls.truncate(MAX_CONTROLS);
-        for seed in &self.seeds {
-            if controls.len() < MAX_CONTROLS && !controls.contains(seed) {
-                controls.push(*seed);
-            }
-        }
-        self.controls.set(&controls);
+        // Entries that are gone for good are dialed no more; whoever is in touch or invites stays.
+        let mut entries = directory.entries;
+        let linked = self.links.values().filter_map(|link| link.hello.as_ref());
+        let linked = linked.filter(|hello| hello.role == PeerRole::Entry);
+        entries.extend(linked.map(|hello| hello.address));
+        self.entries.set(&entries);
+        self.dial_controls(directory.controls);
     }
 
     fn link_closed(&mut self, link: LinkId) {
--- a/crates/cloverfold_runner/src/interface.rs
+++ b/crates/cloverfold_runner/src/interface.rs
@@ -39,7 +39,8 @@
     /// # Errors
     ///
     /// Says that it is unknown or malformed.
-    fn read_registration(&self, request: &Request) -> Result<RegistrationCall, RegistrationRefusal>;
+    fn read_registration(&self, request: &Request)
+    -> Result<RegistrationCall, RegistrationRefusal>;
 
     /// Writes the acknowledgement of such a call.
     fn write_acknowledgement(&self) -> Vec<u8>;
--- a/crates/cloverfold_runner/src/metrics.rs
+++ b/crates/cloverfold_runner/src/metrics.rs
@@ -27,7 +27,11 @@
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("cloverfold_guard");
         let runs = Family::<CauseLabel, Gauge>::default();
-        registry.register("runs", "Runs since the start, by what became of them", runs.clone());
+        registry.register(
+            "runs",
+            "Runs since the start, by what became of them",
+            runs.clone(),
+        );
         let mut add = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -55,7 +59,9 @@
             ("orphans", counts.orphans),
         ];
         for (cause, count) in causes {
-            self.runs.get_or_create(&CauseLabel { cause }).set(count as i64);
+            self.runs
+                .get_or_create(&CauseLabel { cause })
+                .set(count as i64);
         }
         self.held.set(core.held() as i64);
         self.ready.set(i64::from(core.has_ready_target()));
--- a/crates/cloverfold_runner/src/process.rs
+++ b/crates/cloverfold_runner/src/process.rs
@@ -45,6 +45,11 @@
         self.registrations.address()
     }
 
+    /// Takes what may change under way: the seeds. The rest holds for the life of the process.
+    pub fn reload(&self, settings: &LeasedGuardSettings) {
+        lock(&self.core).set_seeds(settings.peer.seed_addresses());
+    }
+
     /// Stops as planned: no new run is taken, and those that are held end.
     pub async fn stop(self) {
         const PAUSE: Duration = Duration::from_millis(20);
@@ -99,8 +104,8 @@
     let core = Arc::new(Mutex::new(core));
     log::info!(name = settings.peer.name.as_str(); "a guard starts");
 
-    let listener = listen(own_address)
-        .map_err(|cause| system(&format!("peer.port {own_address}"), cause))?;
+    let listener =
+        listen(own_address).map_err(|cause| system(&format!("peer.port {own_address}"), cause))?;
     let registrations = start_registrations(settings.registration_address, &core, &interface)?;
     let metrics = start_metrics(settings.peer.metrics_address(), &core)?;
     let mut tasks = JoinSet::new();
--- a/crates/cloverfold_settings/src/leased.rs
+++ b/crates/cloverfold_settings/src/leased.rs
@@ -41,7 +41,9 @@
     /// Returns where the seeds listen to other processes, in order.
     pub fn seed_addresses(&self) -> Vec<SocketAddr> {
         let seeds = self.seeds.iter();
-        let mut addresses: Vec<_> = seeds.map(|seed| SocketAddr::new(seed.ip(), self.port)).collect();
+        let mut addresses: Vec<_> = seeds
+            .map(|seed| SocketAddr::new(seed.ip(), self.port))
+            .collect();
         addresses.sort_unstable();
         addresses.dedup();
         addresses
@@ -54,7 +56,11 @@
 
     fn check(&self, faults: &mut FaultList) {
         faults.add_if(self.name.is_empty(), "peer.name", "must not be empty");
-        faults.add_if(self.port == 0, "peer.port", "must be above 0, the same for all processes");
+        faults.add_if(
+            self.port == 0,
+            "peer.port",
+            "must be above 0, the same for all processes",
+        );
         faults.add_if(
             self.seeds.is_empty(),
             "peer.seeds",
--- a/crates/cloverfold_settings/tests/settings.rs
+++ b/crates/cloverfold_settings/tests/settings.rs
@@ -5,12 +5,15 @@
 use std::path::Path;
 
 use cloverfold_settings::{
-    CellSettings, CustomerSettings, EntrySettings, GuardSettings, hash_caller_key, parse_settings,
-    verify_caller_key,
+    CellSettings, ControlSettings, CustomerSettings, EntrySettings, GuardSettings,
+    LeasedEntrySettings, LeasedGuardSettings, hash_caller_key, parse_settings, verify_caller_key,
 };
 
 const CELL: &str = include_str!("../../../examples/settings/cell.jsonc");
 const GUARD: &str = include_str!("../../../examples/settings/guard.jsonc");
+const LEASED_ENTRY: &str = include_str!("../../../examples/settings/leased-entry.jsonc");
+const LEASED_GUARD: &str = include_str!("../../../examples/settings/leased-guard.jsonc");
+const CONTROL: &str = include_str!("../../../examples/settings/control.jsonc");
 const ENTRY: &str = include_str!("../../../examples/settings/entry.jsonc");
 
 /// Returns the example with one text replaced, and the line on which it stood.
@@ -25,6 +28,74 @@
     parse_settings::<CellSettings>(Path::new("cell.jsonc"), CELL).unwrap();
     parse_settings::<GuardSettings>(Path::new("guard.jsonc"), GUARD).unwrap();
     parse_settings::<EntrySettings>(Path::new("entry.jsonc"), ENTRY).unwrap();
+    parse_settings::<LeasedEntrySettings>(Path::new("leased-entry.jsonc"), LEASED_ENTRY).unwrap();
+    parse_settings::<LeasedGuardSettings>(Path::new("leased-guard.jsonc"), LEASED_GUARD).unwrap();
+    parse_settings::<ControlSettings>(Path::new("control.jsonc"), CONTROL).unwrap();
+}
+
+#[test]
+fn faults_in_leased_settings_name_their_field_and_the_mend() {
+    let cases = [
+        (
+            r#""session_ms": 500"#,
+            r#""session_ms": 900"#,
+            "lease.session_ms: with lease_ms",
+        ),
+        (
+            r#""lease_ms": 650"#,
+            r#""lease_ms": 100"#,
+            "lease.lease_ms: must be at least 200",
+        ),
+        (
+            r#""port": 7400"#,
+            r#""port": 0"#,
+            "peer.port: must be above 0",
+        ),
+        (
+            r#""metrics_port": 9464"#,
+            r#""metrics_port": 7400"#,
+            "peer.metrics_port: must differ",
+        ),
+        (
+            r#""linger_ms": 2200"#,
+            r#""linger_ms": 9000"#,
+            "linger_ms: must be below drain_ms",
+        ),
+        (
+            r#""name": "entry-1""#,
+            r#""name": """#,
+            "peer.name: must not be empty",
+        ),
+        (
+            r#""ip": "127.0.0.11""#,
+            r#""ip": "here""#,
+            "peer.ip: invalid IP address",
+        ),
+    ];
+    for (from, to, expected) in cases {
+        let (text, line) = spoil(LEASED_ENTRY, from, to);
+        let file = Path::new("leased-entry.jsonc");
+        let fault = parse_settings::<LeasedEntrySettings>(file, &text)
+            .unwrap_err()
+            .to_string();
+        let expected = format!("leased-entry.jsonc:{line}: {expected}");
+        assert!(fault.contains(&expected), "{fault} lacks {expected}");
+    }
+    let (text, line) = spoil(
+        CONTROL,
+        r#""tolerated_losses": 1"#,
+        r#""tolerated_losses": 7"#,
+    );
+    let file = Path::new("control.jsonc");
+    let fault = parse_settings::<ControlSettings>(file, &text)
+        .unwrap_err()
+        .to_string();
+    assert!(
+        fault.contains(&format!(
+            "control.jsonc:{line}: tolerated_losses: must be at most 4"
+        )),
+        "{fault}"
+    );
 }
 
 #[test]
