--- /dev/null
+++ b/crates/cloverfold_http/tests/server.rs
@@ -0,0 +1,192 @@
+//! Limits, the planned stop, and handlers whose client leaves.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use cloverfold_http::{
+    HttpCallError, HttpClient, HttpLimits, Request, Serving, StopPhase, plain_response, serve,
+};
+use http::{Method, StatusCode};
+use http_body_util::Full;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn limits() -> HttpLimits {
+    HttpLimits {
+        body_bytes: 64,
+        body_timeout: Duration::from_millis(200),
+        idle_timeout: Duration::from_millis(300),
+        ..HttpLimits::default()
+    }
+}
+
+/// What the handlers of a server have come to.
+#[derive(Clone, Default)]
+struct Seen {
+    begun: Arc<AtomicUsize>,
+    dropped: Arc<AtomicUsize>,
+}
+
+impl Seen {
+    async fn wait_begun(&self) {
+        wait_above_zero(&self.begun).await;
+    }
+
+    async fn wait_dropped(&self) {
+        wait_above_zero(&self.dropped).await;
+    }
+}
+
+async fn wait_above_zero(count: &AtomicUsize) {
+    while count.load(Ordering::SeqCst) == 0 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Answers with the host once the gate is open, and counts handlers that were dropped before.
+fn start(gate: Arc<Semaphore>, seen: Seen) -> Serving {
+    struct CountDrop(Option<Arc<AtomicUsize>>);
+    impl Drop for CountDrop {
+        fn drop(&mut self) {
+            if let Some(count) = &self.0 {
+                count.fetch_add(1, Ordering::SeqCst);
+            }
+        }
+    }
+    let listener = cloverfold_link::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let handler = move |request: Request| {
+        let gate = gate.clone();
+        let seen = seen.clone();
+        async move {
+            seen.begun.fetch_add(1, Ordering::SeqCst);
+            let mut guard = CountDrop(Some(seen.dropped));
+            let _permit = gate.acquire().await.unwrap();
+            guard.0 = None;
+            plain_response(StatusCode::OK, request.host())
+        }
+    };
+    serve(listener, limits, handler).unwrap()
+}
+
+fn open() -> Arc<Semaphore> {
+    Arc::new(Semaphore::new(100))
+}
+
+async fn post(
+    client: &HttpClient,
+    address: SocketAddr,
+    body: &str,
+) -> Result<(StatusCode, http::HeaderMap, Bytes), HttpCallError> {
+    let request = http::Request::builder()
+        .method(Method::POST)
+        .uri("/path")
+        .header("Host", "shop.example:80")
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .unwrap();
+    client.call(address, request, PATIENCE).await
+}
+
+#[tokio::test]
+async fn a_request_is_answered_with_the_host_without_its_port() {
+    let serving = start(open(), Seen::default());
+
+    let (status, _, body) = post(&HttpClient::default(), serving.address(), "x")
+        .await
+        .unwrap();
+
+    assert_eq!((status, &body[..]), (StatusCode::OK, &b"shop.example"[..]));
+}
+
+#[tokio::test]
+async fn a_body_that_is_too_long_or_too_slow_is_refused() {
+    let serving = start(open(), Seen::default());
+    let long = "x".repeat(65);
+    let (status, ..) = post(&HttpClient::default(), serving.address(), &long)
+        .await
+        .unwrap();
+    assert_eq!(status, StatusCode::PAYLOAD_TOO_LARGE);
+    let mut slow = TcpStream::connect(serving.address()).await.unwrap();
+    slow.write_all(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf")
+        .await
+        .unwrap();
+    let mut answer = [0; 64];
+
+    let len = slow.read(&mut answer).await.unwrap();
+
+    assert!(answer[..len].starts_with(b"HTTP/1.1 408 "));
+}
+
+#[tokio::test]
+async fn a_connection_without_a_request_is_closed() {
+    let serving = start(open(), Seen::default());
+    let mut idle = TcpStream::connect(serving.address()).await.unwrap();
+    idle.write_all(b"POST / HT").await.unwrap();
+    let mut rest = Vec::new();
+
+    let closed = tokio::time::timeout(PATIENCE, idle.read_to_end(&mut rest)).await;
+
+    assert!(closed.is_ok());
+}
+
+#[tokio::test]
+async fn a_handler_is_dropped_when_its_client_leaves() {
+    let seen = Seen::default();
+    let serving = start(Arc::new(Semaphore::new(0)), seen.clone());
+    let mut client = TcpStream::connect(serving.address()).await.unwrap();
+    client
+        .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        .await
+        .unwrap();
+    seen.wait_begun().await;
+
+    drop(client);
+
+    seen.wait_dropped().await;
+}
+
+#[tokio::test]
+async fn a_planned_stop_turns_clients_away_then_ends_what_is_in_flight() {
+    let gate = Arc::new(Semaphore::new(0));
+    let seen = Seen::default();
+    let serving = start(gate.clone(), seen.clone());
+    let address = serving.address();
+    serving.advance(StopPhase::Turning);
+    let in_flight = tokio::spawn(async move { post(&HttpClient::default(), address, "x").await });
+    seen.wait_begun().await;
+
+    serving.advance(StopPhase::Closing);
+    gate.add_permits(10);
+
+    let (status, headers, _) = in_flight.await.unwrap().unwrap();
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(headers.get("connection").unwrap(), "close");
+    tokio::time::timeout(PATIENCE, serving.wait_closed())
+        .await
+        .unwrap();
+    let refused = post(&HttpClient::default(), address, "x").await;
+    assert!(matches!(refused, Err(HttpCallError::NotSent(_))));
+}
+
+#[tokio::test]
+async fn a_call_without_an_answer_is_given_up_and_may_have_arrived() {
+    let serving = start(Arc::new(Semaphore::new(0)), Seen::default());
+    let request = http::Request::builder()
+        .uri("/")
+        .header("Host", "a")
+        .body(Full::default())
+        .unwrap();
+
+    let answer = HttpClient::default()
+        .call(serving.address(), request, Duration::from_millis(50))
+        .await;
+
+    assert!(matches!(answer, Err(HttpCallError::Unanswered(_))));
+}
--- a/crates/cloverfold_lease/src/runner/mod.rs
+++ b/crates/cloverfold_lease/src/runner/mod.rs
@@ -1,11 +1,13 @@
 //! The runner: what runs at one target, and for whom.
 
 mod held;
+mod holds;
 mod orders;
 mod sessions;
+mod starts;
 mod target;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 pub use orders::{
     EndCause, EndedRun, HeldRun, HoldAnswer, HoldOrder, StartAnswer, StartOrder, StartRefusal,
@@ -64,6 +66,8 @@
     tasks: BTreeMap<TaskId, HeldTask>,
     next_order: u64,
     target: Option<TargetLife>,
+    /// Earlier lives of the target, oldest first.
+    ended_lives: VecDeque<String>,
     is_leaving: bool,
     counts: RunnerCounts,
     actions: Vec<RunnerAction>,
@@ -79,6 +83,7 @@
             tasks: BTreeMap::new(),
             next_order: 0,
             target: None,
+            ended_lives: VecDeque::new(),
             is_leaving: false,
             counts: RunnerCounts::default(),
             actions: Vec::new(),
