One log line for each decision of the dispatcher, with its inputs and their age

Change: refusals (targets ready, waiting jobs, age of the oldest report, version in force), runs over and not done, overdue runs, lost sessions, paused targets, jobs given up.

--- a/crates/cloverfold_gateway/src/callers.rs
+++ b/crates/cloverfold_gateway/src/callers.rs
@@ -45,10 +45,13 @@
     /// Answers one request.
     pub(crate) async fn answer(&self, request: Request) -> Response {
         let Some(configuration) = self.lock().configuration() else {
+            let path = request.uri.path();
+            log::info!(path, cause = "NoConfiguration"; "a request is refused");
             return refuse("no configuration is in force here\n", RETRY_AFTER);
         };
         let path = request.uri.path();
         let Some(route) = configuration.find_route(request.host(), path) else {
+            log::info!(host = request.host(), path, version = configuration.version; "no queue takes a request");
             return plain_response(StatusCode::NOT_FOUND, "no such queue\n");
         };
         let rest = &path[route.path_prefix.len()..];
@@ -101,10 +104,8 @@
         self.metrics.observe(took);
         match answer {
             JobAnswer::Completed => log::debug!(job = id, route, took_ms; "completed"),
-            JobAnswer::Refused { cause, .. } => {
-                let cause = format!("{cause:?}");
-                log::info!(job = id, route, took_ms, outcome, cause = cause.as_str(); "a job is answered");
-            }
+            // The dispatcher has logged the refusal with what decided it, but for one after a stall, which the core has.
+            JobAnswer::Refused { .. } => {}
             JobAnswer::Failed | JobAnswer::GivenUp => {
                 log::info!(job = id, route, took_ms, outcome; "a job is answered");
             }
--- a/crates/cloverfold_gateway/src/core.rs
+++ b/crates/cloverfold_gateway/src/core.rs
@@ -14,6 +14,7 @@
 use cloverfold_peer::{DialedPeers, Hello, PeerMessage, PeerRole, ProcessClock};
 use tokio::sync::oneshot;
 
+use crate::event_log::log_event;
 use crate::in_force::InForce;
 use crate::protocol::JobProtocol;
 
@@ -369,6 +370,7 @@
                     log::warn!(link = session; "a guard is silent; its link is closed");
                     self.link_closed(session);
                 }
+                DispatcherAction::Report(event) => log_event(&event, self.in_force.version()),
                 DispatcherAction::Answer(number, answer) => {
                     if let Some(waiting) = self.answers.remove(&number) {
                         // A caller that has left needs no answer.
--- a/crates/cloverfold_gateway/src/lib.rs
+++ b/crates/cloverfold_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod core;
 mod error;
+mod event_log;
 mod in_force;
 mod metrics;
 mod process;
--- a/crates/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/cloverfold_lease/src/dispatcher/job.rs
@@ -53,6 +53,7 @@
 pub(crate) struct Job {
     pub(crate) request: JobRequest,
     pub(crate) tasks: Vec<Task>,
+    pub(crate) submitted_at: Moment,
     /// Unless a task is offered by then, the job is refused.
     pub(crate) hold_until: Moment,
     /// The job is given up then.
@@ -74,6 +75,7 @@
         Self {
             request,
             tasks,
+            submitted_at: now,
             hold_until: now + hold,
             give_up_at: now + patience,
             is_offered: false,
--- a/crates/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/cloverfold_lease/src/dispatcher/mod.rs
@@ -1,5 +1,6 @@
 //! The dispatcher: repeatable jobs of one entry, and where their tasks run.
 
+mod events;
 mod job;
 mod outcomes;
 mod placing;
@@ -15,6 +16,8 @@
 use crate::messages::{Assignment, DispatcherMessage, SessionId, TaskId};
 use crate::request::JobRequest;
 use crate::timings::{Moment, Timings};
+pub use events::DispatcherEvent;
+
 use job::{Job, TaskPhase};
 use targets::{LostSession, TargetView};
 
@@ -61,6 +64,8 @@
     CloseSession(SessionId),
     /// Answer a submission.
     Answer(JobNumber, JobAnswer),
+    /// Tell operators of a decision.
+    Report(DispatcherEvent),
 }
 
 /// Counts since the start, by cause.
@@ -201,6 +206,7 @@
         self.next_job += 1;
         let refusal = self.find_refusal(&request, now);
         if let Some(cause) = refusal {
+            self.report_refusal(&request.id, cause, Duration::ZERO, now);
             self.answer(number, refuse(cause));
             return number;
         }
@@ -274,7 +280,7 @@
             .filter(|number| self.jobs.get(number).is_some_and(is_unoffered))
             .collect();
         for number in refused {
-            self.give_up(number, refuse(RefusalCause::NoRoom));
+            self.refuse_held(number, now);
         }
         let late: Vec<JobNumber> = self
             .jobs
@@ -284,13 +290,21 @@
             .collect();
         for number in late {
             let is_offered = self.jobs.get(&number).is_some_and(|job| job.is_offered);
-            let answer = if is_offered {
-                JobAnswer::GivenUp
+            if is_offered {
+                self.report_late(number, now);
+                self.give_up(number, JobAnswer::GivenUp);
             } else {
-                refuse(RefusalCause::NoRoom)
-            };
-            self.give_up(number, answer);
+                self.refuse_held(number, now);
+            }
+        }
+    }
+
+    fn refuse_held(&mut self, number: JobNumber, now: Moment) {
+        if let Some(job) = self.jobs.get(&number) {
+            let (id, held) = (job.request.id.clone(), now.saturating_sub(job.submitted_at));
+            self.report_refusal(&id, RefusalCause::NoRoom, held, now);
         }
+        self.give_up(number, refuse(RefusalCause::NoRoom));
     }
 
     fn withdraw_overdue_runs(&mut self, now: Moment) {
@@ -315,6 +329,7 @@
         }
         for (number, index, session) in overdue {
             self.counts.overdue += 1;
+            self.report_overdue(number, index, session, now);
             self.note_trouble(session, now);
             self.withdraw_task(number, index);
         }
--- a/crates/cloverfold_lease/src/dispatcher/outcomes.rs
+++ b/crates/cloverfold_lease/src/dispatcher/outcomes.rs
@@ -31,6 +31,9 @@
         let Some((number, index)) = self.find_run(id, session, run) else {
             return;
         };
+        if outcome != RunOutcome::Done {
+            self.report_run((number, index), session, run, outcome);
+        }
         match outcome {
             RunOutcome::Done => self.run_done(number, index, session, ran),
             RunOutcome::Failed => self.run_failed(number, index, session, now),
--- a/crates/cloverfold_lease/src/dispatcher/targets.rs
+++ b/crates/cloverfold_lease/src/dispatcher/targets.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::dispatcher::{Dispatcher, DispatcherAction, EndingRun, JobNumber, TaskPhase};
+use crate::dispatcher::{
+    Dispatcher, DispatcherAction, DispatcherEvent, EndingRun, JobNumber, TaskPhase,
+};
 use crate::health::TargetHealth;
 use crate::messages::{
     DispatcherMessage, Room, RunnerMessage, SessionId, TargetDescription, TaskId,
@@ -68,6 +70,11 @@
         (self.free().cpu_milli - demand.cpu_milli) as f64 / capacity as f64
     }
 
+    /// Returns how old the newest message of the runner is.
+    pub(crate) fn report_age(&self, now: Moment) -> Duration {
+        now.saturating_sub(self.heard_at)
+    }
+
     pub(crate) fn note_assignment(&mut self, demand: Resources) {
         self.assignments_sent += 1;
         self.unseen.push_back(demand);
@@ -133,6 +140,11 @@
             }
         }
         if !tasks.is_empty() {
+            self.report(DispatcherEvent::SessionLost {
+                runner: view.runner.clone(),
+                runs: tasks.len(),
+                last_echo: now.saturating_sub(view.echoed_at),
+            });
             self.lost_sessions.push(LostSession {
                 runner: view.runner,
                 over_at: view.echoed_at.min(now) + self.timings.surely_over(),
@@ -192,7 +204,9 @@
         if let Some(view) = self.targets.get_mut(&session)
             && view.health.note_trouble(now)
         {
+            let runner = view.runner.clone();
             self.counts.pauses += 1;
+            self.report(DispatcherEvent::TargetPaused { runner });
         }
     }
 
--- a/crates/cloverfold_lease/src/lib.rs
+++ b/crates/cloverfold_lease/src/lib.rs
@@ -21,7 +21,8 @@
 mod timings;
 
 pub use dispatcher::{
-    Dispatcher, DispatcherAction, DispatcherCounts, JobAnswer, JobNumber, RefusalCause,
+    Dispatcher, DispatcherAction, DispatcherCounts, DispatcherEvent, JobAnswer, JobNumber,
+    RefusalCause,
 };
 pub use health::{HealthLimits, TargetHealth};
 pub use messages::{
--- a/crates/cloverfold_lease/tests/world/mod.rs
+++ b/crates/cloverfold_lease/tests/world/mod.rs
@@ -529,6 +529,7 @@
                     }
                 }
                 DispatcherAction::CloseSession(session) => self.close_side(session, true),
+                DispatcherAction::Report(_) => {}
                 DispatcherAction::Answer(number, answer) => self.answered(index, number, answer),
             }
         }
