Report changed room within 20 ms; refuse a job whose runs were all given back

A job whose assignments all came back unstarted was worked on to the end of its time instead of being refused. Ruled out: fragments of room too small for a task (ten tasks a target; free shares were above one task). Change: guards report changed room to every session at their 20 ms tick; runs wait 25 ms at a guard, not 60.

--- a/crates/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/cloverfold_lease/src/dispatcher/job.rs
@@ -58,8 +58,8 @@
     pub(crate) hold_until: Moment,
     /// The job is given up then.
     pub(crate) give_up_at: Moment,
-    /// Whether a task was ever assigned.
-    pub(crate) is_offered: bool,
+    /// Whether a run ended in another way than by not being started.
+    pub(crate) has_run: bool,
 }
 
 impl Job {
@@ -78,7 +78,7 @@
             submitted_at: now,
             hold_until: now + hold,
             give_up_at: now + patience,
-            is_offered: false,
+            has_run: false,
         }
     }
 
@@ -90,6 +90,12 @@
         self.tasks.iter().all(|task| task.phase == TaskPhase::Done)
     }
 
+    /// Says whether a task runs, has run, or may yet do either by an order that was given.
+    pub(crate) fn may_have_run(&self) -> bool {
+        let is_out = |task: &Task| !matches!(task.phase, TaskPhase::Waiting | TaskPhase::Blocked);
+        self.has_run || self.tasks.iter().any(is_out)
+    }
+
     pub(crate) fn has_waiting(&self) -> bool {
         self.tasks
             .iter()
--- a/crates/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/cloverfold_lease/src/dispatcher/mod.rs
@@ -175,7 +175,7 @@
     /// Counts the open jobs of a service's queue of which no task has begun.
     pub fn count_unbegun(&self, is_meant: impl Fn(&JobRequest) -> bool) -> usize {
         let jobs = self.jobs.values();
-        jobs.filter(|job| !job.is_offered && is_meant(&job.request))
+        jobs.filter(|job| !job.may_have_run() && is_meant(&job.request))
             .count()
     }
 
@@ -272,7 +272,7 @@
 
     /// Refuses what was held as long as it may be, and gives up what is too late.
     fn end_hopeless_jobs(&mut self, now: Moment) {
-        let is_unoffered = |job: &Job| !job.is_offered && now >= job.hold_until;
+        let is_unoffered = |job: &Job| !job.may_have_run() && now >= job.hold_until;
         let refused: Vec<JobNumber> = self
             .waiting
             .iter()
@@ -289,8 +289,7 @@
             .map(|(number, _)| *number)
             .collect();
         for number in late {
-            let is_offered = self.jobs.get(&number).is_some_and(|job| job.is_offered);
-            if is_offered {
+            if self.jobs.get(&number).is_some_and(Job::may_have_run) {
                 self.report_late(number, now);
                 self.give_up(number, JobAnswer::GivenUp);
             } else {
--- a/crates/cloverfold_lease/src/dispatcher/outcomes.rs
+++ b/crates/cloverfold_lease/src/dispatcher/outcomes.rs
@@ -34,6 +34,9 @@
         if outcome != RunOutcome::Done {
             self.report_run((number, index), session, run, outcome);
         }
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.has_run |= !matches!(outcome, RunOutcome::NotStarted(_));
+        }
         match outcome {
             RunOutcome::Done => self.run_done(number, index, session, ran),
             RunOutcome::Failed => self.run_failed(number, index, session, now),
--- a/crates/cloverfold_lease/src/dispatcher/placing.rs
+++ b/crates/cloverfold_lease/src/dispatcher/placing.rs
@@ -11,7 +11,7 @@
 /// same reports should not all choose the same one.
 const DRAWN_TARGETS: usize = 3;
 /// How long an assignment may wait at the runner when others were faster, in milliseconds.
-const RUNNER_WAIT_MS: u32 = 60;
+const RUNNER_WAIT_MS: u32 = 25;
 /// Jobs without a fitting target that later ones may overtake in one pass.
 const MAX_STUCK_JOBS: usize = 4;
 
@@ -108,7 +108,6 @@
         let Some(echoed) = view.echoed_clock else {
             return;
         };
-        job.is_offered = true;
         let demand = job.step(&job.tasks[index]).demand;
         let task = &mut job.tasks[index];
         let run = task.next_run;
--- a/crates/cloverfold_lease/src/dispatcher/targets.rs
+++ b/crates/cloverfold_lease/src/dispatcher/targets.rs
@@ -169,6 +169,10 @@
                 self.actions.push(DispatcherAction::Send(session, echo));
                 self.place_waiting(now);
             }
+            RunnerMessage::Room(room) => {
+                view.read_room(room);
+                self.place_waiting(now);
+            }
             RunnerMessage::Target(description) => {
                 let has_new_life = match (&view.description, &description) {
                     (Some(old), Some(new)) => old.instance != new.instance,
--- a/crates/cloverfold_lease/src/messages.rs
+++ b/crates/cloverfold_lease/src/messages.rs
@@ -131,6 +131,8 @@
         /// What is left at its target.
         room: Room,
     },
+    /// What is left at its target, which has changed; needs no echo.
+    Room(Room),
     /// Its target now, if it takes work. Sent only while nothing of an earlier session runs there.
     Target(Option<TargetDescription>),
     /// A run is over or was not started.
--- a/crates/cloverfold_lease/src/runner/mod.rs
+++ b/crates/cloverfold_lease/src/runner/mod.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::messages::{
-    Assignment, DispatcherMessage, Refusal, Room, RunOutcome, RunnerMessage, SessionId, TaskId,
+    Assignment, DispatcherMessage, Refusal, RunOutcome, RunnerMessage, SessionId, TaskId,
 };
 use crate::resources::Resources;
 use crate::timings::{Moment, Timings};
@@ -154,6 +154,7 @@
         self.repeat_orders(now);
         self.send_heartbeats(now);
         self.start_waiting(now);
+        self.report_room();
     }
 
     fn assign(&mut self, session: SessionId, assignment: Assignment, now: Moment) {
@@ -284,14 +285,6 @@
         self.actions.push(RunnerAction::Send(session, message));
     }
 
-    fn room_for(&self, session: SessionId) -> Room {
-        let seen = self.sessions.get(&session).map(|s| s.assignments_seen);
-        Room {
-            free: self.free_after_waiting(),
-            assignments_seen: seen.unwrap_or_default(),
-        }
-    }
-
     fn free_after_waiting(&self) -> Resources {
         let demands = self.tasks.values().map(|held| held.demand);
         self.capacity_minus(demands)
--- a/crates/cloverfold_lease/src/runner/sessions.rs
+++ b/crates/cloverfold_lease/src/runner/sessions.rs
@@ -1,6 +1,7 @@
 //! Sessions with dispatchers: how long they are valid and what ends with them.
 
-use crate::messages::{Refusal, RunOutcome, RunnerMessage, SessionId, TaskId};
+use crate::messages::{Refusal, Room, RunOutcome, RunnerMessage, SessionId, TaskId};
+use crate::resources::Resources;
 use crate::runner::{Runner, RunnerAction};
 use crate::timings::Moment;
 
@@ -10,6 +11,8 @@
     valid_until: Moment,
     pub(crate) assignments_seen: u64,
     pub(crate) heartbeat_at: Moment,
+    /// What was reported as free last.
+    reported: Resources,
     /// The description that the dispatcher was told last: none before the first.
     pub(crate) announced: Option<Option<u64>>,
 }
@@ -20,6 +23,7 @@
             valid_until,
             assignments_seen: 0,
             heartbeat_at: Moment::ZERO,
+            reported: Resources::default(),
             announced: None,
         }
     }
@@ -78,6 +82,21 @@
         }
     }
 
+    /// Tells every session of room that has changed since it was told: entries that know little refuse work which would fit.
+    pub(super) fn report_room(&mut self) {
+        let free = self.free_after_waiting();
+        let stale: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.reported != free)
+            .map(|(id, _)| *id)
+            .collect();
+        for session in stale {
+            let message = RunnerMessage::Room(self.room_for(session));
+            self.actions.push(RunnerAction::Send(session, message));
+        }
+    }
+
     pub(super) fn send_heartbeat(&mut self, session: SessionId, now: Moment) {
         let room = self.room_for(session);
         if let Some(held) = self.sessions.get_mut(&session) {
@@ -111,3 +130,19 @@
         }
     }
 }
+
+impl Runner {
+    /// Makes the report for a session.
+    pub(super) fn room_for(&mut self, session: SessionId) -> Room {
+        let free = self.free_after_waiting();
+        let held = self.sessions.get_mut(&session);
+        let assignments_seen = held.map_or(0, |held| {
+            held.reported = free;
+            held.assignments_seen
+        });
+        Room {
+            free,
+            assignments_seen,
+        }
+    }
+}
--- a/crates/cloverfold_lease/tests/dispatcher.rs
+++ b/crates/cloverfold_lease/tests/dispatcher.rs
@@ -470,3 +470,29 @@
     };
     assert!(!actions.iter().any(assigns));
 }
+
+#[test]
+fn a_job_whose_only_run_was_given_back_is_refused_and_not_worked_on() {
+    let mut bench = Bench::new(1);
+    let number = bench.submit(job("a", vec![step(1, vec![])]));
+    let run = bench.assigned().remove(0);
+    bench.pass(60, &[1]);
+    assert!(bench.answers().is_empty(), "it may be at work");
+
+    bench.end(&run, RunOutcome::NotStarted(Refusal::NoRoom));
+    bench.heartbeat(
+        1,
+        Resources {
+            cpu_milli: 0,
+            ..CAPACITY
+        },
+        u64::MAX,
+    );
+    bench.dispatcher.tick(bench.now);
+
+    let answers = bench.answers();
+    assert!(
+        matches!(answers[..], [(n, JobAnswer::Refused { cause: RefusalCause::NoRoom, .. })] if n == number),
+        "{answers:?}"
+    );
+}
--- a/crates/cloverfold_lease/tests/runner.rs
+++ b/crates/cloverfold_lease/tests/runner.rs
@@ -385,3 +385,26 @@
 
     assert_eq!(offers(&mut runner), 1);
 }
+
+#[test]
+fn every_session_is_told_of_changed_room_once() {
+    let mut runner = ready();
+    runner.open_session(8, ms(100));
+    runner.tick(ms(101));
+    runner.take_actions();
+    started(&mut runner, 1, ms(110));
+    let told = |runner: &mut Runner| -> Vec<u64> {
+        let actions = runner.take_actions().into_iter();
+        let told = actions.filter_map(|action| match action {
+            RunnerAction::Send(session, RunnerMessage::Room(_)) => Some(session),
+            _ => None,
+        });
+        told.collect()
+    };
+
+    runner.tick(ms(120));
+
+    assert_eq!(told(&mut runner), [SESSION, 8]);
+    runner.tick(ms(130));
+    assert_eq!(told(&mut runner), []);
+}
