Elections that outlast slow disks; one piece of code where two stood

Cause: a candidate asks for votes only once its own vote is synced. Where a sync took longer than the election timeout (350-700 ms) it had begun the next trial by then, and so for ever: no leader with disks of a second a sync. Change: no trial while own writes are under way; timeouts grow by twice the newest sync. Test a_group_whose_disks_take_a_second_to_sync_still_elects_a_leader failed first (no leader in 60 s). Also: ControlLinks, serve_at, serve_operations, write_metrics in place of copies; /readyz on the metrics port.

--- a/crates/cloverfold_app/src/lib.rs
+++ b/crates/cloverfold_app/src/lib.rs
@@ -33,5 +33,5 @@
 pub use control::{Control, ControlState};
 pub use lifecycle::{Lifecycle, Phase};
 pub use logging::{LoggingError, start_logging};
-pub use ops_http::{HttpServer, OpsState, build_ops_router};
+pub use ops_http::{HttpServer, OpsState, build_ops_router, write_metrics};
 pub use resources::Resources;
--- a/crates/cloverfold_consensus/src/replica/mod.rs
+++ b/crates/cloverfold_consensus/src/replica/mod.rs
@@ -21,6 +21,9 @@
 /// Time on the process's steady clock.
 type Moment = Duration;
 
+/// Slower syncs than this do not put off elections any further.
+const MAX_SYNC_SPAN: Duration = Duration::from_secs(3);
+
 /// Bounds of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReplicaConfig {
@@ -122,6 +125,14 @@
     pub commit: LogIndex,
 }
 
+/// A batch on its way to the disk.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UnsyncedBatch {
+    /// Last place of the log that it makes durable.
+    pub(crate) last_index: LogIndex,
+    written_at: Moment,
+}
+
 /// One replica.
 #[derive(Debug)]
 pub struct Replica {
@@ -134,8 +145,11 @@
     commit: LogIndex,
     applied: LogIndex,
     synced: LogIndex,
-    /// Batches under way to the disk, with the last place of the log that each makes durable.
-    unsynced: BTreeMap<u64, LogIndex>,
+    /// Batches under way to the disk.
+    unsynced: BTreeMap<u64, UnsyncedBatch>,
+    /// How long the disk took for the newest batch.
+    sync_span: Duration,
+    now: Moment,
     next_batch: u64,
     role: Role,
     leader: Option<ReplicaId>,
@@ -179,6 +193,8 @@
             applied: snapshot_index,
             synced,
             unsynced: BTreeMap::new(),
+            sync_span: Duration::ZERO,
+            now,
             next_batch: 1,
             role: Role::Follower,
             leader: None,
@@ -226,7 +242,11 @@
         if !ready.records.is_empty() {
             let batch = self.next_batch;
             self.next_batch += 1;
-            self.unsynced.insert(batch, self.log.last_index());
+            let unsynced = UnsyncedBatch {
+                last_index: self.log.last_index(),
+                written_at: self.now,
+            };
+            self.unsynced.insert(batch, unsynced);
             ready.batch = Some(batch);
         }
         ready
@@ -236,10 +256,19 @@
     pub fn persisted(&mut self, batch: u64, now: Moment) {
         let later = self.unsynced.split_off(&(batch + 1));
         let done = std::mem::replace(&mut self.unsynced, later);
-        let Some(&index) = done.values().next_back() else {
+        let Some(newest) = done.values().next_back() else {
             return;
         };
-        self.synced = self.synced.max(index).min(self.log.last_index());
+        self.now = now;
+        self.sync_span = now.saturating_sub(newest.written_at).min(MAX_SYNC_SPAN);
+        self.synced = self
+            .synced
+            .max(newest.last_index)
+            .min(self.log.last_index());
+        if self.role != Role::Leader {
+            // What waited for the disk leaves only now: its answers are yet to come.
+            self.defer_election(now);
+        }
         match self.role {
             Role::Leader => self.advance_commit(now),
             _ => self.acknowledge_synced(),
@@ -248,6 +277,7 @@
 
     /// Does what has fallen due; call it every few tens of milliseconds.
     pub fn tick(&mut self, now: Moment) {
+        self.now = now;
         if self.role == Role::Leader {
             if self.has_lost_majority(now) {
                 self.follow(self.term, None, now);
@@ -257,13 +287,15 @@
                 self.broadcast(now);
             }
             self.manage_members(now);
-        } else if now >= self.election_at && self.is_voter() {
+        } else if now >= self.election_at && self.is_voter() && self.unsynced.is_empty() {
+            // A disk that is busy could not keep up with a leader's duties, and a vote on its way to it must not be overtaken.
             self.begin_trial(now);
         }
     }
 
     /// Takes a message of another replica.
     pub fn receive(&mut self, from: ReplicaId, message: Message, now: Moment) {
+        self.now = now;
         match message {
             Message::Vote(vote) => self.take_vote(from, &vote, now),
             Message::VoteReply(reply) => self.take_vote_reply(from, &reply, now),
@@ -404,6 +436,7 @@
         let least = self.config.election_min.as_millis() as u64;
         let most = self.config.election_max.as_millis() as u64;
         let wait = self.rng.random_range(least..=most.max(least));
-        self.election_at = now + Duration::from_millis(wait);
+        // A voter's disk may be as slow as this one.
+        self.election_at = now + Duration::from_millis(wait) + self.sync_span * 2;
     }
 }
--- a/crates/cloverfold_consensus/src/replica/replication.rs
+++ b/crates/cloverfold_consensus/src/replica/replication.rs
@@ -177,8 +177,8 @@
         self.log.truncate(index);
         self.ready.records.push(Record::Truncate { from: index });
         self.synced = self.synced.min(index - 1);
-        for last in self.unsynced.values_mut() {
-            *last = (*last).min(index - 1);
+        for batch in self.unsynced.values_mut() {
+            batch.last_index = batch.last_index.min(index - 1);
         }
     }
 
--- a/crates/cloverfold_consensus/tests/group.rs
+++ b/crates/cloverfold_consensus/tests/group.rs
@@ -549,3 +549,37 @@
 
     assert_eq!(status.role, Role::Follower);
 }
+
+#[test]
+fn a_group_whose_disks_take_a_second_to_sync_still_elects_a_leader() {
+    const SYNC_STEPS: usize = 50;
+    const STEPS: usize = 3_000;
+    let mut group = Group::found(3);
+    assert!(group.recover_all());
+    for place in 0..3 {
+        group.crash(place);
+    }
+    for place in 0..3 {
+        group.start(place);
+    }
+    let mut waited = [0; 3];
+    let mut has_leader = false;
+    for _ in 0..STEPS {
+        group.tick_all();
+        for _ in 0..60 {
+            group.deliver(0, false);
+        }
+        for (place, steps) in waited.iter_mut().enumerate() {
+            let is_busy = !group.boxes[place].unsynced.is_empty();
+            *steps = if is_busy { *steps + 1 } else { 0 };
+            if *steps == SYNC_STEPS {
+                *steps = 0;
+                group.sync(place);
+            }
+        }
+        let leads = |held: &Box_| held.process.as_ref().unwrap().status().role == Role::Leader;
+        has_leader |= group.boxes.iter().any(leads);
+    }
+
+    assert!(has_leader, "no election was won in {STEPS} steps");
+}
--- a/crates/cloverfold_control/src/error.rs
+++ b/crates/cloverfold_control/src/error.rs
@@ -1,6 +1,7 @@
 //! Why a control process could not start.
 
 use cloverfold_consensus::StoreError;
+use cloverfold_http::ListenError;
 
 /// Why a control process could not start.
 #[derive(Debug, thiserror::Error)]
@@ -11,12 +12,10 @@
     /// The replicated state on disk is none.
     #[error("data_folder: the state in the last snapshot cannot be read: {0}")]
     State(#[from] postcard::Error),
-    /// The system refuses something.
-    #[error("{what}: {cause}")]
-    System {
-        /// What was attempted.
-        what: String,
-        /// The system's error.
-        cause: std::io::Error,
-    },
+    /// An address cannot be listened on.
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+    /// The system gave no thread to write from.
+    #[error("the disk's thread: {0}")]
+    Thread(std::io::Error),
 }
--- a/crates/cloverfold_control/src/metrics.rs
+++ b/crates/cloverfold_control/src/metrics.rs
@@ -2,8 +2,7 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use cloverfold_app::count_dropped_lines;
-use prometheus_client::encoding::text::encode;
+use cloverfold_app::{count_dropped_lines, write_metrics};
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
@@ -44,10 +43,6 @@
             self.fresh.set(i64::from(core.is_fresh()));
         }
         self.dropped_lines.set(count_dropped_lines() as i64);
-        let mut text = String::new();
-        match encode(&mut text, &self.registry) {
-            Ok(()) => text,
-            Err(cause) => format!("# {cause}\n"),
-        }
+        write_metrics(&self.registry)
     }
 }
--- a/crates/cloverfold_control/src/process.rs
+++ b/crates/cloverfold_control/src/process.rs
@@ -5,11 +5,12 @@
 
 use cloverfold_app::random_u64;
 use cloverfold_consensus::{Record, Replica, ReplicaConfig, Store};
-use cloverfold_http::{HttpLimits, Request, Serving, StopPhase, plain_response, serve};
-use cloverfold_link::{accept_links, listen};
+use cloverfold_http::{
+    HttpLimits, Request, Serving, StopPhase, listen_at, serve_at, serve_operations,
+};
+use cloverfold_link::accept_links;
 use cloverfold_peer::{DialedPeers, Hello, PeerRole};
 use cloverfold_settings::ControlSettings;
-use http::StatusCode;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval};
@@ -99,7 +100,7 @@
     };
     let (link_tx, mut link_rx) = mpsc::channel(LINK_EVENTS);
     let (disk_tx, mut disk_rx) = mpsc::unbounded_channel();
-    let disk = Disk::start(store, disk_tx).map_err(|cause| system("the disk's thread", cause))?;
+    let disk = Disk::start(store, disk_tx).map_err(ControlError::Thread)?;
     let dialed = DialedPeers::new(own_address, link_tx.clone());
     let core = ControlCore::new(own, replica_id, replica, disk, dialed, founding);
     let core = Arc::new(Mutex::new(core));
@@ -109,10 +110,23 @@
         "a control process starts"
     );
 
-    let listener =
-        listen(own_address).map_err(|cause| system(&format!("peer.port {own_address}"), cause))?;
+    let listener = listen_at("peer.port", own_address)?;
     let operators = start_operators(settings, &core, interface)?;
-    let metrics = start_metrics(settings, &core)?;
+    let metrics = ControlMetrics::new();
+    let metrics = serve_operations(
+        settings.peer.metrics_address(),
+        {
+            let core = core.clone();
+            move || metrics.write(&core)
+        },
+        {
+            let core = core.clone();
+            move || {
+                let core = core.lock().unwrap_or_else(PoisonError::into_inner);
+                (!core.is_fresh()).then_some("out of touch with the majority")
+            }
+        },
+    )?;
     let mut tasks = JoinSet::new();
     tasks.spawn(accept_links(listener, link_tx));
     let shared = core.clone();
@@ -143,8 +157,6 @@
     interface: Arc<dyn OperatorInterface>,
 ) -> Result<Serving, ControlError> {
     let address = settings.operator_address;
-    let refused = |cause| system(&format!("operator_address {address}"), cause);
-    let listener = listen(address).map_err(refused)?;
     let name = settings.peer.name.clone();
     let operators = Arc::new(Operators::new(core.clone(), interface, name));
     let limits = || HttpLimits {
@@ -155,34 +167,5 @@
         let operators = operators.clone();
         async move { operators.answer(request).await }
     };
-    serve(listener, limits, answer).map_err(refused)
-}
-
-fn start_metrics(
-    settings: &ControlSettings,
-    core: &Arc<Mutex<ControlCore>>,
-) -> Result<Option<Serving>, ControlError> {
-    let Some(address) = settings.peer.metrics_address() else {
-        return Ok(None);
-    };
-    let refused = |cause| system(&format!("peer.metrics_port {address}"), cause);
-    let listener = listen(address).map_err(refused)?;
-    let metrics = Arc::new(ControlMetrics::new());
-    let core = core.clone();
-    let answer = move |request: Request| {
-        let text = match request.uri.path() {
-            "/metrics" => metrics.write(&core),
-            _ => "ok\n".to_owned(),
-        };
-        async move { plain_response(StatusCode::OK, text) }
-    };
-    let serving = serve(listener, HttpLimits::default, answer).map_err(refused)?;
-    Ok(Some(serving))
-}
-
-fn system(what: &str, cause: std::io::Error) -> ControlError {
-    ControlError::System {
-        what: what.into(),
-        cause,
-    }
+    Ok(serve_at("operator_address", address, limits, answer)?)
 }
--- a/crates/cloverfold_gateway/src/core.rs
+++ b/crates/cloverfold_gateway/src/core.rs
@@ -11,7 +11,7 @@
     Dispatcher, DispatcherAction, DispatcherCounts, JobAnswer, JobNumber, JobRequest, RefusalCause,
 };
 use cloverfold_link::{LinkEvent, LinkId, LinkSender, send_once};
-use cloverfold_peer::{DialedPeers, Hello, PeerMessage, PeerRole, ProcessClock};
+use cloverfold_peer::{ControlLinks, Hello, PeerMessage, PeerRole, ProcessClock};
 use tokio::sync::oneshot;
 
 use crate::event_log::log_event;
@@ -28,8 +28,6 @@
 /// above the numbers of its earlier runs.
 const RUN_EPOCH: Duration = Duration::from_secs(1_767_225_600);
 const RUN_UNIT_MS: u128 = 100;
-/// Control processes that are dialed at the most.
-const MAX_CONTROLS: usize = 5;
 
 struct Link {
     sender: LinkSender<PeerMessage>,
@@ -46,14 +44,12 @@
 pub(crate) struct GatewayCore {
     clock: ProcessClock,
     own: Hello,
-    seeds: Vec<SocketAddr>,
     protocol: Arc<dyn JobProtocol>,
     pub(crate) dispatcher: Dispatcher,
     in_force: InForce,
     fetching: Option<(u64, Duration)>,
     links: HashMap<LinkId, Link>,
-    controls: DialedPeers,
-    named_controls: Vec<SocketAddr>,
+    controls: ControlLinks,
     guards: BTreeMap<SocketAddr, KnownGuard>,
     invited_at: Duration,
     answers: HashMap<JobNumber, oneshot::Sender<JobAnswer>>,
@@ -65,22 +61,19 @@
 impl GatewayCore {
     pub(crate) fn new(
         own: Hello,
-        seeds: Vec<SocketAddr>,
         protocol: Arc<dyn JobProtocol>,
         dispatcher: Dispatcher,
-        controls: DialedPeers,
+        controls: ControlLinks,
     ) -> Self {
         Self {
             clock: ProcessClock::default(),
             own,
-            seeds,
             protocol,
             dispatcher,
             in_force: InForce::default(),
             fetching: None,
             links: HashMap::new(),
             controls,
-            named_controls: Vec::new(),
             guards: BTreeMap::new(),
             invited_at: Duration::ZERO,
             answers: HashMap::new(),
@@ -92,31 +85,16 @@
 
     /// Dials the seeds.
     pub(crate) fn begin(&mut self) {
-        self.dial_controls(Vec::new());
+        self.controls.dial();
     }
 
     /// Takes other seeds; control processes that are in touch stay so.
     pub(crate) fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
-        if seeds != self.seeds {
-            log::info!(seeds = seeds.len(); "the seeds have changed");
-            self.seeds = seeds;
-            self.dial_controls(self.named_controls.clone());
+        if self.controls.take_seeds(seeds) {
+            log::info!("the seeds have changed");
         }
     }
 
-    /// Dials the control processes that were named last, and seeds as far as there is place.
-    fn dial_controls(&mut self, named: Vec<SocketAddr>) {
-        let mut dialed = named.clone();
-        dialed.truncate(MAX_CONTROLS);
-        for seed in &self.seeds {
-            if dialed.len() < MAX_CONTROLS && !dialed.contains(seed) {
-                dialed.push(*seed);
-            }
-        }
-        self.named_controls = named;
-        self.controls.set(&dialed);
-    }
-
     pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
         self.in_force.configuration()
     }
@@ -255,7 +233,7 @@
                 }
             }
             PeerMessage::Directory(directory) => {
-                self.dial_controls(directory.controls);
+                self.controls.take_named(directory.controls);
             }
             PeerMessage::ToRunner(_)
             | PeerMessage::Invite { .. }
--- a/crates/cloverfold_gateway/src/lib.rs
+++ b/crates/cloverfold_gateway/src/lib.rs
@@ -5,14 +5,12 @@
 
 mod callers;
 mod core;
-mod error;
 mod event_log;
 mod in_force;
 mod metrics;
 mod process;
 mod protocol;
 
-pub use error::GatewayError;
 pub use in_force::InForce;
 pub use process::{GatewayProcess, start_gateway};
 pub use protocol::{JobForm, JobProtocol, JobState, MalformedJob, QueueCall};
--- a/crates/cloverfold_gateway/src/metrics.rs
+++ b/crates/cloverfold_gateway/src/metrics.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use cloverfold_app::count_dropped_lines;
+use cloverfold_app::{count_dropped_lines, write_metrics};
 use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -99,10 +98,6 @@
         self.targets.set(core.ready_targets() as i64);
         self.open_jobs.set(core.dispatcher.open_jobs() as i64);
         self.dropped_lines.set(count_dropped_lines() as i64);
-        let mut text = String::new();
-        match encode(&mut text, &self.registry) {
-            Ok(()) => text,
-            Err(cause) => format!("# {cause}\n"),
-        }
+        write_metrics(&self.registry)
     }
 }
--- a/crates/cloverfold_gateway/src/process.rs
+++ b/crates/cloverfold_gateway/src/process.rs
@@ -6,11 +6,12 @@
 
 use cloverfold_app::random_u64;
 use cloverfold_http::{
-    HttpLimits, Request, Serving, StopPhase, json_response, plain_response, serve,
+    HttpLimits, ListenError, Request, Serving, StopPhase, json_response, listen_at, plain_response,
+    serve_at, serve_operations,
 };
 use cloverfold_lease::{Dispatcher, HealthLimits, Timings};
-use cloverfold_link::{accept_links, listen};
-use cloverfold_peer::{DialedPeers, Hello, PeerRole};
+use cloverfold_link::accept_links;
+use cloverfold_peer::{ControlLinks, DialedPeers, Hello, PeerRole};
 use cloverfold_settings::LeasedEntrySettings;
 use http::StatusCode;
 use tokio::sync::mpsc;
@@ -19,7 +20,6 @@
 
 use crate::callers::Callers;
 use crate::core::GatewayCore;
-use crate::error::GatewayError;
 use crate::metrics::GatewayMetrics;
 use crate::protocol::JobProtocol;
 
@@ -78,7 +78,7 @@
 pub fn start_gateway(
     settings: &LeasedEntrySettings,
     protocol: Arc<dyn JobProtocol>,
-) -> Result<GatewayProcess, GatewayError> {
+) -> Result<GatewayProcess, ListenError> {
     let own_address = settings.peer.address();
     let own = Hello {
         name: settings.peer.name.clone(),
@@ -86,17 +86,13 @@
         address: own_address,
         version: 0,
     };
-    let timings = Timings {
-        session: Duration::from_millis(settings.lease.session_ms),
-        lease: Duration::from_millis(settings.lease.lease_ms),
-        stop: Duration::from_millis(settings.lease.stop_ms),
-        ..Timings::default()
-    };
+    let lease = &settings.lease;
+    let timings = Timings::with_bounds(lease.session(), lease.lease(), lease.stop());
     let dispatcher = Dispatcher::new(timings, HealthLimits::default(), random_u64());
     let (link_tx, mut link_rx) = mpsc::channel(LINK_EVENTS);
-    let controls = DialedPeers::new(own_address, link_tx.clone());
-    let seeds = settings.peer.seed_addresses();
-    let core = GatewayCore::new(own, seeds, protocol.clone(), dispatcher, controls);
+    let dialed = DialedPeers::new(own_address, link_tx.clone());
+    let controls = ControlLinks::new(settings.peer.seed_addresses(), dialed);
+    let core = GatewayCore::new(own, protocol.clone(), dispatcher, controls);
     let core = Arc::new(Mutex::new(core));
     let callers = Arc::new(Callers {
         core: core.clone(),
@@ -105,11 +101,20 @@
     });
     log::info!(name = settings.peer.name.as_str(); "an entry starts");
 
-    let listener =
-        listen(own_address).map_err(|cause| system(&format!("peer.port {own_address}"), cause))?;
+    let listener = listen_at("peer.port", own_address)?;
     let clients = start_clients(settings.client_address, &callers)?;
     let readiness = start_readiness(settings.ready_address, &callers)?;
-    let metrics = start_metrics(settings.peer.metrics_address(), &callers)?;
+    let metrics = serve_operations(
+        settings.peer.metrics_address(),
+        {
+            let callers = callers.clone();
+            move || callers.metrics.write(&callers.lock())
+        },
+        {
+            let callers = callers.clone();
+            move || callers.lock().find_unreadiness()
+        },
+    )?;
     let mut tasks = JoinSet::new();
     tasks.spawn(accept_links(listener, link_tx));
     tasks.spawn(async move {
@@ -135,9 +140,7 @@
     })
 }
 
-fn start_clients(address: SocketAddr, callers: &Arc<Callers>) -> Result<Serving, GatewayError> {
-    let refused = |cause| system(&format!("client_address {address}"), cause);
-    let listener = listen(address).map_err(refused)?;
+fn start_clients(address: SocketAddr, callers: &Arc<Callers>) -> Result<Serving, ListenError> {
     let limits = {
         let callers = callers.clone();
         move || read_limits(&callers)
@@ -147,7 +150,7 @@
         let callers = callers.clone();
         async move { callers.answer(request).await }
     };
-    serve(listener, limits, answer).map_err(refused)
+    serve_at("client_address", address, limits, answer)
 }
 
 fn read_limits(callers: &Callers) -> HttpLimits {
@@ -164,9 +167,7 @@
     }
 }
 
-fn start_readiness(address: SocketAddr, callers: &Arc<Callers>) -> Result<Serving, GatewayError> {
-    let refused = |cause| system(&format!("ready_address {address}"), cause);
-    let listener = listen(address).map_err(refused)?;
+fn start_readiness(address: SocketAddr, callers: &Arc<Callers>) -> Result<Serving, ListenError> {
     let callers = callers.clone();
     let answer = move |request: Request| {
         let is_meant = callers
@@ -179,33 +180,5 @@
         };
         async move { response }
     };
-    serve(listener, HttpLimits::default, answer).map_err(refused)
-}
-
-fn start_metrics(
-    address: Option<SocketAddr>,
-    callers: &Arc<Callers>,
-) -> Result<Option<Serving>, GatewayError> {
-    let Some(address) = address else {
-        return Ok(None);
-    };
-    let refused = |cause| system(&format!("peer.metrics_port {address}"), cause);
-    let listener = listen(address).map_err(refused)?;
-    let callers = callers.clone();
-    let answer = move |request: Request| {
-        let text = match request.uri.path() {
-            "/metrics" => callers.metrics.write(&callers.lock()),
-            _ => "ok\n".to_owned(),
-        };
-        async move { plain_response(StatusCode::OK, text) }
-    };
-    let serving = serve(listener, HttpLimits::default, answer).map_err(refused)?;
-    Ok(Some(serving))
-}
-
-fn system(what: &str, cause: std::io::Error) -> GatewayError {
-    GatewayError::System {
-        what: what.into(),
-        cause,
-    }
+    serve_at("ready_address", address, HttpLimits::default, answer)
 }
--- a/crates/cloverfold_http/src/lib.rs
+++ b/crates/cloverfold_http/src/lib.rs
@@ -4,9 +4,11 @@
 //! time, a planned stop for each connection, and to drop a handler whose client has left.
 
 mod client;
+mod operations;
 mod server;
 
 pub use client::{HttpCallError, HttpClient};
+pub use operations::{ListenError, listen_at, serve_at, serve_operations};
 pub use server::{
     HttpLimits, Request, Response, Serving, StopPhase, json_response, plain_response, serve,
 };
--- a/crates/cloverfold_lease/src/timings.rs
+++ b/crates/cloverfold_lease/src/timings.rs
@@ -54,6 +54,16 @@
 }
 
 impl Timings {
+    /// Takes the bounds that an installation sets itself.
+    pub fn with_bounds(session: Duration, lease: Duration, stop: Duration) -> Self {
+        Self {
+            session,
+            lease,
+            stop,
+            ..Self::default()
+        }
+    }
+
     /// Returns how long a span of the target's clock may last on a clock that is true.
     pub fn stretch(&self, span: Duration) -> Duration {
         let permille = 1_000_u32.saturating_sub(self.clock_drift_permille).max(1);
--- a/crates/cloverfold_peer/src/addresses.rs
+++ b/crates/cloverfold_peer/src/addresses.rs
@@ -48,3 +48,51 @@
         self.dialers.contains_key(address)
     }
 }
+
+/// Control processes that are dialed at the most.
+const MAX_CONTROLS: usize = 5;
+
+/// Links to control processes: those that were named last, and seeds as far as there is place.
+#[derive(Debug)]
+pub struct ControlLinks {
+    seeds: Vec<SocketAddr>,
+    named: Vec<SocketAddr>,
+    dialed: DialedPeers,
+}
+
+impl ControlLinks {
+    /// Begins with the seeds; nothing is dialed before [`ControlLinks::dial`].
+    pub fn new(seeds: Vec<SocketAddr>, dialed: DialedPeers) -> Self {
+        Self {
+            seeds,
+            named: Vec::new(),
+            dialed,
+        }
+    }
+
+    /// Dials; must be called within a runtime.
+    pub fn dial(&mut self) {
+        let mut wanted = self.named.clone();
+        wanted.truncate(MAX_CONTROLS);
+        for seed in &self.seeds {
+            if wanted.len() < MAX_CONTROLS && !wanted.contains(seed) {
+                wanted.push(*seed);
+            }
+        }
+        self.dialed.set(&wanted);
+    }
+
+    /// Takes the control processes that one of them has named.
+    pub fn take_named(&mut self, named: Vec<SocketAddr>) {
+        self.named = named;
+        self.dial();
+    }
+
+    /// Takes other seeds; returns whether they differ.
+    pub fn take_seeds(&mut self, seeds: Vec<SocketAddr>) -> bool {
+        let differ = seeds != self.seeds;
+        self.seeds = seeds;
+        self.dial();
+        differ
+    }
+}
--- a/crates/cloverfold_peer/src/lib.rs
+++ b/crates/cloverfold_peer/src/lib.rs
@@ -8,6 +8,6 @@
 mod clock;
 mod messages;
 
-pub use addresses::DialedPeers;
+pub use addresses::{ControlLinks, DialedPeers};
 pub use clock::ProcessClock;
 pub use messages::{Directory, Hello, PeerMessage, PeerRole};
--- a/crates/cloverfold_runner/src/core.rs
+++ b/crates/cloverfold_runner/src/core.rs
@@ -11,7 +11,9 @@
     StartOrder, StopOrder,
 };
 use cloverfold_link::{LinkEvent, LinkId, LinkSender};
-use cloverfold_peer::{DialedPeers, Directory, Hello, PeerMessage, PeerRole, ProcessClock};
+use cloverfold_peer::{
+    ControlLinks, DialedPeers, Directory, Hello, PeerMessage, PeerRole, ProcessClock,
+};
 use tokio::sync::{Notify, mpsc};
 
 use crate::interface::RegistrationCall;
@@ -19,8 +21,6 @@
 /// How long a guard waits before it fetches a newer configuration, which it only keeps for entries that find no control process: a
 /// burst of changes is fetched once.
 const FETCH_DELAY: Duration = Duration::from_millis(1_000);
-/// Control processes that are dialed at the most.
-const MAX_CONTROLS: usize = 5;
 
 struct Link {
     sender: LinkSender<PeerMessage>,
@@ -40,13 +40,11 @@
 pub(crate) struct GuardCore {
     clock: ProcessClock,
     own: Hello,
-    seeds: Vec<SocketAddr>,
     runner: Runner,
     configuration: Option<StoredConfiguration>,
     fetch: Option<(LinkId, Duration)>,
     links: HashMap<LinkId, Link>,
-    controls: DialedPeers,
-    named_controls: Vec<SocketAddr>,
+    controls: ControlLinks,
     entries: DialedPeers,
     orders: mpsc::UnboundedSender<TargetOrder>,
     hold_now: Arc<Notify>,
@@ -56,9 +54,8 @@
 impl GuardCore {
     pub(crate) fn new(
         own: Hello,
-        seeds: Vec<SocketAddr>,
         runner: Runner,
-        controls: DialedPeers,
+        controls: ControlLinks,
         entries: DialedPeers,
         orders: mpsc::UnboundedSender<TargetOrder>,
         hold_now: Arc<Notify>,
@@ -66,13 +63,11 @@
         Self {
             clock: ProcessClock::default(),
             own,
-            seeds,
             runner,
             configuration: None,
             fetch: None,
             links: HashMap::new(),
             controls,
-            named_controls: Vec::new(),
             entries,
             orders,
             hold_now,
@@ -82,29 +77,14 @@
 
     /// Dials the seeds.
     pub(crate) fn begin(&mut self) {
-        self.dial_controls(Vec::new());
+        self.controls.dial();
     }
 
     /// Takes other seeds; control processes that are in touch stay so.
     pub(crate) fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
-        if seeds != self.seeds {
-            log::info!(seeds = seeds.len(); "the seeds have changed");
-            self.seeds = seeds;
-            self.dial_controls(self.named_controls.clone());
-        }
-    }
-
-    /// Dials the control processes that were named last, and seeds as far as there is place.
-    fn dial_controls(&mut self, named: Vec<SocketAddr>) {
-        let mut dialed = named.clone();
-        dialed.truncate(MAX_CONTROLS);
-        for seed in &self.seeds {
-            if dialed.len() < MAX_CONTROLS && !dialed.contains(seed) {
-                dialed.push(*seed);
-            }
+        if self.controls.take_seeds(seeds) {
+            log::info!("the seeds have changed");
         }
-        self.named_controls = named;
-        self.controls.set(&dialed);
     }
 
     pub(crate) fn counts(&self) -> RunnerCounts {
@@ -262,7 +242,7 @@
         let linked = linked.filter(|hello| hello.role == PeerRole::Entry);
         entries.extend(linked.map(|hello| hello.address));
         self.entries.set(&entries);
-        self.dial_controls(directory.controls);
+        self.controls.take_named(directory.controls);
     }
 
     fn link_closed(&mut self, link: LinkId) {
--- a/crates/cloverfold_runner/src/lib.rs
+++ b/crates/cloverfold_runner/src/lib.rs
@@ -4,11 +4,9 @@
 //! target is spoken to is a [`TargetInterface`]'s matter.
 
 mod core;
-mod error;
 mod interface;
 mod metrics;
 mod process;
 
-pub use error::GuardError;
 pub use interface::{Answer, RegistrationCall, RegistrationRefusal, TargetInterface};
 pub use process::{GuardProcess, start_leased_guard};
--- a/crates/cloverfold_runner/src/metrics.rs
+++ b/crates/cloverfold_runner/src/metrics.rs
@@ -1,8 +1,7 @@
 //! What a guard counts.
 
-use cloverfold_app::count_dropped_lines;
+use cloverfold_app::{count_dropped_lines, write_metrics};
 use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
@@ -66,10 +65,6 @@
         self.held.set(core.held() as i64);
         self.ready.set(i64::from(core.has_ready_target()));
         self.dropped_lines.set(count_dropped_lines() as i64);
-        let mut text = String::new();
-        match encode(&mut text, &self.registry) {
-            Ok(()) => text,
-            Err(cause) => format!("# {cause}\n"),
-        }
+        write_metrics(&self.registry)
     }
 }
--- a/crates/cloverfold_runner/src/process.rs
+++ b/crates/cloverfold_runner/src/process.rs
@@ -5,10 +5,13 @@
 use std::time::Duration;
 
 use cloverfold_app::unix_now;
-use cloverfold_http::{HttpLimits, Request, Serving, json_response, plain_response, serve};
+use cloverfold_http::{
+    HttpLimits, ListenError, Request, Serving, json_response, listen_at, plain_response, serve_at,
+    serve_operations,
+};
 use cloverfold_lease::{HoldAnswer, Runner, Timings};
-use cloverfold_link::{accept_links, listen};
-use cloverfold_peer::{DialedPeers, Hello, PeerRole};
+use cloverfold_link::accept_links;
+use cloverfold_peer::{ControlLinks, DialedPeers, Hello, PeerRole};
 use cloverfold_settings::LeasedGuardSettings;
 use http::StatusCode;
 use tokio::sync::{Notify, mpsc};
@@ -16,7 +19,6 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::core::{GuardCore, TargetOrder};
-use crate::error::GuardError;
 use crate::interface::{RegistrationRefusal, TargetInterface};
 use crate::metrics::GuardMetrics;
 
@@ -73,7 +75,7 @@
 pub fn start_leased_guard(
     settings: &LeasedGuardSettings,
     interface: Arc<dyn TargetInterface>,
-) -> Result<GuardProcess, GuardError> {
+) -> Result<GuardProcess, ListenError> {
     let own_address = settings.peer.address();
     let own = Hello {
         name: settings.peer.name.clone(),
@@ -81,12 +83,8 @@
         address: own_address,
         version: 0,
     };
-    let timings = Timings {
-        session: Duration::from_millis(settings.lease.session_ms),
-        lease: Duration::from_millis(settings.lease.lease_ms),
-        stop: Duration::from_millis(settings.lease.stop_ms),
-        ..Timings::default()
-    };
+    let lease = &settings.lease;
+    let timings = Timings::with_bounds(lease.session(), lease.lease(), lease.stop());
     // A later life begins at a later time; should the clock have gone back, the target's refusals raise the token.
     let runner = Runner::new(timings, unix_now().as_millis() as u64);
     let (link_tx, mut link_rx) = mpsc::channel(LINK_EVENTS);
@@ -94,9 +92,11 @@
     let hold_now = Arc::new(Notify::new());
     let core = GuardCore::new(
         own,
-        settings.peer.seed_addresses(),
         runner,
-        DialedPeers::new(own_address, link_tx.clone()),
+        ControlLinks::new(
+            settings.peer.seed_addresses(),
+            DialedPeers::new(own_address, link_tx.clone()),
+        ),
         DialedPeers::new(own_address, link_tx.clone()),
         order_tx,
         hold_now.clone(),
@@ -104,10 +104,20 @@
     let core = Arc::new(Mutex::new(core));
     log::info!(name = settings.peer.name.as_str(); "a guard starts");
 
-    let listener =
-        listen(own_address).map_err(|cause| system(&format!("peer.port {own_address}"), cause))?;
+    let listener = listen_at("peer.port", own_address)?;
     let registrations = start_registrations(settings.registration_address, &core, &interface)?;
-    let metrics = start_metrics(settings.peer.metrics_address(), &core)?;
+    let metrics = GuardMetrics::new();
+    let metrics = serve_operations(
+        settings.peer.metrics_address(),
+        {
+            let core = core.clone();
+            move || metrics.write(&lock(&core))
+        },
+        {
+            let core = core.clone();
+            move || (!lock(&core).has_ready_target()).then_some("no target takes work")
+        },
+    )?;
     let mut tasks = JoinSet::new();
     tasks.spawn(accept_links(listener, link_tx));
     tasks.spawn(carry_out_orders(core.clone(), order_rx, interface.clone()));
@@ -191,9 +201,7 @@
     address: SocketAddr,
     core: &SharedCore,
     interface: &Arc<dyn TargetInterface>,
-) -> Result<Serving, GuardError> {
-    let refused = |cause| system(&format!("registration_address {address}"), cause);
-    let listener = listen(address).map_err(refused)?;
+) -> Result<Serving, ListenError> {
     let core = core.clone();
     let interface = interface.clone();
     let answer = move |request: Request| {
@@ -212,34 +220,5 @@
         };
         async move { response }
     };
-    serve(listener, HttpLimits::default, answer).map_err(refused)
-}
-
-fn start_metrics(
-    address: Option<SocketAddr>,
-    core: &SharedCore,
-) -> Result<Option<Serving>, GuardError> {
-    let Some(address) = address else {
-        return Ok(None);
-    };
-    let refused = |cause| system(&format!("peer.metrics_port {address}"), cause);
-    let listener = listen(address).map_err(refused)?;
-    let metrics = Arc::new(GuardMetrics::new());
-    let core = core.clone();
-    let answer = move |request: Request| {
-        let text = match request.uri.path() {
-            "/metrics" => metrics.write(&lock(&core)),
-            _ => "ok\n".to_owned(),
-        };
-        async move { plain_response(StatusCode::OK, text) }
-    };
-    let serving = serve(listener, HttpLimits::default, answer).map_err(refused)?;
-    Ok(Some(serving))
-}
-
-fn system(what: &str, cause: std::io::Error) -> GuardError {
-    GuardError::System {
-        what: what.into(),
-        cause,
-    }
+    serve_at("registration_address", address, HttpLimits::default, answer)
 }
--- a/crates/cloverfold_settings/src/leased.rs
+++ b/crates/cloverfold_settings/src/leased.rs
@@ -100,6 +100,21 @@
 }
 
 impl LeaseSettings {
+    /// Returns how long a guard works on for an entry that is silent.
+    pub fn session(&self) -> Duration {
+        Duration::from_millis(self.session_ms)
+    }
+
+    /// Returns how long a target may run on when its guard is silent.
+    pub fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+
+    /// Returns how long a target may take to end a stopped run.
+    pub fn stop(&self) -> Duration {
+        Duration::from_millis(self.stop_ms)
+    }
+
     fn check(&self, faults: &mut FaultList) {
         let longest = self.session_ms + self.lease_ms * 1_000 / 980 + self.stop_ms;
         faults.add_if(
