Tell committed configurations at the start; haste with the first election; name the jobs of a lost session

A control process knows nothing as committed before a leader has committed anew, and the first trial came after 350-700 ms. Ruled out: the targets (registered 0.1-0.2 s after the entries started), the dialing (links stood at 40.8 s). Change: the committed place is written down (nobody waits for it) and applied at the start; the first wait for a leader is a third. Reads still want the proof of a majority. Tests: a_replica_that_starts_applies_what_it_knew_to_be_committed_before_there_is_a_leader, what_is_committed_is_written_down_and_nobody_waits_for_it; both failed first (no such record).

--- a/crates/cloverfold_consensus/src/replica/mod.rs
+++ b/crates/cloverfold_consensus/src/replica/mod.rs
@@ -21,6 +21,8 @@
 /// Time on the process's steady clock.
 type Moment = Duration;
 
+/// How many times shorter the first wait for a leader is.
+const FIRST_ELECTION_HASTE: u32 = 3;
 /// Slower syncs than this do not put off elections any further.
 const MAX_SYNC_SPAN: Duration = Duration::from_secs(3);
 
@@ -179,9 +181,11 @@
         now: Moment,
     ) -> Self {
         let snapshot_index = state.snapshot.index;
+        let known_commit = state.commit;
         let restored = (snapshot_index > 0).then(|| state.snapshot.clone());
         let log = Log::new(state.snapshot, state.entries);
         let synced = log.last_index();
+        let commit = known_commit.clamp(snapshot_index, synced);
         let mut replica = Self {
             id,
             config,
@@ -189,7 +193,7 @@
             term: state.term,
             voted_for: state.voted_for,
             log,
-            commit: snapshot_index,
+            commit,
             applied: snapshot_index,
             synced,
             unsynced: BTreeMap::new(),
@@ -214,7 +218,7 @@
                 ..Ready::default()
             },
         };
-        replica.defer_election(now);
+        replica.defer_first_election(now);
         replica
     }
 
@@ -405,6 +409,13 @@
         self.synced = 0;
     }
 
+    fn commit_to(&mut self, index: LogIndex) {
+        if index > self.commit {
+            self.commit = index;
+            self.ready.records.push(Record::Commit { index });
+        }
+    }
+
     fn deliver_committed(&mut self) {
         while self.applied < self.commit {
             let Some(entry) = self.log.get(self.applied + 1).cloned() else {
@@ -432,6 +443,14 @@
         self.defer_election(now);
     }
 
+    /// A replica that starts may be one of many that start together: waiting long serves nobody, and a leader that lives is not
+    /// disturbed by a trial.
+    fn defer_first_election(&mut self, now: Moment) {
+        self.defer_election(now);
+        let wait = self.election_at.saturating_sub(now);
+        self.election_at = now + wait / FIRST_ELECTION_HASTE;
+    }
+
     fn defer_election(&mut self, now: Moment) {
         let least = self.config.election_min.as_millis() as u64;
         let most = self.config.election_max.as_millis() as u64;
--- a/crates/cloverfold_consensus/src/replica/replication.rs
+++ b/crates/cloverfold_consensus/src/replica/replication.rs
@@ -156,7 +156,7 @@
         }
         self.matched = self.matched.max(last_new);
         let known = append.commit.min(self.matched);
-        self.commit = self.commit.max(known.min(self.log.last_index()));
+        self.commit_to(known.min(self.log.last_index()));
         self.reply_matching(from);
     }
 
@@ -208,7 +208,7 @@
         let is_held = self.log.term_at(index) == Some(install.snapshot.term);
         if index > self.commit && is_held {
             // Entries after it may already count as durable here: keep them.
-            self.commit = index;
+            self.commit_to(index);
         } else if index > self.commit {
             self.adopt_snapshot(install.snapshot);
         }
@@ -272,7 +272,7 @@
         if place <= self.commit || self.log.term_at(place) != Some(self.term) {
             return;
         }
-        self.commit = place;
+        self.commit_to(place);
         // Followers learn of it at once, so that it is in force soon.
         self.broadcast(now);
         self.leave_if_removed(now);
--- a/crates/cloverfold_consensus/src/store.rs
+++ b/crates/cloverfold_consensus/src/store.rs
@@ -45,6 +45,11 @@
         /// First void place.
         from: LogIndex,
     },
+    /// All up to here is committed. Nobody waits for this record: after a restart it only tells early what a leader will tell.
+    Commit {
+        /// The place.
+        index: LogIndex,
+    },
     /// The state that stands for all entries up to its place; everything held of the log before is void.
     Snapshot(Snapshot),
 }
@@ -58,6 +63,8 @@
     pub term: Term,
     /// The vote in it.
     pub voted_for: Option<ReplicaId>,
+    /// A place up to which all is committed; there may be more.
+    pub commit: LogIndex,
     /// The last snapshot.
     pub snapshot: Snapshot,
     /// The entries after it.
@@ -77,6 +84,7 @@
                 self.entries.push(entry);
             }
             Record::Truncate { from } => self.entries.retain(|held| held.index < from),
+            Record::Commit { index } => self.commit = self.commit.max(index),
             Record::Snapshot(snapshot) => {
                 self.entries.clear();
                 self.snapshot = snapshot;
@@ -97,6 +105,7 @@
             records.push(Record::Snapshot(self.snapshot.clone()));
         }
         records.extend(self.entries.iter().cloned().map(Record::Entry));
+        records.push(Record::Commit { index: self.commit });
         records
     }
 }
--- a/crates/cloverfold_consensus/tests/rules.rs
+++ b/crates/cloverfold_consensus/tests/rules.rs
@@ -6,8 +6,8 @@
 
 use cloverfold_consensus::{
     Append, AppendReply, Entry, InstallSnapshot, LogIndex, Member, Members, Message, Outgoing,
-    Payload, Ready, RecoveredState, Replica, ReplicaConfig, ReplicaId, Role, Snapshot, Term, Vote,
-    VoteReply,
+    Payload, Ready, Record, RecoveredState, Replica, ReplicaConfig, ReplicaId, Role, Snapshot,
+    Term, Vote, VoteReply,
 };
 
 const NOW: Duration = Duration::from_secs(100);
@@ -346,3 +346,47 @@
         "the first change is not committed"
     );
 }
+
+#[test]
+fn a_replica_that_starts_applies_what_it_knew_to_be_committed_before_there_is_a_leader() {
+    let state = RecoveredState {
+        term: 3,
+        commit: 3,
+        snapshot: Snapshot {
+            index: 1,
+            term: 1,
+            members: members(),
+            state: Vec::new(),
+        },
+        entries: vec![entry(2, 3), entry(3, 3), entry(4, 3)],
+        ..RecoveredState::default()
+    };
+    let mut replica = Replica::new(1, ReplicaConfig::default(), state, 5, NOW);
+
+    let committed: Vec<LogIndex> = replica
+        .take_ready()
+        .committed
+        .iter()
+        .map(|e| e.index)
+        .collect();
+
+    assert_eq!(committed, [2, 3], "the last entry may yet be replaced");
+    replica.begin_read(7, NOW);
+    assert_eq!(
+        replica.take_ready().reads,
+        [(7, None)],
+        "a read still wants proof"
+    );
+}
+
+#[test]
+fn what_is_committed_is_written_down_and_nobody_waits_for_it() {
+    let mut replica = replica(3, &[3]);
+    replica.receive(2, append(3, (2, 3), Vec::new(), 2), NOW);
+
+    let ready = replica.take_ready();
+
+    assert!(ready.records.contains(&Record::Commit { index: 2 }));
+    assert_eq!(append_reply(&ready.messages).index, 2);
+    assert!(ready.messages.iter().all(|outgoing| !outgoing.after_sync));
+}
--- a/crates/cloverfold_gateway/src/event_log.rs
+++ b/crates/cloverfold_gateway/src/event_log.rs
@@ -65,10 +65,12 @@
         DispatcherEvent::SessionLost {
             runner,
             runs,
+            jobs,
             last_echo,
         } => {
             log::warn!(
-                runner = runner.as_str(), runs, last_echo_ms = ms(last_echo);
+                runner = runner.as_str(), runs, jobs = jobs.join(",").as_str(),
+                last_echo_ms = ms(last_echo);
                 "a session is lost with runs under way"
             );
         }
--- a/crates/cloverfold_lease/src/dispatcher/events.rs
+++ b/crates/cloverfold_lease/src/dispatcher/events.rs
@@ -65,6 +65,8 @@
         runner: String,
         /// Its runs.
         runs: usize,
+        /// The jobs that they belong to, the first of them where there are many.
+        jobs: Vec<String>,
         /// How old the last echo to the runner is.
         last_echo: Duration,
     },
--- a/crates/cloverfold_lease/src/dispatcher/targets.rs
+++ b/crates/cloverfold_lease/src/dispatcher/targets.rs
@@ -13,6 +13,9 @@
 use crate::resources::Resources;
 use crate::timings::Moment;
 
+/// Jobs that the report of a lost session names.
+const MAX_NAMED_JOBS: usize = 24;
+
 /// A session with one runner.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetView {
@@ -143,6 +146,7 @@
             self.report(DispatcherEvent::SessionLost {
                 runner: view.runner.clone(),
                 runs: tasks.len(),
+                jobs: name_jobs(&tasks),
                 last_echo: now.saturating_sub(view.echoed_at),
             });
             self.lost_sessions.push(LostSession {
@@ -265,3 +269,12 @@
         }
     }
 }
+
+/// Lists the jobs of tasks, each once, [`MAX_NAMED_JOBS`] at the most.
+fn name_jobs(tasks: &[(JobNumber, TaskId)]) -> Vec<String> {
+    let mut jobs: Vec<String> = tasks.iter().map(|(_, task)| task.job.clone()).collect();
+    jobs.sort_unstable();
+    jobs.dedup();
+    jobs.truncate(MAX_NAMED_JOBS);
+    jobs
+}
