--- a/crates/cloverfold/src/bin/cloverfold-guard.rs
+++ b/crates/cloverfold/src/bin/cloverfold-guard.rs
@@ -1,12 +1,13 @@
 //! `cloverfold-guard`: the one small process beside each target.
 
 use std::path::{Path, PathBuf};
+use std::process::ExitCode;
 use std::sync::Arc;
 
 use argh::FromArgs;
 use cloverfold_app::start_logging;
 use cloverfold_platform::Platform;
-use cloverfold_process::{SettingsWatch, start_guard, start_leased_runtime};
+use cloverfold_process::{SettingsWatch, report_outcome, start_guard, start_leased_runtime};
 use cloverfold_runner::start_leased_guard;
 use cloverfold_settings::{GuardSettings, LeasedGuardSettings};
 use eyre::{Result, WrapErr};
@@ -25,8 +26,12 @@
     leased: bool,
 }
 
-fn main() -> Result<()> {
+fn main() -> ExitCode {
     let args: Args = argh::from_env();
+    report_outcome(start(&args))
+}
+
+fn start(args: &Args) -> Result<()> {
     if args.leased {
         return run_leased(&args.settings);
     }
--- a/crates/cloverfold/src/bin/cloverfold/main.rs
+++ b/crates/cloverfold/src/bin/cloverfold/main.rs
@@ -8,6 +8,8 @@
 mod operator;
 mod solo;
 
+use std::process::ExitCode;
+
 use argh::FromArgs;
 use eyre::Result;
 
@@ -34,9 +36,13 @@
     Status(operator::Status),
 }
 
-fn main() -> Result<()> {
+fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    match args.command {
+    cloverfold_process::report_outcome(run(args.command))
+}
+
+fn run(command: Command) -> Result<()> {
+    match command {
         Command::Check(command) => command.run(),
         Command::Configuration(command) => command.run(),
         Command::Control(command) => command.run(),
