Never refuse a job whose session was lost

Came in with "refuse a job whose runs were all given back". Ruled out: ends that guards report as not started (each is proved by the target's lists and deadline). Change: a lost session marks its jobs as possibly run. Test a_job_whose_session_was_lost_may_have_run_and_is_never_refused failed first.

--- a/crates/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/cloverfold_lease/src/dispatcher/job.rs
@@ -58,7 +58,7 @@
     pub(crate) hold_until: Moment,
     /// The job is given up then.
     pub(crate) give_up_at: Moment,
-    /// Whether a run ended in another way than by not being started.
+    /// Whether a run ended in another way than by not being started, or its end was never told.
     pub(crate) has_run: bool,
 }
 
--- a/crates/cloverfold_lease/src/dispatcher/targets.rs
+++ b/crates/cloverfold_lease/src/dispatcher/targets.rs
@@ -132,6 +132,7 @@
                     matches!(task.phase, TaskPhase::Assigned { session: s, .. } if s == session);
                 if is_there {
                     task.phase = TaskPhase::Uncertain;
+                    job.has_run = true;
                     tasks.push((*number, task.id.clone()));
                 }
             }
--- a/crates/cloverfold_lease/tests/dispatcher.rs
+++ b/crates/cloverfold_lease/tests/dispatcher.rs
@@ -496,3 +496,21 @@
         "{answers:?}"
     );
 }
+
+#[test]
+fn a_job_whose_session_was_lost_may_have_run_and_is_never_refused() {
+    let mut bench = Bench::new(2);
+    let long = StepRequest {
+        estimate: ms(1_000),
+        ..step(1, vec![])
+    };
+    let number = bench.submit(job("a", vec![long]));
+    let run = bench.assigned().remove(0);
+    let other = 3 - run.0;
+    bench.dispatcher.close_session(run.0, bench.now);
+
+    // Its run is surely over after 1.3 s; no other target has room, and its time is over after 9.8 s.
+    bench.pass(12_000, &[other]);
+
+    assert_eq!(bench.answers(), [(number, JobAnswer::GivenUp)]);
+}
