Dial again in a tenth of a second at first

Their first dials met control boxes without power, which answer nothing, and waited out 250 ms. Change: the first twelve attempts take 70 ms and pause 30 ms; later ones 250 and 200 ms.

--- a/crates/cloverfold_link/src/dial.rs
+++ b/crates/cloverfold_link/src/dial.rs
@@ -16,23 +16,55 @@
 use crate::link::{LinkEvent, run_link};
 use crate::socket::tune;
 
-/// How long a connection may take to stand before it is tried anew.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long the one message of [`send_once`] may take.
+const SEND_ONCE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Pauses between attempts to reach a peer.
+/// One attempt to reach a peer, and the pause after it if it fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DialAttempt {
+    /// How long the connection may take to stand.
+    pub patience: Duration,
+    /// How long to wait before the next attempt.
+    pub pause: Duration,
+}
+
+/// How a peer is dialed again.
+///
+/// A box without power answers nothing, so an attempt that begins just before it comes back is lost. Attempts are short
+/// at first, when a restarted peer is most likely to come back, and longer for peers that stay away or are far.
 #[derive(Clone, Copy, Debug)]
 pub struct DialBackoff {
-    /// Pause after the first failure.
-    pub first: Duration,
-    /// Longest pause.
-    pub longest: Duration,
+    /// The first attempts after a link was lost or the process has started.
+    pub quick: DialAttempt,
+    /// How many attempts are quick.
+    pub quick_attempts: u32,
+    /// All later ones.
+    pub slow: DialAttempt,
 }
 
 impl Default for DialBackoff {
     fn default() -> Self {
         Self {
-            first: Duration::from_millis(60),
-            longest: Duration::from_millis(250),
+            quick: DialAttempt {
+                patience: Duration::from_millis(70),
+                pause: Duration::from_millis(30),
+            },
+            quick_attempts: 12,
+            slow: DialAttempt {
+                patience: Duration::from_millis(250),
+                pause: Duration::from_millis(200),
+            },
+        }
+    }
+}
+
+impl DialBackoff {
+    /// Returns the attempt that follows so many failures in a row.
+    pub fn attempt_after(&self, failures: u32) -> DialAttempt {
+        if failures < self.quick_attempts {
+            self.quick
+        } else {
+            self.slow
         }
     }
 }
@@ -60,16 +92,17 @@
         M: Serialize + DeserializeOwned + Send + 'static,
     {
         let task = tokio::spawn(async move {
-            let mut pause = backoff.first;
+            let mut failures = 0;
             loop {
-                match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+                let attempt = backoff.attempt_after(failures);
+                match timeout(attempt.patience, TcpStream::connect(address)).await {
                     Ok(Ok(stream)) => {
-                        pause = backoff.first;
+                        failures = 0;
                         run_link(stream, address, true, &events).await;
                     }
-                    Ok(Err(_)) | Err(_) => pause = (pause * 2).min(backoff.longest),
+                    Ok(Err(_)) | Err(_) => failures = failures.saturating_add(1),
                 }
-                sleep(add_jitter(pause)).await;
+                sleep(add_jitter(attempt.pause)).await;
             }
         });
         Self { task }
@@ -90,7 +123,7 @@
         stream.write_all(&buf).await?;
         stream.shutdown().await
     };
-    timeout(CONNECT_TIMEOUT, attempt)
+    timeout(SEND_ONCE_TIMEOUT, attempt)
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
 }
--- a/crates/cloverfold_link/src/lib.rs
+++ b/crates/cloverfold_link/src/lib.rs
@@ -10,7 +10,7 @@
 mod link;
 mod socket;
 
-pub use dial::{DialBackoff, Dialer, send_once};
+pub use dial::{DialAttempt, DialBackoff, Dialer, send_once};
 pub use frame::{FrameError, MAX_FRAME_LEN, decode_frame, encode_frame};
 pub use link::{LinkEvent, LinkId, LinkSender, accept_links};
 pub use socket::listen;
--- a/crates/cloverfold_link/tests/links.rs
+++ b/crates/cloverfold_link/tests/links.rs
@@ -66,6 +66,20 @@
     }
 }
 
+#[test]
+fn a_peer_that_restarts_is_dialed_again_in_a_tenth_of_a_second_and_one_that_stays_away_less_often() {
+    let backoff = DialBackoff::default();
+    let span = |failures| {
+        let attempt = backoff.attempt_after(failures);
+        attempt.patience + attempt.pause
+    };
+
+    let first_second: Duration = (0..10).map(span).sum();
+
+    assert!(first_second <= Duration::from_secs(1), "{first_second:?}");
+    assert!(span(1_000) >= 4 * span(0), "a dead peer costs little");
+}
+
 #[test]
 fn a_frame_is_taken_only_when_it_is_whole() {
     let mut whole = BytesMut::new();
