Stop runs that stand still, and pause their target for all entries

Ruled out: processor time (an uncharged run is as late). Change: a guard stops a run that was listed at the same percent for 100 ms (12 % of the estimate if that is longer) and at least three times; three such runs pause the target for all entries, then it is tried with a sixth of its processors. Conclusion: progress is the fastest sign there is; the same rows can tell slow targets.

--- a/crates/cloverfold_gateway/src/metrics.rs
+++ b/crates/cloverfold_gateway/src/metrics.rs
@@ -84,6 +84,7 @@
             ("given_back", counts.given_back),
             ("failed", counts.failed),
             ("lost", counts.lost),
+            ("stuck", counts.stuck),
             ("overdue", counts.overdue),
             ("withdrawn", counts.withdrawn),
             ("stalled", counts.stalled),
--- a/crates/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/cloverfold_lease/src/dispatcher/mod.rs
@@ -79,6 +79,8 @@
     pub failed: u64,
     /// Runs whose target or lease was lost.
     pub lost: u64,
+    /// Runs that stood still at their target and were stopped there.
+    pub stuck: u64,
     /// Runs withdrawn because they took far longer than expected.
     pub overdue: u64,
     /// Runs withdrawn because their caller left or their job was given up.
--- a/crates/cloverfold_lease/src/dispatcher/outcomes.rs
+++ b/crates/cloverfold_lease/src/dispatcher/outcomes.rs
@@ -41,6 +41,7 @@
             RunOutcome::Done => self.run_done(number, index, session, ran),
             RunOutcome::Failed => self.run_failed(number, index, session, now),
             RunOutcome::Stopped => self.run_again(number, index),
+            RunOutcome::Stuck => self.run_stuck(number, index, session),
             RunOutcome::Lost => {
                 self.counts.lost += 1;
                 self.run_again(number, index);
@@ -109,6 +110,15 @@
         }
     }
 
+    /// The runner has judged its target already, for all dispatchers; here only this task is begun elsewhere.
+    fn run_stuck(&mut self, number: JobNumber, index: usize, session: SessionId) {
+        self.counts.stuck += 1;
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.tasks[index].avoided = Some(session);
+        }
+        self.run_again(number, index);
+    }
+
     fn run_refused(
         &mut self,
         number: JobNumber,
--- a/crates/cloverfold_lease/src/dispatcher/placing.rs
+++ b/crates/cloverfold_lease/src/dispatcher/placing.rs
@@ -5,6 +5,7 @@
 use crate::dispatcher::job::{Job, Task, TaskPhase};
 use crate::dispatcher::{Dispatcher, JobNumber};
 use crate::messages::{Assignment, SessionId};
+use crate::request::StepRequest;
 use crate::timings::Moment;
 
 /// How many targets with room are drawn, of which the emptiest is taken: dispatchers that choose at the same moment from the
@@ -108,7 +109,9 @@
         let Some(echoed) = view.echoed_clock else {
             return;
         };
-        let demand = job.step(&job.tasks[index]).demand;
+        let StepRequest {
+            demand, estimate, ..
+        } = *job.step(&job.tasks[index]);
         let task = &mut job.tasks[index];
         let run = task.next_run;
         task.next_run += 1;
@@ -126,6 +129,7 @@
             demand,
             priority: job.request.priority,
             wait_ms: RUNNER_WAIT_MS,
+            estimate_ms: estimate.as_millis() as u32,
             valid_until: echoed + session_span,
         };
         self.send_assignment(session, assignment);
--- a/crates/cloverfold_lease/src/messages.rs
+++ b/crates/cloverfold_lease/src/messages.rs
@@ -36,6 +36,8 @@
     pub priority: u32,
     /// How long it may wait at the runner for room, in milliseconds.
     pub wait_ms: u32,
+    /// How long it is expected to run, in milliseconds.
+    pub estimate_ms: u32,
     /// On the runner's clock: after this the assignment is void. It is the end of the session as the dispatcher knows it.
     pub valid_until: Moment,
 }
@@ -93,6 +95,8 @@
     Failed,
     /// It was stopped by an order.
     Stopped,
+    /// It stood still at the target and was stopped.
+    Stuck,
     /// Its lease lapsed or its target died.
     Lost,
     /// It never ran.
--- a/crates/cloverfold_lease/src/runner/held.rs
+++ b/crates/cloverfold_lease/src/runner/held.rs
@@ -4,6 +4,7 @@
 
 use crate::messages::{Assignment, RunOutcome, SessionId};
 use crate::resources::Resources;
+use crate::runner::progress::ProgressWatch;
 use crate::timings::{Moment, TargetTime};
 
 /// How far a run has come.
@@ -55,6 +56,10 @@
     pub(crate) priority: u32,
     pub(crate) state: HeldState,
     pub(crate) started_at: Option<Moment>,
+    pub(crate) estimate: Duration,
+    pub(crate) progress: ProgressWatch,
+    /// Whether it is being stopped because it stands still.
+    pub(crate) is_stuck: bool,
 }
 
 impl HeldTask {
@@ -74,6 +79,9 @@
             priority: assignment.priority,
             state: HeldState::Waiting { until: now + wait },
             started_at: None,
+            estimate: Duration::from_millis(u64::from(assignment.estimate_ms)),
+            progress: ProgressWatch::default(),
+            is_stuck: false,
         }
     }
 
--- a/crates/cloverfold_lease/src/runner/holds.rs
+++ b/crates/cloverfold_lease/src/runner/holds.rs
@@ -61,6 +61,7 @@
                 target.read_clock(clock, now);
                 self.take_ends(ended, now);
                 self.compare_runs(order.sent_at, clock, &running, now);
+                self.stop_stuck_runs(now);
                 self.start_waiting(now);
                 self.announce_target();
             }
@@ -89,6 +90,9 @@
                     EndCause::Stopped => RunOutcome::Stopped,
                     EndCause::Lapsed => RunOutcome::Lost,
                 };
+                if outcome == RunOutcome::Done {
+                    target.conduct.note_done();
+                }
                 self.end_task(&end.task, outcome, now);
             }
         }
@@ -103,14 +107,16 @@
         now: Moment,
     ) {
         for row in running {
-            if let Some(held) = self.tasks.get_mut(&row.task)
-                && held.run == row.run
-                && let HeldState::Starting { since, .. } = held.state
-            {
+            let held = self.tasks.get_mut(&row.task);
+            let Some(held) = held.filter(|held| held.run == row.run) else {
+                continue;
+            };
+            if let HeldState::Starting { since, .. } = held.state {
                 held.state = HeldState::Running { since: now };
                 held.started_at = Some(since);
                 self.counts.started += 1;
             }
+            held.progress.note(row.progress, now);
         }
         let is_listed = |task: &TaskId, run: u64| {
             running
--- a/crates/cloverfold_lease/src/runner/mod.rs
+++ b/crates/cloverfold_lease/src/runner/mod.rs
@@ -3,6 +3,7 @@
 mod held;
 mod holds;
 mod orders;
+mod progress;
 mod sessions;
 mod starts;
 mod target;
@@ -55,6 +56,10 @@
     pub expired_sessions: u64,
     /// Runs found at the target that no session vouches for.
     pub orphans: u64,
+    /// Runs that stood still and were stopped.
+    pub stuck: u64,
+    /// Times the target was given no work because its runs stood still.
+    pub pauses: u64,
 }
 
 /// Executes what dispatchers assign at the one target beside it.
@@ -150,6 +155,7 @@
     pub fn tick(&mut self, now: Moment) {
         self.expire_sessions(now);
         self.watch_target(now);
+        self.end_target_pause(now);
         self.expire_waiting(now);
         self.repeat_orders(now);
         self.send_heartbeats(now);
@@ -252,6 +258,10 @@
         let Some(held) = self.tasks.remove(task) else {
             return;
         };
+        let outcome = match outcome {
+            RunOutcome::Stopped if held.is_stuck => RunOutcome::Stuck,
+            other => other,
+        };
         match outcome {
             RunOutcome::Lost => self.counts.lost += 1,
             RunOutcome::NotStarted(_) => self.counts.refused += 1,
@@ -296,7 +306,7 @@
     }
 
     fn capacity_minus(&self, demands: impl Iterator<Item = Resources>) -> Resources {
-        let capacity = self.target.as_ref().map(|target| *target.capacity());
+        let capacity = self.target.as_ref().map(TargetLife::offered_capacity);
         demands.fold(capacity.unwrap_or_default(), |free, demand| {
             free.minus(&demand)
         })
--- a/crates/cloverfold_lease/src/runner/orders.rs
+++ b/crates/cloverfold_lease/src/runner/orders.rs
@@ -128,6 +128,8 @@
     pub task: TaskId,
     /// The run.
     pub run: u64,
+    /// How much of its work is done, in percent, where the target tells it.
+    pub progress: Option<u8>,
 }
 
 /// How the target says that a run ended.
--- a/crates/cloverfold_lease/src/runner/target.rs
+++ b/crates/cloverfold_lease/src/runner/target.rs
@@ -6,6 +6,7 @@
 use crate::resources::Resources;
 use crate::runner::held::HeldState;
 use crate::runner::orders::TargetRegistration;
+use crate::runner::progress::TargetConduct;
 use crate::runner::{Runner, RunnerAction};
 use crate::timings::{Moment, TargetTime};
 
@@ -36,6 +37,7 @@
     /// Whether the newest answer to a hold listed nothing that is not ours.
     pub(super) is_clean: bool,
     pub(super) is_silent: bool,
+    pub(super) conduct: TargetConduct,
 }
 
 impl TargetLife {
@@ -55,6 +57,7 @@
             answered_at: now,
             is_clean: false,
             is_silent: false,
+            conduct: TargetConduct::new(),
         }
     }
 
@@ -71,7 +74,13 @@
     }
 
     pub(crate) fn takes_work(&self) -> bool {
-        self.is_clean && !self.is_silent && !self.registration.is_draining && self.clock.is_some()
+        let is_fit = self.is_clean && !self.is_silent && !self.conduct.is_paused();
+        is_fit && !self.registration.is_draining && self.clock.is_some()
+    }
+
+    /// Returns what dispatchers may use of the capacity.
+    pub(crate) fn offered_capacity(&self) -> Resources {
+        self.conduct.offer(self.capacity())
     }
 
     pub(crate) fn describe(&self) -> TargetDescription {
--- a/crates/cloverfold_lease/tests/dispatcher.rs
+++ b/crates/cloverfold_lease/tests/dispatcher.rs
@@ -341,6 +341,21 @@
     assert_eq!(bench.answers(), [(number, JobAnswer::Failed)]);
 }
 
+#[test]
+fn a_run_that_stood_still_is_begun_elsewhere_and_is_no_failure_of_its_task() {
+    let mut bench = Bench::new(2);
+    bench.submit(job("a", vec![step(1, vec![])]));
+    let first = bench.assigned().remove(0);
+
+    bench.end(&first, RunOutcome::Stuck);
+
+    let second = bench.assigned().remove(0);
+    assert_ne!(second.0, first.0);
+    assert!(second.1.run > first.1.run);
+    assert!(bench.answers().is_empty());
+    assert_eq!(bench.dispatcher.counts().failed, 0);
+}
+
 #[test]
 fn a_job_that_comes_again_is_not_started_while_an_earlier_run_may_be_at_work() {
     let mut bench = Bench::new(1);
--- a/crates/cloverfold_lease/tests/runner.rs
+++ b/crates/cloverfold_lease/tests/runner.rs
@@ -54,6 +54,7 @@
         },
         priority: 0,
         wait_ms: 60,
+        estimate_ms: 900,
         valid_until,
     })
 }
@@ -66,6 +67,7 @@
             .map(|index| HeldRun {
                 task: task(*index),
                 run: 5,
+                progress: None,
             })
             .collect(),
         ended: ended
--- /dev/null
+++ b/crates/cloverfold_lease/tests/stuck_runs.rs
@@ -0,0 +1,247 @@
+//! Runs that stand still at a target that looks well.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use cloverfold_lease::{
+    Assignment, DispatcherMessage, EndCause, EndedRun, HeldRun, HoldAnswer, Resources, RunOutcome,
+    Runner, RunnerAction, RunnerMessage, StartAnswer, TargetRegistration, TaskId, Timings,
+};
+
+const SESSION: u64 = 7;
+const CAPACITY: Resources = Resources {
+    cpu_milli: 12_000,
+    memory_mb: 1_000,
+    accelerators: 0,
+};
+const DEMAND: Resources = Resources {
+    cpu_milli: 1_500,
+    memory_mb: 10,
+    accelerators: 0,
+};
+
+fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn task(index: u32) -> TaskId {
+    TaskId {
+        job: "job".into(),
+        repetition: 0,
+        step: 0,
+        index,
+    }
+}
+
+/// A runner, its target's answers, and a clock that they share.
+struct Bench {
+    runner: Runner,
+    now: Duration,
+    actions: Vec<RunnerAction>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mut runner = Runner::new(Timings::default(), 1_000);
+        let registration = TargetRegistration {
+            instance: "life".into(),
+            service: "service".into(),
+            address: "127.0.0.1:1".into(),
+            capacity: CAPACITY,
+            labels: Vec::new(),
+            is_draining: false,
+            clock: Some(50_000),
+            sequence: 1,
+        };
+        runner.register(registration, ms(0));
+        let mut bench = Self {
+            runner,
+            now: ms(0),
+            actions: Vec::new(),
+        };
+        bench.list(&[], &[]);
+        bench.runner.open_session(SESSION, bench.now);
+        bench
+    }
+
+    /// The target lists runs with their progress, and ends; afterwards a tick passes.
+    fn list(&mut self, running: &[(u32, u8)], ended: &[(u64, u32, EndCause)]) {
+        let order = self.runner.plan_hold(self.now).unwrap();
+        let running = running.iter().map(|&(index, percent)| HeldRun {
+            task: task(index),
+            run: 5,
+            progress: Some(percent),
+        });
+        let ended = ended.iter().map(|&(number, index, cause)| EndedRun {
+            number,
+            task: task(index),
+            run: 5,
+            cause,
+        });
+        let answer = HoldAnswer::Listed {
+            clock: 50_000 + self.now.as_millis() as u64,
+            running: running.collect(),
+            ended: ended.collect(),
+        };
+        self.runner.hold_answered(&order, answer, self.now);
+        self.runner.tick(self.now);
+        let echo = DispatcherMessage::Echo { clock: self.now };
+        self.runner.receive(SESSION, echo, self.now);
+        self.actions.extend(self.runner.take_actions());
+    }
+
+    fn start(&mut self, index: u32, estimate_ms: u32) {
+        let assignment = Assignment {
+            task: task(index),
+            run: 5,
+            spec: "spec".into(),
+            demand: DEMAND,
+            priority: 0,
+            wait_ms: 60,
+            estimate_ms,
+            valid_until: self.now + ms(400),
+        };
+        let message = DispatcherMessage::Assign(assignment);
+        self.runner.receive(SESSION, message, self.now);
+        for action in self.runner.take_actions() {
+            if let RunnerAction::Start(order) = &action {
+                let answer = StartAnswer::Started { clock: 50_000 };
+                self.runner.start_answered(order, answer, self.now);
+            }
+        }
+    }
+
+    /// Lets time pass in steps of 40 ms; the target lists the same again and again.
+    fn stand(&mut self, span: Duration, running: &[(u32, u8)]) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += ms(40);
+            self.list(running, &[]);
+        }
+    }
+
+    fn stops(&mut self) -> Vec<u32> {
+        let stops = self.actions.iter().filter_map(|action| match action {
+            RunnerAction::Stop(order) => Some(order.task.index),
+            _ => None,
+        });
+        stops.collect()
+    }
+
+    fn outcomes(&self) -> Vec<(u32, RunOutcome)> {
+        let ends = self.actions.iter().filter_map(|action| match action {
+            RunnerAction::Send(_, RunnerMessage::Ended { task, outcome, .. }) => {
+                Some((task.index, *outcome))
+            }
+            _ => None,
+        });
+        ends.collect()
+    }
+}
+
+#[test]
+fn a_run_that_stands_still_is_stopped_and_reported_as_stuck() {
+    let mut bench = Bench::new();
+    bench.start(1, 60);
+    bench.list(&[(1, 30)], &[]);
+
+    bench.stand(ms(160), &[(1, 30)]);
+
+    assert_eq!(bench.stops(), [1]);
+    bench.list(&[], &[(1, 1, EndCause::Stopped)]);
+    assert_eq!(bench.outcomes(), [(1, RunOutcome::Stuck)]);
+    assert_eq!(bench.runner.counts().stuck, 1);
+}
+
+#[test]
+fn a_run_that_ends_while_it_is_stopped_as_stuck_is_done() {
+    let mut bench = Bench::new();
+    bench.start(1, 60);
+    bench.stand(ms(200), &[(1, 30)]);
+    assert_eq!(bench.stops(), [1]);
+
+    bench.list(&[], &[(1, 1, EndCause::Done)]);
+
+    assert_eq!(bench.outcomes(), [(1, RunOutcome::Done)]);
+}
+
+#[test]
+fn a_run_at_a_target_ten_times_slower_than_usual_gets_on() {
+    let mut bench = Bench::new();
+    bench.start(1, 900);
+
+    for percent in 0..40 {
+        bench.stand(ms(80), &[(1, percent)]);
+    }
+
+    assert!(bench.stops().is_empty());
+}
+
+#[test]
+fn a_target_that_tells_no_progress_is_not_judged_by_it() {
+    let mut bench = Bench::new();
+    bench.start(1, 60);
+
+    for _ in 0..10 {
+        bench.now += ms(40);
+        let order = bench.runner.plan_hold(bench.now).unwrap();
+        let run = HeldRun {
+            task: task(1),
+            run: 5,
+            progress: None,
+        };
+        let answer = HoldAnswer::Listed {
+            clock: 50_000,
+            running: vec![run],
+            ended: Vec::new(),
+        };
+        bench.runner.hold_answered(&order, answer, bench.now);
+    }
+
+    assert_eq!(bench.runner.counts().stuck, 0);
+}
+
+#[test]
+fn a_runner_that_itself_stood_still_judges_nobody() {
+    let mut bench = Bench::new();
+    bench.start(1, 60);
+    bench.list(&[(1, 30)], &[]);
+
+    bench.now += ms(450);
+    bench.list(&[(1, 30)], &[]);
+
+    assert!(bench.stops().is_empty());
+}
+
+#[test]
+fn a_target_that_lets_runs_stand_still_is_paused_then_tried_and_then_trusted() {
+    let mut bench = Bench::new();
+    let stuck = [(1, 0), (2, 0), (3, 0)];
+    for (index, _) in stuck {
+        bench.start(index, 60);
+    }
+
+    bench.stand(ms(160), &stuck);
+
+    assert!(!bench.runner.has_ready_target(), "all sessions get it back");
+    let ends = [1, 2, 3].map(|index| (u64::from(index), index, EndCause::Stopped));
+    bench.list(&[], &ends);
+    bench.stand(ms(1_000), &[]);
+    assert!(bench.runner.has_ready_target(), "it is tried after a pause");
+    assert_eq!(free(&bench), Some(CAPACITY.cpu_milli / 6), "in part");
+    bench.start(4, 60);
+    bench.list(&[], &[(4, 4, EndCause::Done)]);
+    assert_eq!(free(&bench), Some(CAPACITY.cpu_milli), "and then trusted");
+}
+
+/// Returns the free processors that the session was told last.
+fn free(bench: &Bench) -> Option<i64> {
+    let told = bench.actions.iter().filter_map(|action| match action {
+        RunnerAction::Send(_, RunnerMessage::Room(room)) => Some(room.free.cpu_milli),
+        RunnerAction::Send(_, RunnerMessage::Heartbeat { room, .. }) => Some(room.free.cpu_milli),
+        RunnerAction::Send(_, RunnerMessage::Ended { room, .. }) => Some(room.free.cpu_milli),
+        _ => None,
+    });
+    told.last()
+}
--- a/crates/cloverfold_lease/tests/world/target.rs
+++ b/crates/cloverfold_lease/tests/world/target.rs
@@ -253,6 +253,7 @@
                 .map(|(task, (run, _))| HeldRun {
                     task: task.clone(),
                     run: *run,
+                    progress: None,
                 })
                 .collect(),
             ended: self.ended.clone(),
--- a/crates/cloverfold_link/tests/links.rs
+++ b/crates/cloverfold_link/tests/links.rs
@@ -67,7 +67,8 @@
 }
 
 #[test]
-fn a_peer_that_restarts_is_dialed_again_in_a_tenth_of_a_second_and_one_that_stays_away_less_often() {
+fn a_peer_that_restarts_is_dialed_again_in_a_tenth_of_a_second_and_one_that_stays_away_less_often()
+{
     let backoff = DialBackoff::default();
     let span = |failures| {
         let attempt = backoff.attempt_after(failures);
--- a/crates/cloverfold_runner/src/metrics.rs
+++ b/crates/cloverfold_runner/src/metrics.rs
@@ -56,6 +56,8 @@
             ("refused", counts.refused),
             ("expired_sessions", counts.expired_sessions),
             ("orphans", counts.orphans),
+            ("stuck", counts.stuck),
+            ("target_pauses", counts.pauses),
         ];
         for (cause, count) in causes {
             self.runs
