Make a lost answer cost less

Cause: with orders and holds that are not answered (applied_late, mute) an end was noticed 100 ms late, since a hold was waited for 70 ms and followed by a pause of 30 ms; four starts were sent and then their deadline of 650 ms was waited out; a target that answered nothing got work for 470 ms. Change: holds wait 25 ms and are given up after 40, pause 10 ms; up to six starts; a target is silent after 225 ms, then it is called each 60 ms and gets no further start; a start for which there was no connection is given back at once.

--- a/crates/cloverfold_lease/src/runner/orders.rs
+++ b/crates/cloverfold_lease/src/runner/orders.rs
@@ -101,6 +101,8 @@
     NoRoom,
     /// It can't work at present and has done nothing.
     Unhealthy,
+    /// There was no connection to it, so it has not received the order.
+    Unreachable,
     /// Another life of the target answered.
     OtherInstance,
     /// It takes the order for invalid.
--- a/crates/cloverfold_lease/src/runner/starts.rs
+++ b/crates/cloverfold_lease/src/runner/starts.rs
@@ -9,7 +9,7 @@
 use crate::timings::{Moment, TargetTime};
 
 /// Starts of one run that are sent at the most.
-const MAX_START_ATTEMPTS: u32 = 4;
+const MAX_START_ATTEMPTS: u32 = 6;
 /// How long a stop may go unheeded before it is sent again.
 const STOP_REPEAT: Duration = Duration::from_millis(120);
 
@@ -132,6 +132,7 @@
             StartRefusal::Stale => Refusal::Stale,
             StartRefusal::NoRoom => Refusal::NoRoom,
             StartRefusal::Unhealthy => Refusal::Unhealthy,
+            StartRefusal::Unreachable => Refusal::Unanswered,
             StartRefusal::Invalid => Refusal::Rejected,
         };
         let outcome = RunOutcome::NotStarted(reason);
@@ -194,11 +195,13 @@
     /// Sends starts and stops again whose effect has not shown.
     pub(super) fn repeat_orders(&mut self, now: Moment) {
         let patience = self.timings.start_timeout;
+        // A target that answers nothing at all answers no further start either.
+        let is_silent = self.target.as_ref().is_some_and(|target| target.is_silent);
         let mut starts = Vec::new();
         let mut stops = Vec::new();
         for (task, held) in &mut self.tasks {
             match &mut held.state {
-                HeldState::Starting { sent_at, .. } if now >= *sent_at + patience => {
+                HeldState::Starting { sent_at, .. } if now >= *sent_at + patience && !is_silent => {
                     starts.push(task.clone());
                 }
                 HeldState::Stopping { sent_at, .. } if now >= *sent_at + STOP_REPEAT => {
--- a/crates/cloverfold_lease/src/timings.rs
+++ b/crates/cloverfold_lease/src/timings.rs
@@ -43,12 +43,12 @@
             stop: Duration::from_millis(50),
             clock_drift_permille: 20,
             heartbeat: Duration::from_millis(120),
-            hold_wait: Duration::from_millis(40),
-            answer_slack: Duration::from_millis(30),
+            hold_wait: Duration::from_millis(25),
+            answer_slack: Duration::from_millis(15),
             order_timeout: Duration::from_millis(300),
             start_timeout: Duration::from_millis(20),
             stall: Duration::from_millis(700),
-            silence: Duration::from_millis(430),
+            silence: Duration::from_millis(200),
         }
     }
 }
--- a/crates/cloverfold_lease/tests/runner.rs
+++ b/crates/cloverfold_lease/tests/runner.rs
@@ -360,6 +360,54 @@
     assert_eq!(runner.held(), 0);
 }
 
+#[test]
+fn a_start_that_never_left_is_given_back_at_once() {
+    let mut runner = ready();
+    runner.receive(SESSION, assign(1, ms(500)), ms(110));
+    let order = starts(&mut runner).remove(0);
+
+    let answer = StartAnswer::Refused(StartRefusal::Unreachable, None);
+    runner.start_answered(&order, answer, ms(111));
+
+    let refused = RunOutcome::NotStarted(Refusal::Unanswered);
+    assert_eq!(ends(&runner.take_actions()), [(1, refused)]);
+    assert_eq!(runner.held(), 0);
+}
+
+#[test]
+fn a_start_that_may_have_arrived_before_is_not_given_back_when_a_later_one_never_left() {
+    let mut runner = ready();
+    runner.receive(SESSION, assign(1, ms(500)), ms(110));
+    let first = starts(&mut runner).remove(0);
+    runner.start_answered(&first, StartAnswer::Unanswered, ms(130));
+    let second = starts(&mut runner).remove(0);
+
+    let answer = StartAnswer::Refused(StartRefusal::Unreachable, None);
+    runner.start_answered(&second, answer, ms(131));
+
+    assert_eq!(ends(&runner.take_actions()), []);
+    assert_eq!(runner.held(), 1, "the first may still be carried out");
+}
+
+#[test]
+fn a_target_that_misses_three_holds_gets_no_work_and_no_further_starts() {
+    let mut runner = ready();
+    runner.receive(SESSION, assign(1, ms(500)), ms(110));
+    starts(&mut runner);
+    for now in [150, 200, 250] {
+        let order = runner.plan_hold(ms(now - 40)).unwrap();
+        runner.hold_answered(&order, HoldAnswer::Unanswered, ms(now));
+    }
+    assert!(runner.has_ready_target());
+
+    runner.tick(ms(325));
+
+    assert!(!runner.has_ready_target());
+    starts(&mut runner);
+    runner.tick(ms(360));
+    assert!(starts(&mut runner).is_empty());
+}
+
 #[test]
 fn a_new_session_is_told_of_the_target_only_when_nothing_of_the_last_runs() {
     let mut runner = ready();
--- a/crates/cloverfold_runner/src/process.rs
+++ b/crates/cloverfold_runner/src/process.rs
@@ -25,7 +25,9 @@
 const TICK: Duration = Duration::from_millis(20);
 const LINK_EVENTS: usize = 1_024;
 /// Pause after a hold that was not answered at all.
-const HOLD_PAUSE: Duration = Duration::from_millis(30);
+const HOLD_PAUSE: Duration = Duration::from_millis(10);
+/// The same while the target has been silent for some time: each hold that is not answered costs a connection.
+const SILENT_PAUSE: Duration = Duration::from_millis(60);
 /// Pause while no target is known.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(200);
 
@@ -189,10 +191,11 @@
         let is_listed = matches!(answer, HoldAnswer::Listed { .. });
         lock(&core).hold_answered(&order, answer);
         if !is_listed {
-            sleep(HOLD_PAUSE).await;
+            let is_silent = !lock(&core).has_ready_target();
+            sleep(if is_silent { SILENT_PAUSE } else { HOLD_PAUSE }).await;
         } else if order.deadline.is_none() {
             // What is not ours is being stopped.
-            sleep(HOLD_PAUSE / 3).await;
+            sleep(HOLD_PAUSE).await;
         }
     }
 }
