Refuse after a tenth of the objective; answer before the client leaves

Cause: with more work than room, jobs filled a queue as long as a job may be held (22 % of its objective) and then ended late, with the room of others. Jobs that lasted until their client's deadline were given up in the same moment, and nobody heard the answer. Change: a job is refused when it was not offered in a tenth of its objective; it is given up after 90 % of the time its client waits. The line on a client that left names the job.

--- a/crates/cloverfold_gateway/src/callers.rs
+++ b/crates/cloverfold_gateway/src/callers.rs
@@ -24,13 +24,14 @@
 /// Stops a job if its caller leaves before the answer.
 struct CancelOnDrop<'a> {
     callers: &'a Callers,
+    job: &'a str,
     number: Option<JobNumber>,
 }
 
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
         if let Some(number) = self.number {
-            log::info!(number; "the caller left; its job is stopped");
+            log::info!(job = self.job, number; "the caller left; its job is stopped");
             self.callers.metrics.count_answer("caller_left");
             self.callers.lock().cancel(number);
         }
@@ -82,6 +83,7 @@
         let (number, answer) = self.lock().submit(job);
         let mut guard = CancelOnDrop {
             callers: self,
+            job: id,
             number: Some(number),
         };
         // The sender is dropped only with the process.
--- a/crates/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/cloverfold_lease/src/dispatcher/job.rs
@@ -6,8 +6,11 @@
 use crate::request::{JobRequest, StepRequest};
 use crate::timings::Moment;
 
-/// Share of the objective for which a job may wait for its first task to be offered to a target.
-const HOLD_SHARE: f64 = 0.22;
+/// Share of the objective for which a job may wait for its first task to be offered to a target. With more, jobs wait in a
+/// long queue whenever there is too much work, and then end late instead of being refused at once.
+const HOLD_SHARE: f64 = 0.10;
+/// Share of the time that a caller waits after which it gets its answer: a later one would find it gone.
+const ANSWERED_SHARE: f64 = 0.9;
 /// How many times the objective, reckoned for twice the estimate, a job is worked on.
 const GIVE_UP_FACTOR: f64 = 3.0;
 /// Estimates are rough: work may take this much longer than said without being late.
@@ -75,7 +78,7 @@
         let longest = request.objective.span(work.mul_f64(ESTIMATE_MARGIN));
         let mut patience = longest.mul_f64(GIVE_UP_FACTOR);
         if let Some(limit) = request.patience {
-            patience = patience.min(limit);
+            patience = patience.min(limit.mul_f64(ANSWERED_SHARE));
         }
         let tasks = build_tasks(&request, first_run);
         Self {
--- a/crates/cloverfold_lease/tests/dispatcher.rs
+++ b/crates/cloverfold_lease/tests/dispatcher.rs
@@ -237,6 +237,42 @@
     assert!(retry_after > Duration::ZERO);
 }
 
+#[test]
+fn with_too_much_work_a_job_is_refused_after_a_tenth_of_its_objective() {
+    let mut bench = Bench::new(1);
+    bench.report(1, Resources::default(), 1_000);
+    let long = StepRequest {
+        estimate: ms(1_000),
+        ..step(1, vec![])
+    };
+    bench.submit(job("a", vec![long]));
+
+    // The objective is 1.6 x 1,000 + 60 = 1,660 ms.
+    bench.pass(160, &[1]);
+    assert!(bench.answers().is_empty(), "it may wait for a tenth");
+    bench.pass(40, &[1]);
+
+    assert!(matches!(
+        bench.answers()[..],
+        [(_, JobAnswer::Refused { .. })]
+    ));
+}
+
+#[test]
+fn a_job_is_given_up_before_its_caller_leaves() {
+    let mut bench = Bench::new(1);
+    let patient = JobRequest {
+        patience: Some(ms(200)),
+        ..job("a", vec![step(1, vec![])])
+    };
+    let number = bench.submit(patient);
+    assert_eq!(bench.assigned().len(), 1);
+
+    bench.pass(190, &[1]);
+
+    assert_eq!(bench.answers(), [(number, JobAnswer::GivenUp)]);
+}
+
 #[test]
 fn a_refused_job_never_runs() {
     let mut bench = Bench::new(1);
