Judge by progress only targets that were seen to tell it

The stand-in of the executor listed every run at 50 percent until its end, and each was stopped after 100 ms. A real target that tells nothing or always the same would have lost all its runs.

--- a/crates/cloverfold_lease/src/runner/holds.rs
+++ b/crates/cloverfold_lease/src/runner/holds.rs
@@ -118,11 +118,14 @@
                 held.started_at = Some(since);
                 self.counts.started += 1;
             }
-            held.progress.note(row.progress, now);
-            let speed = held
-                .progress
-                .measure_speed(row.progress, held.estimate, now);
-            if let (Some(speed), Some(target)) = (speed, &mut self.target) {
+            let Some(target) = &mut self.target else {
+                continue;
+            };
+            if held.progress.note(row.progress, now) {
+                target.conduct.note_progress();
+            }
+            let progress = &mut held.progress;
+            if let Some(speed) = progress.measure_speed(row.progress, held.estimate, now) {
                 target.conduct.note_speed(held.order, speed, now);
             }
         }
--- a/crates/cloverfold_lease/src/runner/progress.rs
+++ b/crates/cloverfold_lease/src/runner/progress.rs
@@ -70,15 +70,17 @@
         Some(done * estimate.as_secs_f64() / span.as_secs_f64())
     }
 
-    /// Notes what the target tells; a target that tells nothing is never found to stand still.
-    pub(crate) fn note(&mut self, percent: Option<u8>, now: Moment) {
-        if percent.is_none() || percent != self.percent {
-            self.percent = percent;
-            self.advanced_at = now;
-            self.sightings = 0;
-        } else {
+    /// Notes what the target tells; returns whether the run has advanced since it was seen last.
+    pub(crate) fn note(&mut self, percent: Option<u8>, now: Moment) -> bool {
+        let before = self.percent;
+        if percent.is_some() && percent == before {
             self.sightings += 1;
+            return false;
         }
+        self.percent = percent;
+        self.advanced_at = now;
+        self.sightings = 0;
+        before.is_some() && percent > before
     }
 
     /// Says whether a run of this estimated duration stands still.
@@ -96,6 +98,8 @@
     is_paused: bool,
     /// Until then it is offered in part.
     trial_until: Option<Moment>,
+    /// Whether a run was ever seen to advance: some targets tell nothing of progress, or always the same.
+    tells_progress: bool,
     /// Speeds of its newest runs, oldest measurement first.
     speeds: VecDeque<MeasuredSpeed>,
 }
@@ -116,10 +120,16 @@
             health: TargetHealth::new(HealthLimits::default()),
             is_paused: false,
             trial_until: None,
+            tells_progress: false,
             speeds: VecDeque::with_capacity(MEASURED_RUNS),
         }
     }
 
+    /// Notes that a run was seen to advance.
+    pub(crate) fn note_progress(&mut self) {
+        self.tells_progress = true;
+    }
+
     /// Takes a measurement of one run's speed, which replaces the one before.
     pub(crate) fn note_speed(&mut self, order: u64, speed: f64, at: Moment) {
         self.speeds
@@ -186,6 +196,10 @@
 impl Runner {
     /// Stops the runs that stand still, and gives a target no work for a while that lets them.
     pub(super) fn stop_stuck_runs(&mut self, now: Moment) {
+        let target = self.target.as_ref();
+        if !target.is_some_and(|target| target.conduct.tells_progress) {
+            return;
+        }
         let is_stuck = |state: &HeldState| matches!(state, HeldState::Running { .. });
         let stuck: Vec<TaskId> = self
             .tasks
