Log why a run is moved and why a target gets no work

Before, a guard said only that its target's readiness had changed, and nobody said why a run was withdrawn from a slow target. Now both lines carry what decided them: the reason, the stuck runs so far; the run's age, the target's slowness and the age of the report.

--- a/crates/cloverfold_gateway/src/event_log.rs
+++ b/crates/cloverfold_gateway/src/event_log.rs
@@ -62,6 +62,21 @@
                 "a run is overdue and withdrawn"
             );
         }
+        DispatcherEvent::RunMoved {
+            task,
+            run,
+            runner,
+            age,
+            slowness_permille,
+            report_age,
+        } => {
+            log::info!(
+                job = task.job.as_str(), step = task.step, index = task.index, run,
+                runner = runner.as_str(), age_ms = ms(age), slowness_permille,
+                report_age_ms = ms(report_age);
+                "a run is withdrawn from a slow target"
+            );
+        }
         DispatcherEvent::SessionLost {
             runner,
             runs,
--- a/crates/cloverfold_lease/src/dispatcher/events.rs
+++ b/crates/cloverfold_lease/src/dispatcher/events.rs
@@ -59,6 +59,21 @@
         /// How long it was expected to run.
         estimate: Duration,
     },
+    /// A run at a slow target is withdrawn, since it ends sooner if it begins anew elsewhere.
+    RunMoved {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u64,
+        /// The runner that has it.
+        runner: String,
+        /// How long it has run.
+        age: Duration,
+        /// How slowly runs get on there, in thousandths of their estimated durations.
+        slowness_permille: u32,
+        /// How long the runner's report is ago.
+        report_age: Duration,
+    },
     /// A session ended with runs under way; they wait until they are surely over.
     SessionLost {
         /// The runner.
@@ -135,6 +150,33 @@
         }
     }
 
+    pub(super) fn report_moved(&mut self, number: JobNumber, index: usize, now: Moment) {
+        let Some(task) = self.jobs.get(&number).map(|job| &job.tasks[index]) else {
+            return;
+        };
+        let TaskPhase::Assigned {
+            session,
+            run,
+            since,
+            ..
+        } = task.phase
+        else {
+            return;
+        };
+        let Some(view) = self.targets.get(&session) else {
+            return;
+        };
+        let event = DispatcherEvent::RunMoved {
+            task: task.id.clone(),
+            run,
+            runner: view.runner.clone(),
+            age: now.saturating_sub(since),
+            slowness_permille: view.slowness_permille(),
+            report_age: view.report_age(now),
+        };
+        self.report(event);
+    }
+
     pub(super) fn report_run(
         &mut self,
         (number, index): (JobNumber, usize),
--- a/crates/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/cloverfold_lease/src/dispatcher/mod.rs
@@ -339,6 +339,7 @@
         for (number, index) in stragglers {
             if self.has_faster_target(number, index, now) {
                 self.counts.stragglers += 1;
+                self.report_moved(number, index, now);
                 self.withdraw_task(number, index);
             }
         }
--- a/crates/cloverfold_lease/src/dispatcher/targets.rs
+++ b/crates/cloverfold_lease/src/dispatcher/targets.rs
@@ -76,6 +76,11 @@
         (self.free().cpu_milli - demand.cpu_milli) as f64 / capacity as f64
     }
 
+    /// Returns how slowly runs get on there, in thousandths of their estimated durations; 0 while it is not known.
+    pub(crate) fn slowness_permille(&self) -> u32 {
+        self.room.slowness_permille
+    }
+
     /// Returns how slowly runs get on there against `usual`, the ratio over all targets; 1 while it is not known.
     pub(crate) fn slowness_against(&self, usual: f64) -> f64 {
         match self.room.slowness_permille {
--- a/crates/cloverfold_lease/src/lib.rs
+++ b/crates/cloverfold_lease/src/lib.rs
@@ -33,6 +33,6 @@
 pub use resources::Resources;
 pub use runner::{
     EndCause, EndedRun, HeldRun, HoldAnswer, HoldOrder, Runner, RunnerAction, RunnerCounts,
-    StartAnswer, StartOrder, StartRefusal, StopOrder, TargetRegistration,
+    StartAnswer, StartOrder, StartRefusal, StopOrder, TargetRegistration, TargetUnfitness,
 };
 pub use timings::{Moment, TargetTime, Timings};
--- a/crates/cloverfold_lease/src/runner/mod.rs
+++ b/crates/cloverfold_lease/src/runner/mod.rs
@@ -23,6 +23,7 @@
 use held::{HeldState, HeldTask};
 use sessions::Session;
 use target::TargetLife;
+pub use target::TargetUnfitness;
 
 /// What the process around a runner has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -112,7 +113,15 @@
 
     /// Says whether a target is known, answers and takes work.
     pub fn has_ready_target(&self) -> bool {
-        self.target.as_ref().is_some_and(TargetLife::takes_work)
+        self.find_unfitness().is_none()
+    }
+
+    /// Says why no work is taken for a target, if there is a reason.
+    pub fn find_unfitness(&self) -> Option<TargetUnfitness> {
+        match &self.target {
+            Some(target) => target.find_unfitness(),
+            None => Some(TargetUnfitness::NoTarget),
+        }
     }
 
     /// Takes no further work; what runs goes on.
--- a/crates/cloverfold_lease/src/runner/target.rs
+++ b/crates/cloverfold_lease/src/runner/target.rs
@@ -15,6 +15,23 @@
 /// Lives of the target that are remembered as over.
 const ENDED_LIVES: usize = 16;
 
+/// Why a target gets no work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetUnfitness {
+    /// No target has registered.
+    NoTarget,
+    /// It is about to leave.
+    Draining,
+    /// It answers nothing.
+    Silent,
+    /// It let runs stand still.
+    RunsStandStill,
+    /// Runs are there that nobody vouches for.
+    OtherRuns,
+    /// Its clock was not told yet.
+    NoClock,
+}
+
 /// A reading of the target's clock and when it arrived here.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
@@ -74,8 +91,24 @@
     }
 
     pub(crate) fn takes_work(&self) -> bool {
-        let is_fit = self.is_clean && !self.is_silent && !self.conduct.is_paused();
-        is_fit && !self.registration.is_draining && self.clock.is_some()
+        self.find_unfitness().is_none()
+    }
+
+    /// Says why the target gets no work, if there is a reason.
+    pub(crate) fn find_unfitness(&self) -> Option<TargetUnfitness> {
+        if self.registration.is_draining {
+            Some(TargetUnfitness::Draining)
+        } else if self.is_silent {
+            Some(TargetUnfitness::Silent)
+        } else if self.conduct.is_paused() {
+            Some(TargetUnfitness::RunsStandStill)
+        } else if !self.is_clean {
+            Some(TargetUnfitness::OtherRuns)
+        } else if self.clock.is_none() {
+            Some(TargetUnfitness::NoClock)
+        } else {
+            None
+        }
     }
 
     /// Returns what dispatchers may use of the capacity.
--- a/crates/cloverfold_lease/tests/dispatcher.rs
+++ b/crates/cloverfold_lease/tests/dispatcher.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use cloverfold_lease::{
-    Assignment, Dispatcher, DispatcherAction, DispatcherMessage, HealthLimits, JobAnswer,
-    JobNumber, JobRequest, Objective, Refusal, RefusalCause, Resources, Room, RunOutcome,
-    RunnerMessage, SessionId, StepRequest, TargetDescription, Timings,
+    Assignment, Dispatcher, DispatcherAction, DispatcherEvent, DispatcherMessage, HealthLimits,
+    JobAnswer, JobNumber, JobRequest, Objective, Refusal, RefusalCause, Resources, Room,
+    RunOutcome, RunnerMessage, SessionId, StepRequest, TargetDescription, Timings,
 };
 
 const CAPACITY: Resources = Resources {
@@ -542,7 +542,19 @@
     bench.report(sound, CAPACITY, 1_000);
     bench.dispatcher.tick(bench.now);
 
-    assert_eq!(bench.withdrawn(), [slow]);
+    let actions = bench.dispatcher.take_actions();
+    let moved = |action: &DispatcherAction| {
+        matches!(
+            action,
+            DispatcherAction::Report(DispatcherEvent::RunMoved {
+                slowness_permille: 5_000,
+                ..
+            })
+        )
+    };
+    assert!(actions.iter().any(moved), "operators are told why");
+    let withdrawn = |action: &DispatcherAction| matches!(action, DispatcherAction::Send(session, DispatcherMessage::Withdraw { .. }) if *session == slow);
+    assert_eq!(actions.iter().filter(|action| withdrawn(action)).count(), 1);
     assert_eq!(bench.dispatcher.counts().stragglers, 1);
 }
 
--- a/crates/cloverfold_lease/tests/stuck_runs.rs
+++ b/crates/cloverfold_lease/tests/stuck_runs.rs
@@ -6,8 +6,8 @@
 
 use cloverfold_lease::{
     Assignment, DispatcherMessage, EndCause, EndedRun, HeldRun, HoldAnswer, Resources, Room,
-    RunOutcome, Runner, RunnerAction, RunnerMessage, StartAnswer, TargetRegistration, TaskId,
-    Timings,
+    RunOutcome, Runner, RunnerAction, RunnerMessage, StartAnswer, TargetRegistration,
+    TargetUnfitness, TaskId, Timings,
 };
 
 const SESSION: u64 = 7;
@@ -247,6 +247,8 @@
     bench.stand(ms(160), &stuck);
 
     assert!(!bench.runner.has_ready_target(), "all sessions get it back");
+    let reason = bench.runner.find_unfitness();
+    assert_eq!(reason, Some(TargetUnfitness::RunsStandStill));
     let ends = [1, 2, 3].map(|index| (u64::from(index) + 1, index, EndCause::Stopped));
     bench.list(&[], &ends);
     bench.stand(ms(1_000), &[]);
--- a/crates/cloverfold_runner/src/core.rs
+++ b/crates/cloverfold_runner/src/core.rs
@@ -8,7 +8,7 @@
 use cloverfold_configuration::StoredConfiguration;
 use cloverfold_lease::{
     HoldAnswer, HoldOrder, Runner, RunnerAction, RunnerCounts, RunnerMessage, StartAnswer,
-    StartOrder, StopOrder,
+    StartOrder, StopOrder, TargetUnfitness,
 };
 use cloverfold_link::{LinkEvent, LinkId, LinkSender};
 use cloverfold_peer::{
@@ -48,7 +48,7 @@
     entries: DialedPeers,
     orders: mpsc::UnboundedSender<TargetOrder>,
     hold_now: Arc<Notify>,
-    was_ready: bool,
+    unfitness: Option<TargetUnfitness>,
 }
 
 impl GuardCore {
@@ -71,7 +71,7 @@
             entries,
             orders,
             hold_now,
-            was_ready: false,
+            unfitness: Some(TargetUnfitness::NoTarget),
         }
     }
 
@@ -281,10 +281,16 @@
                 RunnerAction::HoldNow => self.hold_now.notify_one(),
             }
         }
-        let is_ready = self.runner.has_ready_target();
-        if is_ready != self.was_ready {
-            self.was_ready = is_ready;
-            log::info!(ready = is_ready; "the target's readiness has changed");
+        let unfitness = self.runner.find_unfitness();
+        if unfitness != self.unfitness {
+            self.unfitness = unfitness;
+            let reason = unfitness.map(|reason| format!("{reason:?}"));
+            let counts = self.runner.counts();
+            log::info!(
+                ready = unfitness.is_none(), reason = reason.unwrap_or_default().as_str(),
+                stuck_runs = counts.stuck, held_runs = self.runner.held();
+                "the target's readiness has changed"
+            );
         }
     }
 
