--- a/crates/cloverfold_app/src/lib.rs
+++ b/crates/cloverfold_app/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod app;
 mod bounded_log;
+mod cause_gauges;
 mod clock;
 mod control;
 mod lifecycle;
@@ -29,6 +30,7 @@
 
 pub use app::{App, BuildError, Plugin, Running};
 pub use bounded_log::count_dropped_lines;
+pub use cause_gauges::CauseGauges;
 pub use clock::{draw_below, random_u64, unix_now};
 pub use control::{Control, ControlState};
 pub use lifecycle::{Lifecycle, Phase};
--- a/crates/cloverfold_consensus/src/replica/election.rs
+++ b/crates/cloverfold_consensus/src/replica/election.rs
@@ -130,7 +130,7 @@
         self.leader = Some(self.id);
         self.led_since = now;
         self.progress.clear();
-        self.follow_progress(now);
+        self.follow_progress();
         self.append_own(Payload::Empty, now);
     }
 }
--- a/crates/cloverfold_consensus/src/replica/replication.rs
+++ b/crates/cloverfold_consensus/src/replica/replication.rs
@@ -25,7 +25,7 @@
 
 impl Replica {
     /// Begins to track everybody that entries go to, and forgets the others.
-    pub(super) fn follow_progress(&mut self, _now: Moment) {
+    pub(super) fn follow_progress(&mut self) {
         let next = self.log.last_index() + 1;
         let mut meant = self.other_voters();
         meant.extend(self.listeners.keys().copied());
@@ -58,7 +58,7 @@
         let index = entry.index;
         self.ready.records.push(Record::Entry(entry.clone()));
         self.log.push(entry);
-        self.follow_progress(now);
+        self.follow_progress();
         self.broadcast(now);
         index
     }
--- a/crates/cloverfold_consensus/src/replica/roster.rs
+++ b/crates/cloverfold_consensus/src/replica/roster.rs
@@ -9,7 +9,7 @@
 
 impl Replica {
     /// Says that a replica that is no voter wants the log.
-    pub fn add_listener(&mut self, member: Member, now: Moment) {
+    pub fn add_listener(&mut self, member: Member) {
         if member.id == self.id {
             return;
         }
@@ -17,15 +17,15 @@
             .retain(|_, held| held.address != member.address);
         self.listeners.insert(member.id, member);
         if self.role == Role::Leader {
-            self.follow_progress(now);
+            self.follow_progress();
         }
     }
 
     /// Forgets a listener whose link is gone.
-    pub fn remove_listener(&mut self, id: ReplicaId, now: Moment) {
+    pub fn remove_listener(&mut self, id: ReplicaId) {
         self.listeners.remove(&id);
         if self.role == Role::Leader {
-            self.follow_progress(now);
+            self.follow_progress();
         }
     }
 
--- a/crates/cloverfold_consensus/tests/group.rs
+++ b/crates/cloverfold_consensus/tests/group.rs
@@ -146,11 +146,11 @@
             };
             if index == place {
                 for member in &known {
-                    process.add_listener(member.clone(), self.now);
+                    process.add_listener(member.clone());
                 }
             } else {
                 process.link_renewed(newcomer.id);
-                process.add_listener(newcomer.clone(), self.now);
+                process.add_listener(newcomer.clone());
             }
         }
         for index in 0..self.boxes.len() {
@@ -168,7 +168,7 @@
             .retain(|(from, to, _)| *from != id && *to != id);
         for other in &mut self.boxes {
             if let Some(process) = &mut other.process {
-                process.remove_listener(id, self.now);
+                process.remove_listener(id);
             }
         }
     }
--- a/crates/cloverfold_consensus/tests/rules.rs
+++ b/crates/cloverfold_consensus/tests/rules.rs
@@ -327,8 +327,8 @@
         id,
         address: format!("10.0.0.{at}:7000").parse().unwrap(),
     };
-    replica.add_listener(newcomer(33, 3), NOW);
-    replica.add_listener(newcomer(44, 4), NOW);
+    replica.add_listener(newcomer(33, 3));
+    replica.add_listener(newcomer(44, 4));
     let mut now = NOW + Duration::from_millis(50);
     for id in [2, 33, 44] {
         replica.receive(id, matching(term, last, 2), now);
--- a/crates/cloverfold_control/src/core/peers.rs
+++ b/crates/cloverfold_control/src/core/peers.rs
@@ -94,7 +94,6 @@
     }
 
     pub(super) fn greet(&mut self, link: LinkId, hello: Hello) {
-        let now = self.clock.now();
         let Some(held) = self.links.get_mut(&link) else {
             return;
         };
@@ -111,13 +110,10 @@
                 if dialed {
                     self.replica_links.insert(replica, link);
                     self.replica.link_renewed(replica);
-                    self.replica.add_listener(
-                        Member {
-                            id: replica,
-                            address,
-                        },
-                        now,
-                    );
+                    self.replica.add_listener(Member {
+                        id: replica,
+                        address,
+                    });
                 }
             }
             PeerRole::Entry => {
@@ -151,7 +147,7 @@
                 if self.replica_links.get(&replica) == Some(&link) =>
             {
                 self.replica_links.remove(&replica);
-                self.replica.remove_listener(replica, now);
+                self.replica.remove_listener(replica);
             }
             PeerRole::Entry => {
                 if let Some(entry) = self.entries.get_mut(&hello.address) {
--- a/crates/cloverfold_gateway/src/metrics.rs
+++ b/crates/cloverfold_gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cloverfold_app::{count_dropped_lines, write_metrics};
+use cloverfold_app::{CauseGauges, count_dropped_lines, write_metrics};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -21,17 +21,12 @@
     outcome: &'static str,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct CauseLabel {
-    cause: &'static str,
-}
-
 /// Counters and histograms of answers, and gauges that are read off the state when they are asked for.
 pub(crate) struct GatewayMetrics {
     registry: Registry,
     answers: Family<OutcomeLabel, Counter>,
     seconds: Histogram,
-    runs: Family<CauseLabel, Gauge>,
+    runs: CauseGauges,
     version: Gauge,
     targets: Gauge,
     open_jobs: Gauge,
@@ -45,12 +40,8 @@
         registry.register("answers", "Submissions by outcome", answers.clone());
         let seconds = Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS));
         registry.register("answer_seconds", "Time to the answer", seconds.clone());
-        let runs = Family::<CauseLabel, Gauge>::default();
-        registry.register(
-            "runs",
-            "Runs since the start, by what became of them",
-            runs.clone(),
-        );
+        let help = "Runs since the start, by what became of them";
+        let runs = CauseGauges::register(&mut registry, "runs", help);
         let mut add = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -79,7 +70,7 @@
     /// Writes the metrics as text.
     pub(crate) fn write(&self, core: &GatewayCore) -> String {
         let counts = core.counts();
-        let causes = [
+        self.runs.set(&[
             ("assigned", counts.assigned),
             ("given_back", counts.given_back),
             ("failed", counts.failed),
@@ -90,12 +81,7 @@
             ("withdrawn", counts.withdrawn),
             ("stalled", counts.stalled),
             ("target_pauses", counts.pauses),
-        ];
-        for (cause, count) in causes {
-            self.runs
-                .get_or_create(&CauseLabel { cause })
-                .set(count as i64);
-        }
+        ]);
         self.version.set(core.version() as i64);
         self.targets.set(core.ready_targets() as i64);
         self.open_jobs.set(core.dispatcher.open_jobs() as i64);
--- a/crates/cloverfold_peer/src/addresses.rs
+++ b/crates/cloverfold_peer/src/addresses.rs
@@ -42,11 +42,6 @@
             self.add(*address);
         }
     }
-
-    /// Says whether an address is dialed.
-    pub fn contains(&self, address: &SocketAddr) -> bool {
-        self.dialers.contains_key(address)
-    }
 }
 
 /// Control processes that are dialed at the most.
--- a/crates/cloverfold_runner/src/metrics.rs
+++ b/crates/cloverfold_runner/src/metrics.rs
@@ -1,22 +1,15 @@
 //! What a guard counts.
 
-use cloverfold_app::{count_dropped_lines, write_metrics};
-use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::metrics::family::Family;
+use cloverfold_app::{CauseGauges, count_dropped_lines, write_metrics};
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
 use crate::core::GuardCore;
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct CauseLabel {
-    cause: &'static str,
-}
-
 /// Gauges that are read off the state when they are asked for.
 pub(crate) struct GuardMetrics {
     registry: Registry,
-    runs: Family<CauseLabel, Gauge>,
+    runs: CauseGauges,
     held: Gauge,
     ready: Gauge,
     dropped_lines: Gauge,
@@ -25,12 +18,8 @@
 impl GuardMetrics {
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("cloverfold_guard");
-        let runs = Family::<CauseLabel, Gauge>::default();
-        registry.register(
-            "runs",
-            "Runs since the start, by what became of them",
-            runs.clone(),
-        );
+        let help = "Runs since the start, by what became of them";
+        let runs = CauseGauges::register(&mut registry, "runs", help);
         let mut add = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -48,7 +37,7 @@
     /// Writes the metrics as text.
     pub(crate) fn write(&self, core: &GuardCore) -> String {
         let counts = core.counts();
-        let causes = [
+        self.runs.set(&[
             ("started", counts.started),
             ("repeated_starts", counts.repeated_starts),
             ("lost", counts.lost),
@@ -58,12 +47,7 @@
             ("orphans", counts.orphans),
             ("stuck", counts.stuck),
             ("target_pauses", counts.pauses),
-        ];
-        for (cause, count) in causes {
-            self.runs
-                .get_or_create(&CauseLabel { cause })
-                .set(count as i64);
-        }
+        ]);
         self.held.set(core.held() as i64);
         self.ready.set(i64::from(core.has_ready_target()));
         self.dropped_lines.set(count_dropped_lines() as i64);
