--- /dev/null
+++ b/crates/cloverfold/tests/control_processes.rs
@@ -0,0 +1,215 @@
+//! Three control processes, killed, stopped and robbed of their disks by signals and files.
+
+#![allow(clippy::unwrap_used)]
+
+mod programs;
+
+use std::io::Write;
+use std::net::{Ipv4Addr, TcpListener};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
+
+use programs::{CLOVERFOLD, Program, run, wait_until};
+use rustix::process::Signal;
+use serde_json::Value;
+
+const CONTROLS: usize = 3;
+
+/// A group of control processes that bears the loss of one.
+struct Group {
+    folder: tempfile::TempDir,
+    ip: [Ipv4Addr; CONTROLS],
+    port: u16,
+    running: [Option<Program>; CONTROLS],
+    backups: AtomicU32,
+}
+
+fn configuration(version: u64) -> String {
+    format!(
+        r#"{{"Version":{version},"Routes":[],"Services":[],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#
+    )
+}
+
+impl Group {
+    fn start() -> Self {
+        static NEXT: AtomicU8 = AtomicU8::new(0);
+        let process = 1 + (std::process::id() % 200) as u8;
+        let block = 100 + NEXT.fetch_add(1, Ordering::Relaxed);
+        let ip = [1, 2, 3].map(|last| Ipv4Addr::new(127, process, block, last));
+        let probe = TcpListener::bind((ip[0], 0)).unwrap();
+        let port = probe.local_addr().unwrap().port().min(u16::MAX - 10);
+        let mut group = Self {
+            folder: tempfile::tempdir().unwrap(),
+            ip,
+            port,
+            running: [None, None, None],
+            backups: AtomicU32::new(0),
+        };
+        for index in 0..CONTROLS {
+            group.start_control(index, true);
+        }
+        group
+    }
+
+    fn data_folder(&self, index: usize) -> PathBuf {
+        self.folder.path().join(format!("data-{index}"))
+    }
+
+    fn operator(&self, index: usize) -> String {
+        format!("{}:{}", self.ip[index], self.port + 1)
+    }
+
+    fn start_control(&mut self, index: usize, may_found: bool) {
+        let (own, port) = (self.ip[index], self.port);
+        let (metrics, operator) = (port + 3, self.operator(index));
+        let data = self.data_folder(index);
+        let data = data.display();
+        let seeds = self.ip.map(|seed| format!(r#""{seed}:1""#)).join(", ");
+        let text = format!(
+            r#"{{ "peer": {{ "name": "control-{index}", "hall": "a", "ip": "{own}", "port": {port}, "seeds": [{seeds}], "metrics_port": {metrics} }}, "operator_address": "{operator}", "data_folder": "{data}", "may_found": {may_found}, "tolerated_losses": 1, "log": {{ "stream": "stdout", "lines_per_second": 500 }} }}"#
+        );
+        let file = self.folder.path().join(format!("control-{index}.jsonc"));
+        std::fs::write(&file, text).unwrap();
+        self.running[index] = Some(Program::start(CLOVERFOLD, &["control"], &file));
+    }
+
+    /// Ends a process without a word.
+    fn kill(&mut self, index: usize) {
+        self.running[index] = None;
+    }
+
+    fn signal(&self, index: usize, signal: Signal) {
+        self.running[index].as_ref().unwrap().signal(signal);
+    }
+
+    /// Sends a configuration to one process until it is acknowledged.
+    fn acknowledge(&self, index: usize, version: u64) {
+        let file = self.folder.path().join(format!("version-{version}.json"));
+        std::fs::write(&file, configuration(version)).unwrap();
+        let at = self.operator(index);
+        wait_until("an acknowledgement", || {
+            let answer = run(&[
+                "configuration",
+                "--at",
+                &at,
+                "restore",
+                file.to_str().unwrap(),
+            ]);
+            answer.status.success().then_some(())
+        });
+    }
+
+    /// Reads the configuration at one process; nothing if that cannot prove that it has the newest.
+    fn read(&self, index: usize) -> Option<String> {
+        let number = self.backups.fetch_add(1, Ordering::Relaxed);
+        let file = self.folder.path().join(format!("backup-{number}.json"));
+        let at = self.operator(index);
+        let answer = run(&[
+            "configuration",
+            "--at",
+            &at,
+            "backup",
+            file.to_str().unwrap(),
+        ]);
+        answer
+            .status
+            .success()
+            .then(|| std::fs::read_to_string(&file).unwrap())
+    }
+
+    /// Waits until a process reads; it must read this version at once.
+    fn expect_read(&self, index: usize, version: u64) {
+        let found = wait_until("a read", || self.read(index));
+        assert_eq!(found, configuration(version), "nothing older is ever shown");
+    }
+
+    fn find_leader(&self) -> usize {
+        wait_until("a leader", || {
+            (0..CONTROLS).find(|&index| {
+                let at = self.operator(index);
+                let answer = run(&["configuration", "--at", &at, "status"]);
+                let status = serde_json::from_slice::<Value>(&answer.stdout);
+                status.is_ok_and(|status| status["role"] == "leader")
+            })
+        })
+    }
+}
+
+#[test]
+fn a_leader_that_stands_still_is_replaced_and_shows_nothing_old_when_it_goes_on() {
+    let group = Group::start();
+    group.acknowledge(0, 3);
+    let leader = group.find_leader();
+    let other = (leader + 1) % CONTROLS;
+
+    group.signal(leader, Signal::STOP);
+    group.acknowledge(other, 4);
+    group.signal(leader, Signal::CONT);
+
+    group.expect_read(leader, 4);
+    group.expect_read(other, 4);
+}
+
+#[test]
+fn an_order_whose_answer_a_killed_leader_took_along_is_acknowledged_when_it_comes_again() {
+    let mut group = Group::start();
+    group.acknowledge(0, 3);
+    for version in 4..8 {
+        let leader = group.find_leader();
+        let file = group.folder.path().join(format!("cut-{version}.json"));
+        std::fs::write(&file, configuration(version)).unwrap();
+        let order = Program::start(
+            CLOVERFOLD,
+            &["configuration", "--at", &group.operator(leader), "restore"],
+            &file,
+        );
+        group.kill(leader);
+        drop(order);
+
+        group.acknowledge((leader + 1) % CONTROLS, version);
+        group.start_control(leader, false);
+
+        group.expect_read(leader, version);
+    }
+}
+
+#[test]
+fn what_was_acknowledged_survives_when_all_are_killed_and_one_disk_is_lost() {
+    let mut group = Group::start();
+    group.acknowledge(0, 3);
+    let leader = group.find_leader();
+    group.acknowledge(leader, 4);
+    for index in 0..CONTROLS {
+        group.kill(index);
+    }
+    std::fs::remove_dir_all(group.data_folder(leader)).unwrap();
+
+    for index in 0..CONTROLS {
+        group.start_control(index, false);
+    }
+
+    for index in 0..CONTROLS {
+        group.expect_read(index, 4);
+    }
+    group.acknowledge(leader, 5);
+}
+
+#[test]
+fn a_torn_tail_is_cut_off_at_the_start() {
+    let mut group = Group::start();
+    group.acknowledge(0, 3);
+    let leader = group.find_leader();
+    group.kill(leader);
+    let files = std::fs::read_dir(group.data_folder(leader)).unwrap();
+    for file in files {
+        let path = file.unwrap().path();
+        let mut torn = std::fs::File::options().append(true).open(path).unwrap();
+        torn.write_all(&[0x17, 0, 0, 0, 0xde, 0xad]).unwrap();
+    }
+    group.acknowledge((leader + 1) % CONTROLS, 4);
+
+    group.start_control(leader, false);
+
+    group.expect_read(leader, 4);
+    group.acknowledge(leader, 5);
+}
--- a/crates/cloverfold/tests/leased_processes.rs
+++ b/crates/cloverfold/tests/leased_processes.rs
@@ -2,21 +2,15 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::fs::File;
+mod programs;
+
 use std::net::{Ipv4Addr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::path::PathBuf;
 
-use rustix::process::{Pid, Signal, kill_process};
+use programs::{CLOVERFOLD, GUARD, Program, run, wait_until};
+use rustix::process::Signal;
 use serde_json::Value;
 
-const CLOVERFOLD: &str = env!("CARGO_BIN_EXE_cloverfold");
-const GUARD: &str = env!("CARGO_BIN_EXE_cloverfold-guard");
-/// Bounds waits for what must come; nothing is measured by it.
-const PATIENCE: Duration = Duration::from_secs(120);
-
 const CONFIGURATION: &str = r#"{"Version":3,"Routes":[],"Services":[],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
 
 struct Place {
@@ -81,74 +75,6 @@
     }
 }
 
-/// A program that runs, and the file that its log lines go to.
-struct Program {
-    child: Child,
-    log: PathBuf,
-}
-
-impl Program {
-    fn start(program: &str, arguments: &[&str], settings: &Path) -> Self {
-        let log = settings.with_extension("log");
-        let child = Command::new(program)
-            .args(arguments)
-            .arg(settings)
-            .stdout(File::create(&log).unwrap())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        Self { child, log }
-    }
-
-    fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(self.child.id() as i32).unwrap();
-        kill_process(pid, signal).unwrap();
-    }
-
-    /// Waits for a log line with this message; returns it.
-    fn wait_for_line(&self, message: &str) -> Value {
-        wait_until(message, || {
-            let text = std::fs::read_to_string(&self.log).unwrap();
-            let lines = text
-                .lines()
-                .filter_map(|line| serde_json::from_str::<Value>(line).ok());
-            lines.into_iter().find(|line| {
-                line["message"]
-                    .as_str()
-                    .is_some_and(|found| found.contains(message))
-            })
-        })
-    }
-
-    fn stop(mut self) -> Option<i32> {
-        self.signal(Signal::TERM);
-        self.child.wait().unwrap().code()
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        // It may have ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn wait_until<T>(what: &str, mut find: impl FnMut() -> Option<T>) -> T {
-    let began = Instant::now();
-    while began.elapsed() < PATIENCE {
-        if let Some(found) = find() {
-            return found;
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-    panic!("{what} does not come");
-}
-
-fn run(arguments: &[&str]) -> Output {
-    Command::new(CLOVERFOLD).args(arguments).output().unwrap()
-}
-
 #[test]
 fn an_installation_is_started_configured_asked_reloaded_and_stopped() {
     let place = Place::new();
