Free the drawn port before a control process is started on it

Traced with the processes' own lines, which a failing test now prints. Ruled out: the founding (the other two were in touch).

--- a/crates/cloverfold/tests/control_processes.rs
+++ b/crates/cloverfold/tests/control_processes.rs
@@ -38,6 +38,7 @@
         let ip = [1, 2, 3].map(|last| Ipv4Addr::new(127, process, block, last));
         let probe = TcpListener::bind((ip[0], 0)).unwrap();
         let port = probe.local_addr().unwrap().port().min(u16::MAX - 10);
+        drop(probe);
         let mut group = Self {
             folder: tempfile::tempdir().unwrap(),
             ip,
@@ -135,6 +136,23 @@
     }
 }
 
+/// A test that fails shows what the processes logged last.
+impl Drop for Group {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for index in 0..CONTROLS {
+            let file = self.folder.path().join(format!("control-{index}.log"));
+            let log = std::fs::read_to_string(file).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            for line in &lines[lines.len().saturating_sub(40)..] {
+                eprintln!("control-{index}: {line}");
+            }
+        }
+    }
+}
+
 #[test]
 fn a_leader_that_stands_still_is_replaced_and_shows_nothing_old_when_it_goes_on() {
     let group = Group::start();
--- a/crates/cloverfold/tests/programs/mod.rs
+++ b/crates/cloverfold/tests/programs/mod.rs
@@ -5,7 +5,7 @@
 
 use std::fs::File;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, Command, Output};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -27,11 +27,12 @@
     pub fn start(program: &str, arguments: &[&str], settings: &Path) -> Self {
         let log = settings.with_extension("log");
         let output = File::options().create(true).append(true).open(&log);
+        let errors = File::options().create(true).append(true).open(&log);
         let child = Command::new(program)
             .args(arguments)
             .arg(settings)
             .stdout(output.unwrap())
-            .stderr(Stdio::null())
+            .stderr(errors.unwrap())
             .spawn()
             .unwrap();
         Self { child, log }
