--- a/crates/leased/cloverfold_leased_entry/src/lib.rs
+++ b/crates/leased/cloverfold_leased_entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod protocol;
 mod responses;
 mod run_numbers;
+mod startup;
 mod state;
 mod submission;
 
