--- a/crates/leased/cloverfold_leased_entry/src/callers.rs
+++ b/crates/leased/cloverfold_leased_entry/src/callers.rs
@@ -4,7 +4,6 @@
 //! force for the queues, and on the dispatcher within [`EntryState`] for every decision.
 
 use std::sync::{Arc, MutexGuard};
-use std::time::Duration;
 
 use cloverfold_configuration::{Configuration, Route};
 use cloverfold_http::{Request, Response, json_response, plain_response};
@@ -39,11 +38,9 @@
 
     /// Answers one request.
     pub(crate) async fn answer(&self, request: Request) -> Response {
-        let startup = self.lock().follow_first_readiness();
-        let waited = startup.wait().await;
         let configuration = self.lock().configuration();
         match configuration {
-            Some(configuration) => self.answer_with(&configuration, &request, waited).await,
+            Some(configuration) => self.answer_with(&configuration, &request).await,
             None => {
                 let path = request.uri.path();
                 log::info!(path, cause = "NoConfiguration"; "a request is refused");
@@ -52,13 +49,8 @@
         }
     }
 
-    /// Finds the queue and the call of a request and answers it; `waited` is how long it was held up here before.
-    async fn answer_with(
-        &self,
-        configuration: &Configuration,
-        request: &Request,
-        waited: Duration,
-    ) -> Response {
+    /// Finds the queue and the call of a request and answers it.
+    async fn answer_with(&self, configuration: &Configuration, request: &Request) -> Response {
         let path = request.uri.path();
         let Some(route) = configuration.find_route(request.host(), path) else {
             log::info!(host = request.host(), path, version = configuration.version; "no queue matches a request");
@@ -66,7 +58,7 @@
         };
         let rest = &path[route.path_prefix.len()..];
         match self.protocol.classify(&request.method, rest) {
-            Some(QueueCall::Submit(id)) => self.submit(&id, route, request, waited).await,
+            Some(QueueCall::Submit(id)) => self.submit(&id, route, request).await,
             Some(QueueCall::Show(id)) => self.show(&id),
             Some(QueueCall::Cancel(id)) => self.cancel(&id),
             Some(QueueCall::Count) => self.count(route),
--- a/crates/leased/cloverfold_leased_entry/src/lib.rs
+++ b/crates/leased/cloverfold_leased_entry/src/lib.rs
@@ -16,7 +16,6 @@
 mod protocol;
 mod responses;
 mod run_numbers;
-mod startup;
 mod state;
 mod submission;
 
--- a/crates/leased/cloverfold_leased_entry/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/mod.rs
@@ -26,7 +26,6 @@
 use crate::known_guards::KnownGuards;
 use crate::protocol::JobProtocol;
 use crate::run_numbers::first_run_number;
-use crate::startup::{FirstReadiness, StartupWait};
 
 /// The state of an entry.
 pub(crate) struct EntryState {
@@ -45,7 +44,6 @@
     ticked_at: Timestamp,
     is_draining: bool,
     was_ready: bool,
-    first_readiness: FirstReadiness,
 }
 
 impl LeasedState for EntryState {
@@ -93,7 +91,6 @@
             ticked_at: Timestamp::ZERO,
             is_draining: false,
             was_ready: false,
-            first_readiness: FirstReadiness::default(),
         }
     }
 
@@ -106,11 +103,6 @@
         self.configuration.decoded()
     }
 
-    /// Returns what a request needs to wait for the first readiness of this entry.
-    pub(crate) fn follow_first_readiness(&self) -> StartupWait {
-        self.first_readiness.follow()
-    }
-
     /// Returns the version of the configuration in force; 0 before the first.
     pub(crate) fn version(&self) -> Version {
         self.configuration.version()
@@ -230,13 +222,10 @@
         }
     }
 
-    /// Logs a change of readiness and lets waiting requests go on at the first, with the reason why the entry is not ready.
+    /// Logs a change of readiness, with the reason why the entry is not ready.
     fn log_readiness(&mut self) {
         let unreadiness = self.find_unreadiness();
         let is_ready = unreadiness.is_none();
-        if is_ready {
-            self.first_readiness.record();
-        }
         if is_ready != self.was_ready {
             self.was_ready = is_ready;
             // An entry that is ready has no reason not to be: the key is empty then.
--- a/crates/leased/cloverfold_leased_entry/src/submission.rs
+++ b/crates/leased/cloverfold_leased_entry/src/submission.rs
@@ -39,15 +39,9 @@
 }
 
 impl Callers {
-    /// Submits the job in a request's body and waits for its answer; `waited` is how long the request was held up before.
-    pub(crate) async fn submit(
-        &self,
-        id: &str,
-        route: &Route,
-        request: &Request,
-        waited: Duration,
-    ) -> Response {
-        let job = match self.read_job(id, route, request, waited) {
+    /// Submits the job in a request's body and waits for its answer.
+    pub(crate) async fn submit(&self, id: &str, route: &Route, request: &Request) -> Response {
+        let job = match self.read_job(id, route, request) {
             Ok(job) => job,
             Err(cause) => return reject_job(id, route, &cause),
         };
@@ -57,18 +51,16 @@
         answer_response(self.protocol.as_ref(), answer)
     }
 
-    /// Reads a job and how much longer its caller waits.
+    /// Reads a job and how long its caller waits.
     fn read_job(
         &self,
         id: &str,
         route: &Route,
         request: &Request,
-        waited: Duration,
     ) -> Result<JobRequest, UnrunnableJob> {
         match self.protocol.read_job(id, route, &request.body) {
             Ok(JobForm::Repeatable(job)) => {
                 let patience = self.protocol.read_patience(&request.headers);
-                let patience = patience.map(|patience| patience.saturating_sub(waited));
                 Ok(JobRequest { patience, ..job })
             }
             Ok(JobForm::Unsupported(what)) => Err(UnrunnableJob::Unsupported(what)),
