--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -3,7 +3,8 @@
 //! This file holds the state and the calls from outside. The rules are in the modules, one duty each:
 //!
 //! - `admission`: which jobs are refused or given up; `deadlines`: until when;
-//! - `placement`, `headroom`, `shares`: which target a task goes to;
+//! - `precedence`, `shares`: in which order waiting jobs are served;
+//! - `placement`, `headroom`: which target a task goes to;
 //! - `run_ends`: what follows from the end of a run; `judging`: which runs take too long;
 //! - `sessions`, `runner_session`: what is known of runners, and when the runs of a lost session are over;
 //! - `closing`: what a closed job leaves behind; `reports`: the decisions that are logged.
@@ -24,6 +25,7 @@
 mod job;
 mod judging;
 mod placement;
+mod precedence;
 mod reports;
 mod run_ends;
 mod runner_session;
@@ -65,7 +67,7 @@
     jobs: BTreeMap<JobNumber, Job>,
     /// Numbers of the open jobs, by the caller's names for them.
     open_jobs_by_name: HashMap<String, JobNumber>,
-    /// Jobs with waiting tasks, in the order in which they are served.
+    /// Jobs with waiting tasks; `precedence` has the order in which they are served.
     waiting: BTreeSet<QueuePosition>,
     /// Runs of jobs that are closed; until they are over, no task of the same name is started.
     detached_runs: HashMap<TaskId, DetachedRun>,
@@ -162,6 +164,8 @@
             self.refuse_at_once(number, &request.id, cause, now);
             return number;
         }
+        let (queue, priority) = (&request.queue, request.priority);
+        self.shares.record_submission(queue, priority, now);
         self.open_jobs_by_name.insert(request.id.clone(), number);
         let job = Job::new(request, self.first_run, now);
         self.waiting.insert(job.queue_position(number));
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -1,6 +1,6 @@
 //! Which target a waiting task goes to.
 //!
-//! Jobs are served in the order of their [`QueuePosition`]. For each waiting task:
+//! Jobs are served in the order of `precedence`. For each waiting task:
 //!
 //! 1. **Candidates** are the targets that accept work, serve the service, have the required label, have free capacity for the task
 //!    and the headroom of `headroom`, and have fewer tasks of its step than one target may ([`Dispatcher::list_candidates`]).
@@ -17,7 +17,7 @@
 
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::headroom::demand_with_headroom;
-use crate::dispatcher::job::{Job, JobNumber, QueuePosition, Task, TaskPhase, TaskPosition};
+use crate::dispatcher::job::{Job, JobNumber, Task, TaskPhase, TaskPosition};
 use crate::dispatcher::runner_session::RunnerSession;
 use crate::messages::{Assignment, SessionId};
 use crate::request::StepRequest;
@@ -69,8 +69,7 @@
     /// Assigns waiting tasks in order while targets have free capacity.
     pub(super) fn place_waiting(&mut self, now: Timestamp) {
         let mut overtaken = 0;
-        let order: Vec<QueuePosition> = self.waiting.iter().copied().collect();
-        for position in order {
+        for position in self.list_waiting(now) {
             if !self.place_job(position.job, now) {
                 overtaken += 1;
                 if overtaken >= MAX_OVERTAKEN_JOBS {
@@ -163,7 +162,7 @@
             return None;
         }
         let free = runner.free();
-        let has_space = free.covers(&self.needed_at(job, step, runner, now));
+        let has_space = free.covers(&self.needed_at(job, step, runner));
         let allows_one_more = |most: u32| job.count_assigned(task.step, session) < most;
         if !has_space || !step.most_per_target.is_none_or(allows_one_more) {
             return None;
@@ -178,15 +177,9 @@
     }
 
     /// Returns what must be free at a target for a task of this step to be placed there.
-    fn needed_at(
-        &self,
-        job: &Job,
-        step: &StepRequest,
-        runner: &RunnerSession,
-        now: Timestamp,
-    ) -> Resources {
+    fn needed_at(&self, job: &Job, step: &StepRequest, runner: &RunnerSession) -> Resources {
         match &runner.description {
-            Some(target) if self.shares.has_more_urgent(job.request.priority, now) => {
+            Some(target) if self.shares.has_more_urgent(job.request.priority) => {
                 demand_with_headroom(&step.demand, &target.capacity)
             }
             _ => step.demand,
@@ -211,8 +204,7 @@
         let run = task.begin_run(session, now);
         runner.record_assignment(demand);
         let work = demand.cores() * estimate.as_secs_f64();
-        let queue = &job.request.queue;
-        self.shares.record(queue, job.request.priority, work, now);
+        self.shares.record_given(&job.request.queue, work, now);
         let assignment = Assignment {
             task: task.id.clone(),
             run,
--- /dev/null
+++ b/crates/leased/cloverfold_lease/src/dispatcher/precedence.rs
@@ -0,0 +1,44 @@
+//! Decision: in which order waiting jobs are served.
+//!
+//! 1. A job whose queue is within its share of the processors, before one whose queue is above it ([`shares`]).
+//! 2. Priority, 0 first.
+//! 3. Arrival.
+//!
+//! Owns no state. Relies on [`QueueShares`].
+//!
+//! [`shares`]: super::shares
+//! [`QueueShares`]: super::shares::QueueShares
+
+use cloverfold_base::Timestamp;
+
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::job::QueuePosition;
+
+/// Place of a waiting job in one pass over the queue; the lowest is served first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Precedence {
+    is_above_share: bool,
+    position: QueuePosition,
+}
+
+impl Dispatcher {
+    /// Lists the jobs with waiting tasks in the order in which they are served now.
+    pub(super) fn list_waiting(&self, now: Timestamp) -> Vec<QueuePosition> {
+        let mut order: Vec<Precedence> = self
+            .waiting
+            .iter()
+            .map(|position| self.rank(*position, now))
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|rank| rank.position).collect()
+    }
+
+    fn rank(&self, position: QueuePosition, now: Timestamp) -> Precedence {
+        let job = self.jobs.get(&position.job);
+        Precedence {
+            is_above_share: job
+                .is_some_and(|job| self.shares.is_above_share(&job.request.queue, now)),
+            position,
+        }
+    }
+}
--- a/crates/leased/cloverfold_lease/tests/dispatcher/shortage.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/shortage.rs
@@ -2,7 +2,7 @@
 
 use cloverfold_lease::{JobRequest, Resources, RunOutcome, StepRequest};
 
-use crate::fixture::{CAPACITY, DEMAND, Fixture, job, step};
+use crate::fixture::{CAPACITY, DEMAND, FULL, Fixture, job, ms, step};
 
 /// A job of a queue with this priority.
 fn job_of(queue: &str, priority: u32, id: &str, tasks: u32) -> JobRequest {
@@ -27,6 +27,43 @@
     assigned.map(|(_, run)| run.task.job).collect()
 }
 
+#[test]
+fn a_queue_within_its_share_precedes_one_above_it_whatever_their_priorities() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(job_of("busy", 0, "busy-1", 3));
+    fixture.heartbeat(1, FULL, u64::MAX);
+    fixture.submit(job_of("busy", 0, "busy-2", 1));
+    fixture.submit(job_of("modest", 2, "modest-1", 1));
+    fixture.dispatcher.take_actions();
+
+    fixture.heartbeat(1, free_for(2), u64::MAX);
+
+    assert_eq!(assigned_jobs(&mut fixture)[0], "modest-1");
+}
+
+#[test]
+fn past_use_is_forgotten() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(job_of("busy", 0, "busy-1", 3));
+    fixture.submit(job_of("modest", 2, "modest-1", 1));
+    fixture.now += ms(400);
+    fixture.dispatcher.tick(fixture.now);
+    fixture.heartbeat(1, CAPACITY, u64::MAX);
+    for round in 0..40 {
+        fixture.now += ms(100);
+        fixture.heartbeat(1, CAPACITY, u64::MAX);
+        fixture.submit(job_of("modest", 2, &format!("modest-then-{round}"), 1));
+    }
+    fixture.heartbeat(1, FULL, u64::MAX);
+    fixture.submit(job_of("modest", 2, "modest-2", 1));
+    fixture.submit(job_of("busy", 0, "busy-2", 1));
+    fixture.dispatcher.take_actions();
+
+    fixture.heartbeat(1, free_for(1), u64::MAX);
+
+    assert_eq!(assigned_jobs(&mut fixture), ["busy-2"]);
+}
+
 #[test]
 fn less_urgent_work_leaves_headroom_while_urgent_work_is_in_use() {
     let mut fixture = Fixture::new(1);
