--- a/crates/leased/cloverfold_lease/src/dispatcher/precedence.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/precedence.rs
@@ -1,8 +1,9 @@
 //! Decision: in which order waiting jobs are served.
 //!
-//! 1. A job whose queue is within its share of the processors, before one whose queue is above it ([`shares`]).
-//! 2. Priority, 0 first.
-//! 3. Arrival.
+//! 1. A job that has begun: what it already used is lost if it ends late.
+//! 2. A job whose queue is within its share of the processors, before one whose queue is above it ([`shares`]).
+//! 3. Priority, 0 first.
+//! 4. Arrival.
 //!
 //! Owns no state. Relies on [`QueueShares`].
 //!
@@ -17,6 +18,7 @@
 /// Place of a waiting job in one pass over the queue; the lowest is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Precedence {
+    is_not_begun: bool,
     is_above_share: bool,
     position: QueuePosition,
 }
@@ -36,6 +38,7 @@
     fn rank(&self, position: QueuePosition, now: Timestamp) -> Precedence {
         let job = self.jobs.get(&position.job);
         Precedence {
+            is_not_begun: job.is_some_and(|job| !job.may_have_run()),
             is_above_share: job
                 .is_some_and(|job| self.shares.is_above_share(&job.request.queue, now)),
             position,
--- a/crates/leased/cloverfold_lease/tests/dispatcher/shortage.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/shortage.rs
@@ -64,6 +64,24 @@
     assert_eq!(assigned_jobs(&mut fixture), ["busy-2"]);
 }
 
+#[test]
+fn a_job_that_has_begun_is_completed_before_another_begins() {
+    let mut fixture = Fixture::new(1);
+    fixture.heartbeat(1, free_for(1), 0);
+    fixture.submit(job_of("queue", 1, "begun", 2));
+    fixture.submit(job_of("urgent", 0, "urgent-1", 1));
+    assert_eq!(assigned_jobs(&mut fixture), ["begun"]);
+
+    // One task and the headroom fit.
+    let free = Resources {
+        cpu_milli: DEMAND.cpu_milli + CAPACITY.cpu_milli / 20,
+        ..CAPACITY
+    };
+    fixture.heartbeat(1, free, 1);
+
+    assert_eq!(assigned_jobs(&mut fixture), ["begun"]);
+}
+
 #[test]
 fn less_urgent_work_leaves_headroom_while_urgent_work_is_in_use() {
     let mut fixture = Fixture::new(1);
