--- a/crates/leased/cloverfold_lease/src/runner/counts.rs
+++ b/crates/leased/cloverfold_lease/src/runner/counts.rs
@@ -25,3 +25,16 @@
     /// Times the target was paused because of stuck runs.
     pub pauses: u64,
 }
+
+/// How the processors of the target are used, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProcessorUse {
+    /// Offered to dispatchers.
+    pub offered: i64,
+    /// Registered but not offered: the target is paused, on probation, draining, silent, or its clock is not known.
+    pub held_back: i64,
+    /// Demanded by runs that were started and whose end is not certain.
+    pub running: i64,
+    /// Demanded by runs that wait here for free capacity.
+    pub waiting: i64,
+}
--- a/crates/leased/cloverfold_lease/src/runner/mod.rs
+++ b/crates/leased/cloverfold_lease/src/runner/mod.rs
@@ -50,7 +50,7 @@
 pub use answers::{
     EndCause, EndedRun, ListedRun, RenewalAnswer, StartAnswer, StartRefusal, TargetRegistration,
 };
-pub use counts::RunnerCounts;
+pub use counts::{ProcessorUse, RunnerCounts};
 pub use orders::{RenewalOrder, StartOrder, StopOrder};
 pub use target_incarnation::UnavailableReason;
 
--- a/crates/leased/cloverfold_lease/src/runner/waiting.rs
+++ b/crates/leased/cloverfold_lease/src/runner/waiting.rs
@@ -8,6 +8,7 @@
 use crate::messages::{RunOutcome, RunRefusal, TaskId};
 use crate::resources::Resources;
 use crate::runner::Runner;
+use crate::runner::counts::ProcessorUse;
 use crate::runner::run::Run;
 use crate::runner::target_incarnation::TargetIncarnation;
 
@@ -57,6 +58,24 @@
         self.capacity_minus(demands)
     }
 
+    /// Returns how the target's processors are used at present.
+    pub fn processor_use(&self) -> ProcessorUse {
+        let ready = self.target.as_ref().filter(|target| target.accepts_work());
+        let offered = ready.map_or(0, |target| target.offered_capacity().cpu_milli);
+        let registered = self.target.as_ref();
+        let registered = registered.map_or(0, |target| target.capacity().cpu_milli);
+        let sum = |is_counted: fn(&Run) -> bool| {
+            let counted = self.runs.values().filter(|run| is_counted(run));
+            counted.map(|run| run.demand.cpu_milli).sum()
+        };
+        ProcessorUse {
+            offered,
+            held_back: registered - offered,
+            running: sum(|run| !run.is_waiting()),
+            waiting: sum(Run::is_waiting),
+        }
+    }
+
     /// Returns what is free for the next start.
     fn free_now(&self) -> Resources {
         let busy = self.runs.values().filter(|run| !run.is_waiting());
--- a/crates/leased/cloverfold_leased_entry/src/lib.rs
+++ b/crates/leased/cloverfold_leased_entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod callers;
 mod configuration;
 mod event_log;
+mod job_counts;
 mod known_guards;
 mod metrics;
 mod process;
--- a/crates/leased/cloverfold_leased_entry/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_entry/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 
+use crate::job_counts::{JobCounts, JobOutcome};
 use crate::state::EntryState;
 
 /// Upper bound of the first bucket of answer times, in seconds. Chosen, not measured.
@@ -32,6 +33,7 @@
     metrics: ProcessMetrics,
     answers: Family<OutcomeLabel, Counter>,
     answer_seconds: Histogram,
+    jobs: JobCounts,
     runs: CauseGauges,
     version: Gauge,
     ready_targets: Gauge,
@@ -46,6 +48,8 @@
         let answer_seconds =
             Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_GROWTH, BUCKETS));
         let answer_seconds = metrics.add("answer_seconds", "Time to the answer", answer_seconds);
+        let jobs = JobCounts::default();
+        metrics.add("jobs", "Jobs by queue and outcome", jobs.counters());
         let help = "Runs since the start, by what became of them";
         let runs = metrics.add_cause_gauges("runs", help);
         Self {
@@ -54,6 +58,7 @@
             open_jobs: metrics.add_gauge("open_jobs", "Jobs without an answer yet"),
             answers,
             answer_seconds,
+            jobs,
             runs,
             metrics: metrics.finish(),
         }
@@ -67,6 +72,11 @@
         self.answer_seconds.observe(took.as_secs_f64());
     }
 
+    /// Counts a job that its dispatcher or its state answered.
+    pub(crate) fn count_job(&self, queue: &str, outcome: JobOutcome) {
+        self.jobs.count(queue, outcome);
+    }
+
     /// Writes the metrics as text.
     pub(crate) fn write(&self, state: &EntryState) -> String {
         let counts = state.counts();
--- a/crates/leased/cloverfold_leased_entry/src/submission.rs
+++ b/crates/leased/cloverfold_leased_entry/src/submission.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 
 use crate::callers::Callers;
+use crate::job_counts::JobOutcome;
 use crate::protocol::{JobForm, MalformedJob};
 use crate::responses::{answer_response, refusal_response};
 
@@ -45,9 +46,13 @@
             Ok(job) => job,
             Err(cause) => return reject_job(id, route, &cause),
         };
+        let objective = job.objective.span(job.estimate_work());
         let submitted_at = Instant::now();
         let answer = self.run_job(id, job).await;
-        self.record_answer(id, route, answer, submitted_at.elapsed());
+        let took = submitted_at.elapsed();
+        self.record_answer(id, route, answer, took);
+        let outcome = JobOutcome::new(answer, took, objective);
+        self.metrics.count_job(&route.name, outcome);
         answer_response(self.protocol.as_ref(), answer)
     }
 
--- a/crates/leased/cloverfold_leased_guard/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_guard/src/metrics.rs
@@ -3,6 +3,7 @@
 //! Owns nothing but the gauges: the numbers are read off [`GuardState`] when they are asked for. Relies on [`ProcessMetrics`] for what every
 //! leased process counts.
 
+use cloverfold_lease::ProcessorUse;
 use cloverfold_leased_process::{MetricsBuilder, ProcessMetrics};
 use cloverfold_telemetry::CauseGauges;
 use prometheus_client::metrics::gauge::Gauge;
@@ -15,6 +16,10 @@
     runs: CauseGauges,
     run_count: Gauge,
     is_target_ready: Gauge,
+    offered: Gauge,
+    held_back: Gauge,
+    running: Gauge,
+    waiting: Gauge,
 }
 
 impl GuardMetrics {
@@ -25,11 +30,22 @@
         Self {
             run_count: metrics.add_gauge("held_runs", "Runs held now, also those that wait"),
             is_target_ready: metrics.add_gauge("target_ready", "1 while the target takes work"),
+            offered: metrics.add_gauge("offered_millicores", "Processors offered to entries"),
+            held_back: metrics.add_gauge("held_back_millicores", "Processors not offered now"),
+            running: metrics.add_gauge("running_millicores", "Processors of runs started here"),
+            waiting: metrics.add_gauge("waiting_millicores", "Processors that runs wait for"),
             runs,
             metrics: metrics.finish(),
         }
     }
 
+    fn set_processor_use(&self, processors: ProcessorUse) {
+        self.offered.set(processors.offered);
+        self.held_back.set(processors.held_back);
+        self.running.set(processors.running);
+        self.waiting.set(processors.waiting);
+    }
+
     /// Writes the metrics as text.
     pub(crate) fn write(&self, state: &GuardState) -> String {
         let counts = state.counts();
@@ -47,6 +63,7 @@
         self.run_count.set(state.run_count() as i64);
         self.is_target_ready
             .set(i64::from(state.has_ready_target()));
+        self.set_processor_use(state.processor_use());
         self.metrics.write()
     }
 }
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -10,8 +10,8 @@
 
 use cloverfold_base::ProcessClock;
 use cloverfold_lease::{
-    RenewalAnswer, RenewalOrder, Runner, RunnerAction, RunnerCounts, StartAnswer, StartOrder,
-    UnavailableReason,
+    ProcessorUse, RenewalAnswer, RenewalOrder, Runner, RunnerAction, RunnerCounts, StartAnswer,
+    StartOrder, UnavailableReason,
 };
 use cloverfold_leased_process::LeasedState;
 use cloverfold_link::LinkEvent;
@@ -96,6 +96,11 @@
         self.runner.run_count()
     }
 
+    /// Returns how the target's processors are used at present.
+    pub(crate) fn processor_use(&self) -> ProcessorUse {
+        self.runner.processor_use()
+    }
+
     pub(crate) fn has_ready_target(&self) -> bool {
         self.runner.has_ready_target()
     }
