--- a/crates/cloverfold/src/bin/cloverfold/solo.rs
+++ b/crates/cloverfold/src/bin/cloverfold/solo.rs
@@ -10,6 +10,8 @@
 use cloverfold_solo::{SoloConfig, SoloLoad, SoloSystem, measure_load};
 use cloverfold_telemetry::start_logging;
 use eyre::{Result, bail, eyre};
+use tokio::signal::ctrl_c;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Run every role in this process, put sample jobs on, and report.
 #[derive(FromArgs)]
@@ -116,7 +118,7 @@
     found.ok_or_else(|| eyre!("--placement must be one of {}", PLACEMENTS.join(", ")))
 }
 
-/// Prints how to submit a job by hand and waits for Ctrl-C.
+/// Prints how to submit a job by hand and waits for Ctrl-C or SIGTERM.
 async fn serve(system: &SoloSystem) -> Result<()> {
     let entries = system.entry_addresses();
     let caller = &system.config().workspaces[0].caller;
@@ -131,6 +133,15 @@
         entries[0], caller.workspace, caller.key
     );
     println!("    -d '{{\"service\":\"sample\",\"tasks\":[{{\"duration_ms\":100}}]}}'");
-    tokio::signal::ctrl_c().await?;
+    wait_for_stop().await
+}
+
+/// Waits for Ctrl-C, or for SIGTERM as all other commands do.
+async fn wait_for_stop() -> Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    tokio::select! {
+        interrupted = ctrl_c() => interrupted?,
+        _ = term.recv() => {}
+    }
     Ok(())
 }
--- /dev/null
+++ b/crates/cloverfold/tests/solo.rs
@@ -0,0 +1,34 @@
+//! The command `solo --serve` as a process of its own.
+
+#![allow(clippy::unwrap_used)]
+
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, Stdio};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+/// The line that is printed once everything runs.
+const READY_LINE: &str = "try, and end with Ctrl-C:";
+
+/// Starts the command and waits until it serves.
+fn start_serving() -> Child {
+    let mut solo = Command::new(env!("CARGO_BIN_EXE_cloverfold"))
+        .args(["solo", "--serve"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let lines = BufReader::new(solo.stdout.as_mut().unwrap()).lines();
+    let ready = lines.map_while(Result::ok).find(|line| line == READY_LINE);
+    assert!(ready.is_some(), "it ended before it served");
+    solo
+}
+
+#[test]
+fn solo_stops_as_planned_on_sigterm() {
+    let mut solo = start_serving();
+
+    kill_process(Pid::from_raw(solo.id() as i32).unwrap(), Signal::TERM).unwrap();
+
+    assert_eq!(solo.wait().unwrap().code(), Some(0));
+}
