--- a/crates/leased/cloverfold_leased_entry/src/job_counts.rs
+++ b/crates/leased/cloverfold_leased_entry/src/job_counts.rs
@@ -6,7 +6,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use cloverfold_lease::JobAnswer;
+use cloverfold_lease::{JobAnswer, JobRefusal};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -24,8 +24,9 @@
     InTime,
     /// Completed after its objective.
     Late,
-    /// Answered in another way.
-    Unserved(JobAnswer),
+    Failed,
+    GivenUp,
+    Refused(JobRefusal),
 }
 
 impl JobOutcome {
@@ -34,7 +35,9 @@
         match answer {
             JobAnswer::Completed if took <= objective => Self::InTime,
             JobAnswer::Completed => Self::Late,
-            answer => Self::Unserved(answer),
+            JobAnswer::Failed => Self::Failed,
+            JobAnswer::GivenUp => Self::GivenUp,
+            JobAnswer::Refused { cause, .. } => Self::Refused(cause),
         }
     }
 
@@ -42,10 +45,10 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::InTime => "in_time",
-            Self::Late | Self::Unserved(JobAnswer::Completed) => "late",
-            Self::Unserved(JobAnswer::Failed) => "failed",
-            Self::Unserved(JobAnswer::GivenUp) => "given_up",
-            Self::Unserved(JobAnswer::Refused { cause, .. }) => cause.as_str(),
+            Self::Late => "late",
+            Self::Failed => "failed",
+            Self::GivenUp => "given_up",
+            Self::Refused(cause) => cause.as_str(),
         }
     }
 }
