--- a/crates/cloverfold/src/bin/cloverfold/solo.rs
+++ b/crates/cloverfold/src/bin/cloverfold/solo.rs
@@ -120,6 +120,8 @@
 
 /// Prints how to submit a job by hand and waits for Ctrl-C or SIGTERM.
 async fn serve(system: &SoloSystem) -> Result<()> {
+    // Before anything is printed: whoever reads that it serves may stop it at once.
+    let mut term = signal(SignalKind::terminate())?;
     let entries = system.entry_addresses();
     let caller = &system.config().workspaces[0].caller;
     println!(
@@ -133,12 +135,6 @@
         entries[0], caller.workspace, caller.key
     );
     println!("    -d '{{\"service\":\"sample\",\"tasks\":[{{\"duration_ms\":100}}]}}'");
-    wait_for_stop().await
-}
-
-/// Waits for Ctrl-C, or for SIGTERM as all other commands do.
-async fn wait_for_stop() -> Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
     tokio::select! {
         interrupted = ctrl_c() => interrupted?,
         _ = term.recv() => {}
