--- a/crates/leased/cloverfold_lease/src/dispatcher/standing_queues.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/standing_queues.rs
@@ -2,7 +2,8 @@
 //!
 //! A job that waits for longer is served if its queue is only the crest of a wave: the queue is empty again soon. If jobs come faster than
 //! they can be served, a longer wait serves no more of them; all that are served have waited for as long as they may, and more
-//! end late. A queue that has not been empty for [`STANDING_SPAN`] counts as standing.
+//! end late. A queue that has not been empty for [`STANDING_SPAN`] counts as standing. So does one whose only job has waited for as long:
+//! a job whose quarter is longer waits for [`STANDING_SPAN`], or for its tenth if that is longer still.
 //!
 //! Owns since when each queue has had jobs that wait to begin ([`StandingQueues`]). Relies on the dispatcher to report them after each
 //! pass over the queue.
--- a/crates/leased/cloverfold_lease/tests/dispatcher/admission.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/admission.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use cloverfold_lease::{
-    DispatcherAction, DispatcherMessage, JobAnswer, JobRefusal, JobRequest, StepRequest,
+    DispatcherAction, DispatcherMessage, JobAnswer, JobRefusal, JobRequest, Resources, StepRequest,
 };
 
-use crate::fixture::{CAPACITY, FULL, Fixture, job, ms, one_task_job, step};
+use crate::fixture::{CAPACITY, FULL, Fixture, job, long_step, ms, one_task_job, step};
 
 #[test]
-fn a_job_that_cannot_be_offered_in_time_is_refused() {
+fn a_job_that_cannot_be_offered_in_a_quarter_of_its_objective_is_refused() {
     let mut fixture = Fixture::new(1);
     fixture.heartbeat(1, FULL, 0);
     let number = fixture.submit(one_task_job("a"));
@@ -25,6 +25,23 @@
     assert!(retry_after > Duration::ZERO);
 }
 
+#[test]
+fn with_too_much_work_a_job_is_refused_after_a_tenth_of_its_objective() {
+    let mut fixture = Fixture::new(1);
+    fixture.report(1, Resources::default(), 1_000);
+    fixture.submit(job("a", vec![long_step()]));
+
+    // The objective is 1.6 x 1,000 + 60 = 1,660 ms.
+    fixture.pass(160, &[1]);
+    assert!(fixture.answers().is_empty(), "it may wait for a tenth");
+    fixture.pass(40, &[1]);
+
+    assert!(matches!(
+        fixture.answers()[..],
+        [(_, JobAnswer::Refused { .. })]
+    ));
+}
+
 /// A job with an objective of 1.6 x 200 + 60 = 380 ms.
 fn job_of_200_ms(id: &str) -> JobRequest {
     let work = StepRequest {
