--- a/crates/leased/cloverfold_lease/src/dispatcher/deadlines.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/deadlines.rs
@@ -41,20 +41,15 @@
 impl JobDeadlines {
     /// Returns the deadlines of a job that is submitted `now`.
     pub(crate) fn new(request: &JobRequest, now: Timestamp) -> Self {
+        let objective = request.estimate_objective();
         Self {
-            queue: now + queue_wait(request, QUEUE_WAIT_SHARE),
-            standing_queue: now + queue_wait(request, STANDING_WAIT_SHARE),
+            queue: now + objective.mul_f64(QUEUE_WAIT_SHARE),
+            standing_queue: now + objective.mul_f64(STANDING_WAIT_SHARE),
             give_up: now + longest_work(request),
         }
     }
 }
 
-/// Returns how long a job may wait to be offered to a target, as a share of its objective.
-fn queue_wait(request: &JobRequest, share: f64) -> Duration {
-    let objective = request.objective.span(request.estimate_work());
-    objective.mul_f64(share)
-}
-
 /// Returns how long a job is worked on, counted from its submission.
 fn longest_work(request: &JobRequest) -> Duration {
     let slow_work = request.estimate_work().mul_f64(ESTIMATE_MARGIN);
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -65,6 +65,14 @@
     emptiest.map(|candidate| candidate.session)
 }
 
+/// Returns what must be free at a runner's target for a task of this step to be placed there.
+fn needed_at(runner: &RunnerSession, step: &StepRequest, leaves_headroom: bool) -> Resources {
+    match &runner.description {
+        Some(target) if leaves_headroom => demand_with_headroom(&step.demand, &target.capacity),
+        _ => step.demand,
+    }
+}
+
 impl Dispatcher {
     /// Assigns waiting tasks in order while targets have free capacity.
     pub(super) fn place_waiting(&mut self, now: Timestamp) {
@@ -148,19 +156,22 @@
         task: &Task,
         now: Timestamp,
     ) -> impl Iterator<Item = Candidate> {
+        let leaves_headroom = self.shares.has_more_urgent(job.request.priority);
         let sessions = self.sessions.iter();
         sessions.filter_map(move |(session, runner)| {
-            self.check_candidate(job, task, *session, runner, now)
+            let needed = needed_at(runner, job.step(task), leaves_headroom);
+            self.check_candidate(job, task, *session, runner, &needed, now)
         })
     }
 
-    /// Returns a target as a candidate if it could run a task now.
+    /// Returns a target as a candidate if it could run a task now; `needed` must be free there.
     fn check_candidate(
         &self,
         job: &Job,
         task: &Task,
         session: SessionId,
         runner: &RunnerSession,
+        needed: &Resources,
         now: Timestamp,
     ) -> Option<Candidate> {
         let step = job.step(task);
@@ -172,7 +183,7 @@
             return None;
         }
         let free = runner.free();
-        let has_space = free.covers(&self.needed_at(job, step, runner));
+        let has_space = free.covers(needed);
         let allows_one_more = |most: u32| job.count_assigned(task.step, session) < most;
         if !has_space || !step.most_per_target.is_none_or(allows_one_more) {
             return None;
@@ -186,16 +197,6 @@
         })
     }
 
-    /// Returns what must be free at a target for a task of this step to be placed there.
-    fn needed_at(&self, job: &Job, step: &StepRequest, runner: &RunnerSession) -> Resources {
-        match &runner.description {
-            Some(target) if self.shares.has_more_urgent(job.request.priority) => {
-                demand_with_headroom(&step.demand, &target.capacity)
-            }
-            _ => step.demand,
-        }
-    }
-
     /// Begins the next run of a task at a target.
     fn assign(&mut self, position: TaskPosition, session: SessionId, now: Timestamp) {
         let session_span = self.timings.session;
--- a/crates/leased/cloverfold_lease/src/dispatcher/standing_queues.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/standing_queues.rs
@@ -30,8 +30,9 @@
         let mut before = std::mem::take(&mut self.since);
         for queue in waiting {
             if !self.since.contains_key(queue) {
-                let since = before.remove(queue).unwrap_or(now);
-                self.since.insert(queue.into(), since);
+                let known = before.remove_entry(queue);
+                let (name, since) = known.unwrap_or_else(|| (queue.into(), now));
+                self.since.insert(name, since);
             }
         }
     }
--- a/crates/leased/cloverfold_lease/src/request.rs
+++ b/crates/leased/cloverfold_lease/src/request.rs
@@ -81,4 +81,9 @@
         }
         ends.into_iter().max().unwrap_or_default()
     }
+
+    /// Returns the time after its submission in which the job should be answered, reckoned from the estimated work.
+    pub fn estimate_objective(&self) -> Duration {
+        self.objective.span(self.estimate_work())
+    }
 }
--- a/crates/leased/cloverfold_lease/src/runner/waiting.rs
+++ b/crates/leased/cloverfold_lease/src/runner/waiting.rs
@@ -60,10 +60,10 @@
 
     /// Returns how the target's processors are used at present.
     pub fn processor_use(&self) -> ProcessorUse {
-        let ready = self.target.as_ref().filter(|target| target.accepts_work());
+        let target = self.target.as_ref();
+        let registered = target.map_or(0, |target| target.capacity().cpu_milli);
+        let ready = target.filter(|target| target.accepts_work());
         let offered = ready.map_or(0, |target| target.offered_capacity().cpu_milli);
-        let registered = self.target.as_ref();
-        let registered = registered.map_or(0, |target| target.capacity().cpu_milli);
         let sum = |is_counted: fn(&Run) -> bool| {
             let counted = self.runs.values().filter(|run| is_counted(run));
             counted.map(|run| run.demand.cpu_milli).sum()
--- a/crates/leased/cloverfold_leased_entry/src/submission.rs
+++ b/crates/leased/cloverfold_leased_entry/src/submission.rs
@@ -46,7 +46,7 @@
             Ok(job) => job,
             Err(cause) => return reject_job(id, route, &cause),
         };
-        let objective = job.objective.span(job.estimate_work());
+        let objective = job.estimate_objective();
         let submitted_at = Instant::now();
         let answer = self.run_job(id, job).await;
         let took = submitted_at.elapsed();
