--- a/crates/leased/cloverfold_lease/tests/overlap.rs
+++ b/crates/leased/cloverfold_lease/tests/overlap.rs
@@ -13,13 +13,15 @@
 
 #[test]
 fn no_two_runs_of_a_task_overlap_under_any_fault() {
-    let mut done = 0;
+    let (mut done, mut left) = (0, 0);
     for seed in 0..SEEDS {
         let mut world = World::new(seed, WorldFaults::all());
         world.play(20_000);
         done += world.completed;
+        left += world.left;
     }
     assert!(done > 500, "the world does some work: {done} jobs");
+    assert!(left > 100, "runners leave dispatchers: {left} times");
 }
 
 #[test]
--- /dev/null
+++ b/crates/leased/cloverfold_lease/tests/world/links.rs
@@ -0,0 +1,184 @@
+//! The links between runners and dispatchers, and the messages under way.
+
+use std::collections::VecDeque;
+
+use cloverfold_lease::{DispatcherMessage, RunnerMessage};
+use rand::RngExt;
+
+use super::{DISPATCHERS, RUNNERS, World, at};
+
+/// How long a retired session stays open at least.
+const RETIRED_SPAN_MS: u64 = 500;
+
+/// A link between a dispatcher and a runner.
+#[derive(Default)]
+pub(super) struct Link {
+    pub(super) id: u64,
+    pub(super) dispatcher_open: bool,
+    pub(super) runner_open: bool,
+    pub(super) to_dispatcher: VecDeque<(u64, RunnerMessage)>,
+    pub(super) to_runner: VecDeque<(u64, DispatcherMessage)>,
+    pub(super) is_cut: bool,
+    /// When the runner retired its session, to leave the dispatcher.
+    retired_at: Option<u64>,
+}
+
+impl World {
+    pub(super) fn close_links(&mut self, matches: impl Fn(&(usize, usize)) -> bool) {
+        let now = at(self.now);
+        let keys: Vec<_> = self
+            .links
+            .keys()
+            .copied()
+            .filter(|key| matches(key))
+            .collect();
+        for key in keys {
+            let link = self.links.remove(&key).unwrap();
+            if link.is_cut {
+                // Nobody hears of it: the other side finds out by itself.
+                self.links.insert(
+                    key,
+                    Link {
+                        is_cut: true,
+                        ..link
+                    },
+                );
+                continue;
+            }
+            if let Some(runner) = &mut self.runners[key.1].runner {
+                runner.close_session(link.id, now);
+            }
+            if let Some(dispatcher) = &mut self.dispatchers[key.0].dispatcher {
+                dispatcher.close_session(link.id, now);
+            }
+        }
+    }
+
+    /// Runners dial dispatchers; a link that one side has closed ends at the other when it is not cut.
+    pub(super) fn keep_links(&mut self) {
+        let now = at(self.now);
+        for dispatcher in 0..DISPATCHERS {
+            for runner in 0..RUNNERS {
+                let key = (dispatcher, runner);
+                let is_alive = self.runners[runner].runner.is_some()
+                    && self.dispatchers[dispatcher].dispatcher.is_some()
+                    && self.now >= self.runners[runner].frozen_until
+                    && self.now >= self.dispatchers[dispatcher].frozen_until;
+                let link = self.links.get(&key);
+                let is_open = link.is_some_and(|link| link.dispatcher_open && link.runner_open);
+                let is_cut = link.is_some_and(|link| link.is_cut);
+                if is_open || is_cut || !is_alive {
+                    continue;
+                }
+                if let Some(link) = self.links.remove(&key) {
+                    let runner = self.runners[runner].runner.as_mut().unwrap();
+                    runner.close_session(link.id, now);
+                    let dispatcher = self.dispatchers[dispatcher].dispatcher.as_mut().unwrap();
+                    dispatcher.close_session(link.id, now);
+                }
+                let id = self.next_link;
+                self.next_link += 1;
+                let open = Link {
+                    id,
+                    dispatcher_open: true,
+                    runner_open: true,
+                    ..Link::default()
+                };
+                self.links.insert(key, open);
+                let node = self.runners[runner].runner.as_mut().unwrap();
+                node.open_session(id, now);
+                let name = format!("runner-{runner}");
+                let node = self.dispatchers[dispatcher].dispatcher.as_mut().unwrap();
+                node.open_session(id, &name, now);
+            }
+        }
+    }
+
+    /// A runner leaves a dispatcher now and then, as a guard that is given other entries: it offers it no target, lets its runs end, and
+    /// closes the link when assignments under way have arrived. It dials it again at once.
+    pub(super) fn leave_dispatchers(&mut self) {
+        let now = self.now;
+        let keys: Vec<_> = self.links.keys().copied().collect();
+        for key in keys {
+            let begins = self.faults.is_troubled && self.draw(0.0005);
+            let link = self.links.get_mut(&key).unwrap();
+            let node = &mut self.runners[key.1];
+            let Some(runner) = &mut node.runner else {
+                continue;
+            };
+            if now < node.frozen_until || !link.runner_open {
+                continue;
+            }
+            match link.retired_at {
+                None if begins => {
+                    link.retired_at = Some(now);
+                    runner.retire_session(link.id, true);
+                }
+                Some(at) if now >= at + RETIRED_SPAN_MS => {
+                    if runner.count_session_runs(link.id) == 0 {
+                        self.left += 1;
+                        self.close_links(|closed| *closed == key);
+                    }
+                }
+                None | Some(_) => {}
+            }
+        }
+    }
+
+    pub(super) fn deliver(&mut self) {
+        let now = self.now;
+        let keys: Vec<_> = self.links.keys().copied().collect();
+        for key in keys {
+            let (dispatcher, runner) = key;
+            loop {
+                let link = self.links.get_mut(&key).unwrap();
+                let is_due = link.to_dispatcher.front().is_some_and(|(at, _)| *at <= now);
+                let node = &mut self.dispatchers[dispatcher];
+                if !is_due || link.is_cut || !link.dispatcher_open || now < node.frozen_until {
+                    break;
+                }
+                let (_, message) = link.to_dispatcher.pop_front().unwrap();
+                let id = link.id;
+                if let Some(dispatcher) = &mut node.dispatcher {
+                    dispatcher.receive(id, message, at(now));
+                }
+                self.act_dispatcher(dispatcher);
+            }
+            while let Some(link) = self.links.get_mut(&key) {
+                let is_due = link.to_runner.front().is_some_and(|(at, _)| *at <= now);
+                let node = &mut self.runners[runner];
+                if !is_due || link.is_cut || !link.runner_open || now < node.frozen_until {
+                    break;
+                }
+                let (_, message) = link.to_runner.pop_front().unwrap();
+                let id = link.id;
+                if let Some(runner) = &mut node.runner {
+                    runner.receive(id, message, at(now));
+                }
+                self.act_runner(runner);
+            }
+        }
+    }
+
+    pub(super) fn send_up(&mut self, index: usize, session: u64, message: RunnerMessage) {
+        let at = self.now + self.rng.random_range(1..12);
+        let link = self
+            .links
+            .iter_mut()
+            .find(|(key, link)| key.1 == index && link.id == session);
+        if let Some((_, link)) = link {
+            let last = link.to_dispatcher.back().map_or(0, |(at, _)| *at);
+            link.to_dispatcher.push_back((at.max(last), message));
+        }
+    }
+
+    pub(super) fn close_side(&mut self, session: u64, is_dispatcher: bool) {
+        if let Some((_, link)) = self.links.iter_mut().find(|(_, link)| link.id == session) {
+            if is_dispatcher {
+                link.dispatcher_open = false;
+            } else {
+                link.runner_open = false;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/leased/cloverfold_lease/tests/world/processes.rs
@@ -0,0 +1,124 @@
+//! What each runner, target and dispatcher does in a step of the world.
+
+use cloverfold_lease::{
+    Dispatcher, DispatcherAction, HealthLimits, RenewalAnswer, RunnerAction, StartAnswer,
+};
+use rand::RngExt;
+
+use super::{RENEWAL_TIMEOUT_MS, World, WorldFaults, at};
+
+impl World {
+    pub(super) fn run_targets(&mut self) {
+        for node in &mut self.runners {
+            self.starts += node.target.step(self.now);
+        }
+    }
+
+    pub(super) fn step_runner(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.runners[index];
+        if now < node.frozen_until {
+            return;
+        }
+        let Some(runner) = &mut node.runner else {
+            return;
+        };
+        for (arrives_at, registration) in std::mem::take(&mut node.late_registrations) {
+            if arrives_at <= now {
+                runner.register(registration, at(now));
+            } else {
+                node.late_registrations.push((arrives_at, registration));
+            }
+        }
+        if node.target.is_up(now) && now >= node.registered_at {
+            runner.register(node.target.register(now), at(now));
+            node.registered_at = now + 1_500;
+        }
+        if now >= node.renewal_due_at {
+            node.renewal_due_at = now + 15;
+            if let Some(order) = runner.plan_renewal(at(now)) {
+                let is_late = self.faults.is_troubled && self.rng.random_bool(0.03);
+                let answer = node.target.renew(&order, now, is_late);
+                if answer == RenewalAnswer::Unanswered {
+                    node.renewal_due_at = now + RENEWAL_TIMEOUT_MS;
+                }
+                runner.receive_renewal_answer(&order, answer, at(now));
+            }
+        }
+        runner.tick(at(now));
+        self.act_runner(index);
+    }
+
+    pub(super) fn act_runner(&mut self, index: usize) {
+        let now = self.now;
+        loop {
+            let Some(runner) = &mut self.runners[index].runner else {
+                return;
+            };
+            let actions = runner.take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                match action {
+                    RunnerAction::Send(session, message) => self.send_up(index, session, message),
+                    RunnerAction::CloseSession(session) => self.close_side(session, false),
+                    RunnerAction::Start(order) => {
+                        let is_late = self.faults.is_troubled && self.rng.random_bool(0.05);
+                        let node = &mut self.runners[index];
+                        let answer = node.target.start(&order, now, is_late, &mut self.rng);
+                        if answer != StartAnswer::Unanswered {
+                            let runner = node.runner.as_mut().unwrap();
+                            runner.receive_start_answer(&order, answer, at(now));
+                        }
+                    }
+                    RunnerAction::Stop(order) => {
+                        let is_late = self.faults.is_troubled && self.rng.random_bool(0.05);
+                        self.runners[index]
+                            .target
+                            .stop(&order, now, is_late, &mut self.rng);
+                    }
+                    RunnerAction::RenewNow => self.runners[index].renewal_due_at = now,
+                    RunnerAction::ReportIncarnation { .. } => {}
+                }
+            }
+        }
+    }
+
+    pub(super) fn step_dispatcher(&mut self, index: usize) {
+        let node = &mut self.dispatchers[index];
+        if self.now < node.frozen_until {
+            return;
+        }
+        if let Some(dispatcher) = &mut node.dispatcher {
+            dispatcher.tick(at(self.now));
+        }
+        self.act_dispatcher(index);
+    }
+
+    pub(super) fn act_dispatcher(&mut self, index: usize) {
+        let Some(dispatcher) = &mut self.dispatchers[index].dispatcher else {
+            return;
+        };
+        for action in dispatcher.take_actions() {
+            match action {
+                DispatcherAction::Send(session, message) => {
+                    let at = self.now + self.rng.random_range(1..12);
+                    let mut links = self.links.iter_mut();
+                    let link = links.find(|(key, link)| key.0 == index && link.id == session);
+                    if let Some((_, link)) = link {
+                        let last = link.to_runner.back().map_or(0, |(at, _)| *at);
+                        link.to_runner.push_back((at.max(last), message));
+                    }
+                }
+                DispatcherAction::CloseSession(session) => self.close_side(session, true),
+                DispatcherAction::Report(_) => {}
+                DispatcherAction::Answer(number, answer) => self.answered(index, number, answer),
+            }
+        }
+    }
+}
+
+pub(super) fn new_dispatcher(faults: WorldFaults, seed: u64) -> Dispatcher {
+    Dispatcher::new(faults.timings(), HealthLimits::default(), seed)
+}
