--- a/crates/common/cloverfold_link/src/link.rs
+++ b/crates/common/cloverfold_link/src/link.rs
@@ -98,21 +98,22 @@
 }
 
 impl<M: Serialize> LinkSender<M> {
-    /// Queues a message without waiting. Returns `false` if the link is closed, the queue is full, or the message cannot be encoded (which
-    /// is logged).
-    pub fn send(&self, message: &M) -> bool {
+    /// Queues a message without waiting, and returns the length of its frame in bytes. Returns `None` if the link is closed, the queue
+    /// is full, or the message cannot be encoded (which is logged).
+    pub fn send(&self, message: &M) -> Option<usize> {
         let mut buf = BytesMut::new();
         if let Err(cause) = encode_frame(message, &mut buf) {
             log::error!("a message is not sent: {cause}");
-            return false;
+            return None;
         }
+        let frame_len = buf.len();
         match self.tx.try_send(buf.freeze()) {
-            Ok(()) => true,
+            Ok(()) => Some(frame_len),
             // Not logged: a `LinkEvent::Closed` follows, and its receiver logs it.
-            Err(TrySendError::Closed(_)) => false,
+            Err(TrySendError::Closed(_)) => None,
             Err(TrySendError::Full(_)) => {
                 self.log_full_queue();
-                false
+                None
             }
         }
     }
--- a/crates/common/cloverfold_link/tests/links.rs
+++ b/crates/common/cloverfold_link/tests/links.rs
@@ -49,8 +49,8 @@
             panic!("the accepted link opens first");
         };
 
-        assert!(up.send(&"up".to_owned()));
-        assert!(down.send(&"down".to_owned()));
+        assert!(up.send(&"up".to_owned()).is_some());
+        assert!(down.send(&"down".to_owned()).is_some());
 
         let LinkEvent::Received { message, .. } = next(&mut server).await else {
             panic!("a message");
@@ -182,7 +182,7 @@
     let _opened = next(&mut server).await;
 
     // The link's task gets no time between these calls.
-    let accepted = (0..10_000).take_while(|number| sender.send(&format!("{number}")));
+    let accepted = (0..10_000).take_while(|number| sender.send(&format!("{number}")).is_some());
     let accepted = accepted.count();
 
     assert!((1..10_000).contains(&accepted), "{accepted}");
@@ -213,7 +213,7 @@
     let LinkEvent::Opened { sender, .. } = next(&mut client).await else {
         panic!("expected a new link");
     };
-    assert!(sender.send(&"again".to_owned()));
+    assert!(sender.send(&"again".to_owned()).is_some());
     let mut is_received = false;
     let mut is_closed = false;
     let mut held = Vec::new();
--- a/crates/leased/cloverfold_control/src/metrics.rs
+++ b/crates/leased/cloverfold_control/src/metrics.rs
@@ -31,6 +31,6 @@
         self.version.set(state.current_version() as i64);
         self.term.set(state.term() as i64);
         self.has_quorum.set(i64::from(state.has_quorum()));
-        self.process.write()
+        self.process.write(state.sent())
     }
 }
--- a/crates/leased/cloverfold_control/src/state/mod.rs
+++ b/crates/leased/cloverfold_control/src/state/mod.rs
@@ -34,7 +34,7 @@
 use cloverfold_configuration::{AuditRecord, ConfigurationState, Version};
 use cloverfold_consensus::{LogIndex, Replica, ReplicaId};
 use cloverfold_link::LinkId;
-use cloverfold_peer::{DialedPeers, Hello, PeerLinks};
+use cloverfold_peer::{DialedPeers, Hello, PeerLinks, SentCounts};
 use tokio::sync::watch;
 
 use self::applying::GroupView;
@@ -170,6 +170,11 @@
         self.state.version()
     }
 
+    /// Returns what was sent to other processes since the start.
+    pub(crate) fn sent(&self) -> &SentCounts {
+        self.links.sent()
+    }
+
     /// Returns the term of the log.
     pub(crate) fn term(&self) -> u64 {
         self.replica.status().term
--- a/crates/leased/cloverfold_leased_entry/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_entry/src/metrics.rs
@@ -105,6 +105,6 @@
         self.version.set(state.version() as i64);
         self.ready_targets.set(state.ready_targets() as i64);
         self.open_jobs.set(state.open_jobs() as i64);
-        self.metrics.write()
+        self.metrics.write(state.sent())
     }
 }
--- a/crates/leased/cloverfold_leased_entry/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/mod.rs
@@ -18,7 +18,7 @@
 };
 use cloverfold_leased_process::LeasedState;
 use cloverfold_link::LinkEvent;
-use cloverfold_peer::{ControlLinks, Hello, PeerLinks, PeerMessage};
+use cloverfold_peer::{ControlLinks, Hello, PeerLinks, PeerMessage, SentCounts};
 use tokio::sync::oneshot;
 
 use crate::configuration::{ConfigurationInForce, FetchLimiter};
@@ -112,6 +112,11 @@
         self.dispatcher.counts()
     }
 
+    /// Returns what was sent to other processes since the start.
+    pub(crate) fn sent(&self) -> &SentCounts {
+        self.links.sent()
+    }
+
     pub(crate) fn ready_targets(&self) -> usize {
         self.dispatcher.ready_targets(self.clock.now())
     }
--- a/crates/leased/cloverfold_leased_guard/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_guard/src/metrics.rs
@@ -64,6 +64,6 @@
         self.is_target_ready
             .set(i64::from(state.has_ready_target()));
         self.set_processor_use(state.processor_use());
-        self.metrics.write()
+        self.metrics.write(state.sent())
     }
 }
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -16,7 +16,7 @@
 use cloverfold_leased_process::LeasedState;
 use cloverfold_link::LinkEvent;
 use cloverfold_peer::{
-    ChosenEntries, ControlLinks, Departures, DialedPeers, Hello, PeerLinks, PeerMessage,
+    ChosenEntries, ControlLinks, Departures, DialedPeers, Hello, PeerLinks, PeerMessage, SentCounts,
 };
 use tokio::sync::{Notify, mpsc};
 
@@ -98,6 +98,11 @@
         self.runner.counts()
     }
 
+    /// Returns what was sent to other processes since the start.
+    pub(crate) fn sent(&self) -> &SentCounts {
+        self.links.sent()
+    }
+
     /// Returns how many runs the guard has, also those that wait to be started.
     pub(crate) fn run_count(&self) -> usize {
         self.runner.run_count()
--- a/crates/leased/cloverfold_leased_process/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_process/src/metrics.rs
@@ -3,6 +3,7 @@
 //! Owns the registry of one process. Relies on each process to declare its metrics once and to set them before they are written, and on
 //! `cloverfold_telemetry` for the text and the count of dropped log lines.
 
+use cloverfold_peer::SentCounts;
 use cloverfold_telemetry::{CauseGauges, count_dropped_lines, write_metrics};
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Metric, Registry};
@@ -41,9 +42,15 @@
     pub fn finish(mut self) -> ProcessMetrics {
         let help = "Log lines dropped since the start";
         let dropped_lines = self.add_gauge("dropped_log_lines", help);
+        let help = "Messages sent to other processes since the start, by kind";
+        let sent_messages = self.add_cause_gauges("sent_messages", help);
+        let help = "Bytes of these messages";
+        let sent_bytes = self.add_cause_gauges("sent_bytes", help);
         ProcessMetrics {
             registry: self.registry,
             dropped_lines,
+            sent_messages,
+            sent_bytes,
         }
     }
 }
@@ -53,12 +60,18 @@
 pub struct ProcessMetrics {
     registry: Registry,
     dropped_lines: Gauge,
+    sent_messages: CauseGauges,
+    sent_bytes: CauseGauges,
 }
 
 impl ProcessMetrics {
-    /// Writes all metrics as text, in the format of Prometheus.
-    pub fn write(&self) -> String {
+    /// Writes all metrics as text, in the format of Prometheus; `sent` is what the process has sent to others.
+    pub fn write(&self, sent: &SentCounts) -> String {
         self.dropped_lines.set(count_dropped_lines() as i64);
+        for sent in sent.iter() {
+            self.sent_messages.set(&[(sent.kind, sent.messages)]);
+            self.sent_bytes.set(&[(sent.kind, sent.bytes)]);
+        }
         write_metrics(&self.registry)
     }
 }
--- a/crates/leased/cloverfold_peer/src/entry_subsets.rs
+++ b/crates/leased/cloverfold_peer/src/entry_subsets.rs
@@ -48,7 +48,7 @@
     }
 }
 
-/// Spreads the bits of a number over all its bits, so that numbers that differ little give unlike results (the finalizer of SplitMix64).
+/// Spreads the bits of a number over all its bits, so that numbers that differ little give unlike results (the finalizer of `SplitMix64`).
 fn mix(mut bits: u64) -> u64 {
     bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/leased/cloverfold_peer/src/lib.rs
+++ b/crates/leased/cloverfold_peer/src/lib.rs
@@ -14,6 +14,7 @@
 mod entry_subsets;
 mod links;
 mod messages;
+mod sent_counts;
 
 pub use addresses::{ControlLinks, DialedPeers};
 pub use chosen_entries::ChosenEntries;
@@ -21,3 +22,4 @@
 pub use entry_subsets::choose_entries;
 pub use links::PeerLinks;
 pub use messages::{Directory, Hello, PeerMessage, PeerRole};
+pub use sent_counts::{SentCounts, SentKind};
--- a/crates/leased/cloverfold_peer/src/links.rs
+++ b/crates/leased/cloverfold_peer/src/links.rs
@@ -10,6 +10,7 @@
 use cloverfold_link::{LinkId, LinkSender};
 
 use crate::messages::{Hello, PeerMessage, PeerRole};
+use crate::sent_counts::SentCounts;
 
 /// One open link.
 #[derive(Debug)]
@@ -25,6 +26,7 @@
 #[derive(Debug, Default)]
 pub struct PeerLinks {
     links: HashMap<LinkId, PeerLink>,
+    sent: SentCounts,
 }
 
 impl PeerLinks {
@@ -37,7 +39,7 @@
         own: &Hello,
     ) {
         // A link that closes at once reports it with an event of its own.
-        let _ = sender.send(&PeerMessage::Hello(own.clone()));
+        self.queue(&sender, &PeerMessage::Hello(own.clone()));
         let opened = PeerLink {
             sender,
             is_dialed,
@@ -114,7 +116,7 @@
     pub fn send(&self, link: LinkId, message: &PeerMessage) -> bool {
         self.links
             .get(&link)
-            .is_some_and(|open| open.sender.send(message))
+            .is_some_and(|open| self.queue(&open.sender, message))
     }
 
     /// Queues a message to each peer whose role is selected. A link whose queue is full misses it: what is sent this way is sent again
@@ -126,7 +128,7 @@
                 .as_ref()
                 .is_some_and(|hello| is_selected(hello.role))
             {
-                open.sender.send(message);
+                self.queue(&open.sender, message);
             }
         }
     }
@@ -134,7 +136,21 @@
     /// Queues a message on every link, also where the peer has not introduced itself yet. A link whose queue is full misses it.
     pub fn send_to_all(&self, message: &PeerMessage) {
         for open in self.links.values() {
-            open.sender.send(message);
+            self.queue(&open.sender, message);
         }
     }
+
+    /// Returns what was sent on all links since the start.
+    pub fn sent(&self) -> &SentCounts {
+        &self.sent
+    }
+
+    /// Queues a message and counts it; returns whether it was queued.
+    fn queue(&self, sender: &LinkSender<PeerMessage>, message: &PeerMessage) -> bool {
+        let frame_len = sender.send(message);
+        if let Some(frame_len) = frame_len {
+            self.sent.record(message, frame_len);
+        }
+        frame_len.is_some()
+    }
 }
--- /dev/null
+++ b/crates/leased/cloverfold_peer/src/sent_counts.rs
@@ -0,0 +1,147 @@
+//! What a process has sent to others, by kind of message: which kind costs what, and how that grows with the installation.
+//!
+//! Owns the counts ([`SentCounts`]). Relies on the links to record each message that was queued.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use cloverfold_lease::{DispatcherMessage, RunnerMessage};
+
+use crate::messages::PeerMessage;
+
+/// A kind of message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MessageKind {
+    Hello,
+    Echo,
+    Assign,
+    Withdraw,
+    Heartbeat,
+    FreeCapacity,
+    Target,
+    Ended,
+    VersionNotice,
+    Fetch,
+    Configuration,
+    Directory,
+    Invite,
+    Consensus,
+    Proposal,
+    Read,
+    ReadReply,
+    Goodbye,
+}
+
+impl MessageKind {
+    /// All of them, in order.
+    const ALL: [Self; 18] = [
+        Self::Hello,
+        Self::Echo,
+        Self::Assign,
+        Self::Withdraw,
+        Self::Heartbeat,
+        Self::FreeCapacity,
+        Self::Target,
+        Self::Ended,
+        Self::VersionNotice,
+        Self::Fetch,
+        Self::Configuration,
+        Self::Directory,
+        Self::Invite,
+        Self::Consensus,
+        Self::Proposal,
+        Self::Read,
+        Self::ReadReply,
+        Self::Goodbye,
+    ];
+
+    fn of(message: &PeerMessage) -> Self {
+        match message {
+            PeerMessage::Hello(_) => Self::Hello,
+            PeerMessage::ToRunner(DispatcherMessage::Echo { .. }) => Self::Echo,
+            PeerMessage::ToRunner(DispatcherMessage::Assign(_)) => Self::Assign,
+            PeerMessage::ToRunner(DispatcherMessage::Withdraw { .. }) => Self::Withdraw,
+            PeerMessage::ToDispatcher(RunnerMessage::Heartbeat { .. }) => Self::Heartbeat,
+            PeerMessage::ToDispatcher(RunnerMessage::FreeCapacity(_)) => Self::FreeCapacity,
+            PeerMessage::ToDispatcher(RunnerMessage::Target(_)) => Self::Target,
+            PeerMessage::ToDispatcher(RunnerMessage::Ended { .. }) => Self::Ended,
+            PeerMessage::VersionNotice { .. } => Self::VersionNotice,
+            PeerMessage::Fetch => Self::Fetch,
+            PeerMessage::Configuration(_) => Self::Configuration,
+            PeerMessage::Directory(_) => Self::Directory,
+            PeerMessage::Invite { .. } => Self::Invite,
+            PeerMessage::Consensus(_) => Self::Consensus,
+            PeerMessage::Proposal(_) => Self::Proposal,
+            PeerMessage::Read { .. } => Self::Read,
+            PeerMessage::ReadReply { .. } => Self::ReadReply,
+            PeerMessage::Goodbye => Self::Goodbye,
+        }
+    }
+
+    /// Returns its name in the metrics.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Hello => "hello",
+            Self::Echo => "echo",
+            Self::Assign => "assign",
+            Self::Withdraw => "withdraw",
+            Self::Heartbeat => "heartbeat",
+            Self::FreeCapacity => "free_capacity",
+            Self::Target => "target",
+            Self::Ended => "ended",
+            Self::VersionNotice => "version_notice",
+            Self::Fetch => "fetch",
+            Self::Configuration => "configuration",
+            Self::Directory => "directory",
+            Self::Invite => "invite",
+            Self::Consensus => "consensus",
+            Self::Proposal => "proposal",
+            Self::Read => "read",
+            Self::ReadReply => "read_reply",
+            Self::Goodbye => "goodbye",
+        }
+    }
+}
+
+/// Messages of one kind and their bytes, frames included.
+#[derive(Debug, Default)]
+struct KindCount {
+    messages: AtomicU64,
+    bytes: AtomicU64,
+}
+
+/// What a process has sent since its start.
+#[derive(Debug, Default)]
+pub struct SentCounts {
+    /// In the order of [`MessageKind::ALL`].
+    by_kind: [KindCount; MessageKind::ALL.len()],
+}
+
+/// Messages of one kind that were sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentKind {
+    /// Its name in the metrics.
+    pub kind: &'static str,
+    /// How many.
+    pub messages: u64,
+    /// Their bytes, frames included.
+    pub bytes: u64,
+}
+
+impl SentCounts {
+    /// Records a message that was queued as a frame of so many bytes.
+    pub(crate) fn record(&self, message: &PeerMessage, frame_len: usize) {
+        let count = &self.by_kind[MessageKind::of(message) as usize];
+        count.messages.fetch_add(1, Ordering::Relaxed);
+        count.bytes.fetch_add(frame_len as u64, Ordering::Relaxed);
+    }
+
+    /// Returns each kind with its counts.
+    pub fn iter(&self) -> impl Iterator<Item = SentKind> {
+        let counts = MessageKind::ALL.into_iter().zip(&self.by_kind);
+        counts.map(|(kind, count)| SentKind {
+            kind: kind.as_str(),
+            messages: count.messages.load(Ordering::Relaxed),
+            bytes: count.bytes.load(Ordering::Relaxed),
+        })
+    }
+}
--- a/crates/leased/cloverfold_peer/tests/links.rs
+++ b/crates/leased/cloverfold_peer/tests/links.rs
@@ -134,3 +134,19 @@
     assert_eq!(entry.links.peers().count(), 0);
     assert!(matches!(guard.next().await, LinkEvent::Closed { link } if link == guard_link));
 }
+
+#[tokio::test]
+async fn what_is_sent_is_counted_by_kind_and_what_cannot_be_sent_is_not() {
+    let (mut entry, entry_link, mut guard, _, _dialer) = connect().await;
+    entry.links.send(entry_link, &PeerMessage::Fetch);
+    entry.links.send_to_all(&PeerMessage::Fetch);
+    assert_eq!(guard.receive().await, PeerMessage::Fetch);
+    entry.links.close(entry_link);
+
+    entry.links.send(entry_link, &PeerMessage::Fetch);
+
+    let sent = entry.links.sent().iter().filter(|sent| sent.messages > 0);
+    let sent: Vec<_> = sent.map(|sent| (sent.kind, sent.messages)).collect();
+    assert_eq!(sent, [("hello", 1), ("fetch", 2)]);
+    assert!(entry.links.sent().iter().all(|s| s.bytes >= 5 * s.messages));
+}
