Choose the subsets of entries for each service by itself

Cause: a guard's four entries were drawn without regard to what its target runs. A service of 12 targets among 240 had 48 links to 51 entries, so that some entries could reach none of its targets and refused its jobs (NoTarget) although they could be served. Change: a guard tells control processes of its target, with the message that entries get (control processes of before ignore it). Each service has equal parts of its own, with enough entries for each guard that every entry reaches 16 of its guards, or all. A guard whose service is not known counts with the most common service, so that nothing moves where all run the same. Labels and halls are still not regarded.

--- a/crates/leased/cloverfold_control/src/state/directories.rs
+++ b/crates/leased/cloverfold_control/src/state/directories.rs
@@ -7,13 +7,16 @@
 //!
 //! Owns what each link was sent last ([`SentDirectories`]). Relies on the links of the state.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use cloverfold_base::Timestamp;
+use cloverfold_lease::TargetDescription;
 use cloverfold_link::LinkId;
-use cloverfold_peer::{Directory, PeerMessage, PeerRole, choose_entries};
+use cloverfold_peer::{
+    Directory, EntrySubsets, GuardServices, PeerMessage, PeerRole, choose_entries,
+};
 
 use super::ControlState;
 
@@ -65,7 +68,7 @@
         if receivers.is_empty() {
             return;
         }
-        let entries = choose_entries(&self.guards.addresses(), &self.entries.addresses());
+        let entries = choose_entries(&self.list_guard_services(), &self.entries.addresses());
         let controls = self.list_controls();
         for peer in receivers {
             let directory = build_directory(&entries, &controls, peer.address);
@@ -73,6 +76,30 @@
         }
     }
 
+    /// Records what a guard tells of its target. The service of a guard whose target is away is remembered: it most likely comes back.
+    pub(super) fn record_target(&mut self, link: LinkId, target: &TargetDescription) {
+        let Some(hello) = self.links.hello(link) else {
+            return;
+        };
+        if hello.role != PeerRole::Guard {
+            return;
+        }
+        let before = self.services.insert(hello.address, target.service.clone());
+        if before.is_none_or(|before| before != target.service) {
+            self.directories.mark_outdated(self.clock.now());
+        }
+    }
+
+    /// Returns the guards that count, with the services of their targets, and forgets those of guards that no longer count.
+    fn list_guard_services(&mut self) -> GuardServices {
+        let guards = self.guards.addresses();
+        self.services.retain(|guard, _| guards.contains(guard));
+        let guards = guards.into_iter();
+        guards
+            .map(|guard| (guard, self.services.get(&guard).cloned()))
+            .collect()
+    }
+
     fn list_attached(&self) -> Vec<AttachedPeer> {
         let peers = self.links.introduced();
         let attached =
@@ -118,7 +145,7 @@
 
 /// Returns the directory of the process that listens at `receiver`.
 fn build_directory(
-    entries_of_guards: &BTreeMap<SocketAddr, BTreeSet<SocketAddr>>,
+    entries_of_guards: &EntrySubsets,
     controls: &[SocketAddr],
     receiver: SocketAddr,
 ) -> Directory {
--- a/crates/leased/cloverfold_control/src/state/mod.rs
+++ b/crates/leased/cloverfold_control/src/state/mod.rs
@@ -68,6 +68,8 @@
     known_controls: BTreeSet<SocketAddr>,
     entries: KnownPeers,
     guards: KnownPeers,
+    /// What the targets of guards run, by the guard's address.
+    services: HashMap<SocketAddr, String>,
     directories: SentDirectories,
     /// `None` once the group exists or if another process begins it.
     bootstrap: Option<Bootstrap>,
@@ -105,6 +107,7 @@
             known_controls: BTreeSet::new(),
             entries: KnownPeers::default(),
             guards: KnownPeers::default(),
+            services: HashMap::new(),
             directories: SentDirectories::default(),
             bootstrap,
             appended: AppendedVersions::default(),
--- a/crates/leased/cloverfold_control/src/state/peers.rs
+++ b/crates/leased/cloverfold_control/src/state/peers.rs
@@ -3,6 +3,7 @@
 //! Relies on `PeerLinks` for who is at the other end of each link.
 
 use cloverfold_consensus::{Member, ReplicaId};
+use cloverfold_lease::RunnerMessage;
 use cloverfold_link::{LinkEvent, LinkId};
 use cloverfold_peer::{Hello, PeerMessage, PeerRole};
 
@@ -48,6 +49,9 @@
             PeerMessage::Read { token } => self.begin_peer_read(link, token),
             PeerMessage::ReadReply { token, index } => self.finish_read(token, index),
             PeerMessage::VersionNotice { version, .. } => self.links.record_version(link, version),
+            PeerMessage::ToDispatcher(RunnerMessage::Target(Some(target))) => {
+                self.record_target(link, &target);
+            }
             // These are meant for entries and guards.
             PeerMessage::ToRunner(_)
             | PeerMessage::ToDispatcher(_)
--- a/crates/leased/cloverfold_lease/src/runner/mod.rs
+++ b/crates/leased/cloverfold_lease/src/runner/mod.rs
@@ -58,7 +58,7 @@
 
 use cloverfold_base::Timestamp;
 
-use crate::messages::{DispatcherMessage, RunRefusal, SessionId, TaskId};
+use crate::messages::{DispatcherMessage, RunRefusal, SessionId, TargetDescription, TaskId};
 use crate::timings::Timings;
 use candidates::Candidates;
 use run::Run;
@@ -128,6 +128,17 @@
         self.find_unavailable_reason().is_none()
     }
 
+    /// Returns what runs at the target, whether it gets work or not; `None` while there is none.
+    pub fn service(&self) -> Option<&str> {
+        let target = self.target.as_ref();
+        target.map(|target| target.registration.service.as_str())
+    }
+
+    /// Returns what dispatchers are told of the target, whether it gets work or not; `None` while there is none.
+    pub fn describe_target(&self) -> Option<TargetDescription> {
+        self.target.as_ref().map(TargetIncarnation::describe)
+    }
+
     /// Returns why the target gets no work, if there is a reason.
     pub fn find_unavailable_reason(&self) -> Option<UnavailableReason> {
         match &self.target {
--- a/crates/leased/cloverfold_leased_guard/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/links.rs
@@ -7,6 +7,7 @@
 
 use cloverfold_base::Timestamp;
 use cloverfold_configuration::{StoredConfiguration, Version};
+use cloverfold_lease::{RunnerMessage, TargetDescription};
 use cloverfold_link::{LinkEvent, LinkId};
 use cloverfold_peer::{DepartureStep, Directory, Hello, PeerMessage, PeerRole};
 
@@ -53,13 +54,36 @@
         let now = self.clock.now();
         let version = hello.version;
         log::info!(peer = hello.name.as_str(), link, version; "peer connected");
-        if hello.role == PeerRole::Entry {
-            self.runner.open_session(link, now);
+        match hello.role {
+            PeerRole::Entry => self.runner.open_session(link, now),
+            PeerRole::Control { .. } => self.tell_of_target(link),
+            PeerRole::Guard => {}
         }
         self.links.record_hello(link, hello);
         self.plan_fetch(link, version);
     }
 
+    /// Tells a control process of the target: the choice of this guard's entries depends on its service.
+    fn tell_of_target(&self, link: LinkId) {
+        if let Some(target) = self.runner.describe_target() {
+            self.links.send(link, &target_message(target));
+        }
+    }
+
+    /// Tells all control processes of the target when its service is another than they know.
+    pub(super) fn tell_new_service(&mut self) {
+        let service = self.runner.service();
+        if service.is_none() || service == self.told_service.as_deref() {
+            return;
+        }
+        self.told_service = service.map(Into::into);
+        if let Some(target) = self.runner.describe_target() {
+            let is_control = |role| matches!(role, PeerRole::Control { .. });
+            self.links
+                .send_to_roles(is_control, &target_message(target));
+        }
+    }
+
     /// Removes a link that has closed or is to be closed, and with it an entry's session.
     pub(super) fn close_link(&mut self, link: LinkId) {
         let now = self.clock.now();
@@ -149,3 +173,8 @@
         }
     }
 }
+
+/// The message that tells an entry of the target tells control processes as well.
+fn target_message(target: TargetDescription) -> PeerMessage {
+    PeerMessage::ToDispatcher(RunnerMessage::Target(Some(target)))
+}
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -39,6 +39,8 @@
     orders: mpsc::UnboundedSender<TargetOrder>,
     /// Notified when the lease is to be renewed without waiting.
     renew_now: Arc<Notify>,
+    /// The service of the target, as control processes were told last.
+    told_service: Option<String>,
     /// Why the target accepts no work, as logged last.
     logged_reason: Option<UnavailableReason>,
 }
@@ -85,6 +87,7 @@
             departures: Departures::default(),
             orders,
             renew_now,
+            told_service: None,
             logged_reason: Some(UnavailableReason::NoTarget),
         }
     }
@@ -162,6 +165,7 @@
         for action in self.runner.take_actions() {
             self.carry_out(action);
         }
+        self.tell_new_service();
         self.log_readiness();
     }
 
--- a/crates/leased/cloverfold_peer/src/entry_subsets.rs
+++ b/crates/leased/cloverfold_peer/src/entry_subsets.rs
@@ -3,8 +3,8 @@
 //! Every entry that works with a guard places tasks on the same free capacity, and each change of it is a message to each of them. So a
 //! guard works with a subset of the entries, whose size does not grow with the installation:
 //!
-//! - a guard has [`ENTRIES_PER_GUARD`] entries, more if the entries would else have too few guards: each should see
-//!   [`GUARDS_PER_ENTRY`], or all if there are fewer;
+//! - a guard has [`ENTRIES_PER_GUARD`] entries, more if the entries would else have too few guards of its service: each should see
+//!   [`GUARDS_PER_ENTRY`], or all if there are fewer, so that a service of few targets can be reached through every entry;
 //! - **balanced**: every entry gets its equal part of the links: with 240 guards of four entries each, 18 or 19 guards for each of 51
 //!   entries (drawn without equal parts, 8 to 29);
 //! - **stable**: each guard prefers entries in an order of its own, drawn by a hash of both addresses, so that one that comes or goes
@@ -19,11 +19,17 @@
 
 use cloverfold_base::hash_parts;
 
-/// Entries that a guard works with at least.
+/// Entries that a guard works with at least. Measured with 51 entries and 240 guards on the first 14 s of a loaded day, worth of one play
+/// each: 51 entries 0.440, 8 0.680, 6 0.700, 4 0.721, 3 0.720, 2 0.698 (docs/LARGE.md, round 1).
 const ENTRIES_PER_GUARD: usize = 4;
-/// Guards that an entry works with at least: the places for the tasks of a wide job. Chosen, not measured.
+/// Guards of each service that an entry works with at least: the places for the tasks of a wide job. Chosen, not measured.
 const GUARDS_PER_ENTRY: usize = 16;
 
+/// The service that the target of each guard runs, by the address at which the guard listens to peers; `None` while it is not known.
+pub type GuardServices = BTreeMap<SocketAddr, Option<String>>;
+/// The entries that each guard works with, by the addresses at which they listen to peers.
+pub type EntrySubsets = BTreeMap<SocketAddr, BTreeSet<SocketAddr>>;
+
 /// An address with its hash.
 #[derive(Clone, Copy, Debug)]
 struct Hashed {
@@ -55,21 +61,43 @@
     bits ^ (bits >> 31)
 }
 
-/// Returns the entries of each guard, by the addresses at which they listen to peers.
-pub fn choose_entries(
-    guards: &BTreeSet<SocketAddr>,
-    entries: &BTreeSet<SocketAddr>,
-) -> BTreeMap<SocketAddr, BTreeSet<SocketAddr>> {
+/// Returns the entries of each guard. A guard whose service is not known yet is taken to run the most common one, so that it moves
+/// no links when its target registers in an installation of one service.
+pub fn choose_entries(guards: &GuardServices, entries: &BTreeSet<SocketAddr>) -> EntrySubsets {
     let entries: Vec<Hashed> = entries.iter().copied().map(Hashed::new).collect();
-    let mut guards: Vec<Hashed> = guards.iter().copied().map(Hashed::new).collect();
+    let groups = group_by_service(guards).into_values();
+    let subsets = groups.map(|group| choose_in_group(group, &entries));
+    subsets.flatten().collect()
+}
+
+/// Returns the guards of each service.
+fn group_by_service(guards: &GuardServices) -> BTreeMap<&str, Vec<Hashed>> {
+    let mut groups: BTreeMap<&str, Vec<Hashed>> = BTreeMap::new();
+    let mut unknown = Vec::new();
+    for (address, service) in guards {
+        let guard = Hashed::new(*address);
+        match service {
+            Some(service) => groups.entry(service).or_default().push(guard),
+            None => unknown.push(guard),
+        }
+    }
+    let most_common = groups.iter().max_by_key(|(_, group)| group.len());
+    // While none is known, all guards are one group.
+    let most_common = most_common.map_or("", |(service, _)| *service);
+    groups.entry(most_common).or_default().extend(unknown);
+    groups
+}
+
+/// Returns the entries of each of these guards, which run the same service.
+fn choose_in_group(mut guards: Vec<Hashed>, entries: &[Hashed]) -> EntrySubsets {
     // Addresses of one data hall follow each other; in their order its guards would be served last by the entries with free places.
     guards.sort_unstable_by_key(|guard| (guard.hash, guard.address));
     let size = subset_size(guards.len(), entries.len());
-    let mut chosen = BTreeMap::new();
     let mut places = EntryPlaces::new(guards.len() * size, entries.len());
-    let guard_count = guards.len();
-    for (served, guard) in guards.into_iter().enumerate() {
-        let subset = places.take(&guard, &entries, size, guard_count - served);
+    let mut chosen = EntrySubsets::new();
+    for (index, guard) in guards.iter().enumerate() {
+        let guards_left = guards.len() - index;
+        let subset = places.take(guard, entries, size, guards_left);
         chosen.insert(guard.address, subset);
     }
     chosen
--- a/crates/leased/cloverfold_peer/src/lib.rs
+++ b/crates/leased/cloverfold_peer/src/lib.rs
@@ -19,7 +19,7 @@
 pub use addresses::{ControlLinks, DialedPeers};
 pub use chosen_entries::ChosenEntries;
 pub use departures::{DepartureStep, Departures};
-pub use entry_subsets::choose_entries;
+pub use entry_subsets::{EntrySubsets, GuardServices, choose_entries};
 pub use links::PeerLinks;
 pub use messages::{Directory, Hello, PeerMessage, PeerRole};
 pub use sent_counts::{SentCounts, SentKind};
--- a/crates/leased/cloverfold_peer/src/messages.rs
+++ b/crates/leased/cloverfold_peer/src/messages.rs
@@ -56,7 +56,7 @@
     Hello(Hello),
     /// From an entry's dispatcher to a guard's runner.
     ToRunner(DispatcherMessage),
-    /// From a guard's runner to an entry's dispatcher.
+    /// From a guard's runner to an entry's dispatcher; its target is also told to control processes.
     ToDispatcher(RunnerMessage),
     /// Announces the version in force at the sender; a receiver whose version is older may fetch it.
     VersionNotice {
--- a/crates/leased/cloverfold_peer/tests/entry_subsets.rs
+++ b/crates/leased/cloverfold_peer/tests/entry_subsets.rs
@@ -2,14 +2,12 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
 
-use cloverfold_peer::choose_entries;
+use cloverfold_peer::{EntrySubsets, GuardServices, choose_entries};
 use proptest::prelude::*;
 
-type Subsets = BTreeMap<SocketAddr, BTreeSet<SocketAddr>>;
-
 /// Addresses in data halls of their own, as boxes are numbered in them.
 fn addresses(count: usize, first: u8) -> BTreeSet<SocketAddr> {
     let address = |index: usize| {
@@ -20,21 +18,23 @@
     (0..count).map(address).collect()
 }
 
-fn guards(count: usize) -> BTreeSet<SocketAddr> {
-    addresses(count, 1)
+/// Guards whose targets run the same service.
+fn guards(count: usize) -> GuardServices {
+    let service = |guard| (guard, Some("send".to_owned()));
+    addresses(count, 1).into_iter().map(service).collect()
 }
 
 fn entries(count: usize) -> BTreeSet<SocketAddr> {
     addresses(count, 101)
 }
 
-fn guards_by_entry(subsets: &Subsets, entries: &BTreeSet<SocketAddr>) -> Vec<usize> {
+fn guards_by_entry(subsets: &EntrySubsets, entries: &BTreeSet<SocketAddr>) -> Vec<usize> {
     let count = |entry| subsets.values().filter(|s| s.contains(entry)).count();
     entries.iter().map(count).collect()
 }
 
 /// Counts the links of guards in both that are new in `after`.
-fn count_moved(before: &Subsets, after: &Subsets) -> usize {
+fn count_moved(before: &EntrySubsets, after: &EntrySubsets) -> usize {
     let moved = |(guard, subset): (&SocketAddr, &BTreeSet<SocketAddr>)| {
         let kept = before.get(guard);
         kept.map_or(0, |kept| subset.difference(kept).count())
@@ -81,8 +81,9 @@
     let all = guards(240);
     let before = choose_entries(&all, &entries(51));
 
-    for gone in all.iter().step_by(17) {
-        let left = all.iter().copied().filter(|guard| guard != gone).collect();
+    for gone in all.keys().step_by(17) {
+        let mut left = all.clone();
+        left.remove(gone);
         let after = choose_entries(&left, &entries(51));
 
         let moved = count_moved(&before, &after);
@@ -104,6 +105,36 @@
     }
 }
 
+#[test]
+fn every_entry_reaches_enough_guards_of_a_service_that_few_targets_run() {
+    let mut guards = guards(240);
+    let few: Vec<SocketAddr> = guards.keys().copied().step_by(20).collect();
+    for guard in &few {
+        guards.insert(*guard, Some("rare".to_owned()));
+    }
+
+    let mut subsets = choose_entries(&guards, &entries(51));
+
+    subsets.retain(|guard, _| few.contains(guard));
+    let seen = guards_by_entry(&subsets, &entries(51));
+    assert!(seen.iter().all(|&count| count == few.len()), "{seen:?}");
+}
+
+#[test]
+fn a_guard_whose_service_becomes_known_moves_nothing_where_all_run_the_same() {
+    let known = guards(240);
+    let mut partly_known = known.clone();
+    for service in partly_known.values_mut().step_by(3) {
+        *service = None;
+    }
+    let unknown: GuardServices = known.keys().map(|guard| (*guard, None)).collect();
+
+    let subsets = choose_entries(&known, &entries(51));
+
+    assert_eq!(choose_entries(&partly_known, &entries(51)), subsets);
+    assert_eq!(choose_entries(&unknown, &entries(51)), subsets);
+}
+
 proptest! {
     #[test]
     fn every_subset_is_balanced(guard_count in 1_usize..260, entry_count in 1_usize..60) {
