Let a guard leave entries only when all that are named are connected

Cause, read off the code: a control process that has restarted and is cut off from entries names few or none. If it is the only one that a guard reaches, the guard would have left the entries that it works with after 3 s, and with them their callers. Change: nothing is left while a named entry is not connected or none is named. Also, a control process no longer looks through all its links at each tick for such that await their first directory; at 290 links and 40 ticks a second that was each link 40 times a second.

--- a/crates/leased/cloverfold_control/src/state/directories.rs
+++ b/crates/leased/cloverfold_control/src/state/directories.rs
@@ -7,7 +7,7 @@
 //!
 //! Owns what each link was sent last ([`SentDirectories`]). Relies on the links of the state.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,6 +27,8 @@
 #[derive(Debug, Default)]
 pub(super) struct SentDirectories {
     by_link: HashMap<LinkId, Directory>,
+    /// Links that were sent none yet.
+    awaiting: HashSet<LinkId>,
     /// Since when processes have come or gone that are not in all of them; `None` if there are none.
     outdated_since: Option<Timestamp>,
 }
@@ -37,9 +39,16 @@
         self.outdated_since.get_or_insert(now);
     }
 
+    /// Records a link that is to be sent a directory at the next tick.
+    pub(super) fn await_first(&mut self, link: LinkId) {
+        self.by_link.remove(&link);
+        self.awaiting.insert(link);
+    }
+
     /// Forgets a link that has closed.
     pub(super) fn forget(&mut self, link: LinkId) {
         self.by_link.remove(&link);
+        self.awaiting.remove(&link);
     }
 
     fn is_update_due(&self, now: Timestamp) -> bool {
@@ -59,15 +68,15 @@
     /// Sends the directories that are due: to processes that have none, and after a change to those whose own has changed.
     pub(super) fn send_due_directories(&mut self, now: Timestamp) {
         let is_update_due = self.directories.is_update_due(now);
-        let has_none = |peer: &AttachedPeer| !self.directories.by_link.contains_key(&peer.link);
+        if !is_update_due && self.directories.awaiting.is_empty() {
+            return;
+        }
+        let awaiting = std::mem::take(&mut self.directories.awaiting);
         let mut receivers = self.list_attached();
-        receivers.retain(|peer| is_update_due || has_none(peer));
+        receivers.retain(|peer| is_update_due || awaiting.contains(&peer.link));
         if is_update_due {
             self.directories.outdated_since = None;
         }
-        if receivers.is_empty() {
-            return;
-        }
         let entries = choose_entries(&self.list_guard_services(), &self.entries.addresses());
         let controls = self.list_controls();
         for peer in receivers {
@@ -120,7 +129,7 @@
         if self.links.send(link, &message) {
             self.directories.by_link.insert(link, directory);
         } else {
-            self.directories.forget(link);
+            self.directories.await_first(link);
         }
     }
 
--- a/crates/leased/cloverfold_control/src/state/peers.rs
+++ b/crates/leased/cloverfold_control/src/state/peers.rs
@@ -103,6 +103,7 @@
         if is_new {
             self.directories.mark_outdated(self.clock.now());
         }
+        self.directories.await_first(link);
         self.welcome(link);
     }
 
--- a/crates/leased/cloverfold_leased_guard/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/links.rs
@@ -140,7 +140,12 @@
     /// Leaves the entries that no control process names any more, step by step.
     pub(super) fn leave_unnamed_entries(&mut self, now: Timestamp) {
         let dialed: Vec<SocketAddr> = self.entries.addresses().collect();
-        let left = self.chosen.list_left(dialed.iter().copied(), now);
+        let entries = self.links.dialed_peers();
+        let entries = entries.filter(|peer| peer.role == PeerRole::Entry);
+        let connected = entries.map(|peer| peer.address).collect();
+        let left = self
+            .chosen
+            .list_left(dialed.iter().copied(), &connected, now);
         for entry in dialed {
             let is_left = left.contains(&entry);
             match self.links.find_dialed(entry) {
--- a/crates/leased/cloverfold_peer/src/chosen_entries.rs
+++ b/crates/leased/cloverfold_peer/src/chosen_entries.rs
@@ -2,7 +2,8 @@
 //!
 //! Each control process names the entries of a guard as it sees the installation (`entry_subsets`). A process that has just started, or
 //! is cut off, sees less. So a guard works with every entry that any connected control process names, and leaves an entry only when
-//! none has named it for [`LEAVE_AFTER`]. While no control process is connected, what was named last holds.
+//! none has named it for [`LEAVE_AFTER`] and all that are named are connected. While no control process is connected, what was named
+//! last holds.
 //!
 //! Leaving cuts nothing: the entry is told that there is no target any more, the runs that it has there end, and only then the link
 //! is closed.
@@ -60,13 +61,15 @@
         self.named.is_empty() || self.wanted.contains(&entry)
     }
 
-    /// Returns which of the dialed entries to leave, since none has named them for [`LEAVE_AFTER`].
+    /// Returns which of the dialed entries to leave: none has named them for [`LEAVE_AFTER`], and all that are named are connected, so
+    /// that no control process that sees little can leave this guard without entries.
     pub fn list_left(
         &mut self,
         dialed: impl IntoIterator<Item = SocketAddr>,
+        connected: &BTreeSet<SocketAddr>,
         now: Timestamp,
     ) -> BTreeSet<SocketAddr> {
-        if self.named.is_empty() {
+        if self.wanted.is_empty() || !self.wanted.is_subset(connected) {
             self.unnamed_since.clear();
             return BTreeSet::new();
         }
