--- a/crates/leased/cloverfold_lease/src/runner/actions.rs
+++ b/crates/leased/cloverfold_lease/src/runner/actions.rs
@@ -18,4 +18,11 @@
     Stop(StopOrder),
     /// Renew the lease at once instead of waiting for the next regular renewal.
     RenewNow,
+    /// Log that an incarnation beside the known target was asked for, and whether it lives.
+    ReportIncarnation {
+        /// Its name.
+        incarnation: String,
+        /// Whether it lives and is the target now; otherwise it is ignored from now on.
+        is_living: bool,
+    },
 }
--- a/crates/leased/cloverfold_lease/src/runner/mod.rs
+++ b/crates/leased/cloverfold_lease/src/runner/mod.rs
@@ -16,6 +16,7 @@
 //! | whether a run is stuck, how fast it is | `progress` |
 //! | whether the target is paused or on probation, how slow it is | `performance` |
 //! | whether the target accepts work, when its lease has lapsed, when the fencing token rises | `target_incarnation` |
+//! | which incarnation is the target | `candidates` |
 //! | whether the target is unresponsive | `target` |
 //! | when a lease is extended | `renewals` |
 //! | when a session is over | `sessions` |
@@ -24,6 +25,7 @@
 mod actions;
 mod answers;
 mod assignment;
+mod candidates;
 mod counts;
 mod ending;
 mod listing;
@@ -58,6 +60,7 @@
 
 use crate::messages::{DispatcherMessage, RunRefusal, SessionId, TaskId};
 use crate::timings::Timings;
+use candidates::Candidates;
 use run::Run;
 use session::Session;
 use target_incarnation::TargetIncarnation;
@@ -76,6 +79,7 @@
     /// Numbers runs and incarnations of the target in order of arrival.
     next_sequence: u64,
     target: Option<TargetIncarnation>,
+    candidates: Candidates,
     /// Names of earlier incarnations of the target, oldest first.
     ended_incarnations: VecDeque<String>,
     is_leaving: bool,
@@ -96,6 +100,7 @@
             runs: BTreeMap::new(),
             next_sequence: 0,
             target: None,
+            candidates: Candidates::default(),
             ended_incarnations: VecDeque::new(),
             is_leaving: false,
             counts: RunnerCounts::default(),
--- a/crates/leased/cloverfold_lease/src/runner/renewals.rs
+++ b/crates/leased/cloverfold_lease/src/runner/renewals.rs
@@ -7,10 +7,10 @@
 
 use cloverfold_base::Timestamp;
 
-use crate::runner::Runner;
 use crate::runner::answers::{EndedRun, ListedRun, RenewalAnswer};
 use crate::runner::orders::RenewalOrder;
 use crate::runner::unlisted::ListTimes;
+use crate::runner::{Runner, RunnerAction};
 use crate::timings::TargetTime;
 
 /// The contents of the target's answer to a renewal.
@@ -22,11 +22,14 @@
 }
 
 impl Runner {
-    /// Plans the next renewal of the lease; `None` without a target.
+    /// Plans the next renewal of the lease, or the question to a candidate whether it is there; `None` without a target.
     ///
     /// The lease is not extended while the target may run something that this runner did not start: that must be able to lapse, since
     /// nothing else ends it for certain. Such a renewal is answered at once instead of waiting for an end.
     pub fn plan_renewal(&mut self, now: Timestamp) -> Option<RenewalOrder> {
+        if let Some(question) = self.plan_question(now) {
+            return Some(question);
+        }
         let lease = self.timings.lease;
         let target = self.target.as_mut()?;
         let (deadline, wait) = if target.has_only_own_runs {
@@ -46,7 +49,23 @@
         })
     }
 
-    /// Processes the answer to a renewal.
+    /// Plans the question whether a candidate is there: a renewal that extends no lease and is answered at once.
+    fn plan_question(&mut self, now: Timestamp) -> Option<RenewalOrder> {
+        let limit = self.timings.answer_slack;
+        let candidate = self.candidates.take_due(now)?;
+        Some(RenewalOrder {
+            incarnation: candidate.registration.incarnation.clone(),
+            address: candidate.registration.address.clone(),
+            deadline: None,
+            fencing_token: candidate.fencing_token,
+            last_acknowledged_end: 0,
+            wait: Duration::ZERO,
+            limit,
+            sent_at: now,
+        })
+    }
+
+    /// Processes the answer to a renewal or to a question.
     ///
     /// An answer from another incarnation, or one that was overtaken by the answer to a later renewal, changes nothing. No answer
     /// changes nothing here either: `check_responsiveness` notices it.
@@ -57,6 +76,9 @@
         now: Timestamp,
     ) {
         self.expire_sessions(now);
+        if self.target_of_incarnation(&order.incarnation).is_none() {
+            self.judge_candidate(order, &answer, now);
+        }
         let Some(target) = self.target_of_incarnation(&order.incarnation) else {
             return;
         };
@@ -78,6 +100,39 @@
         }
     }
 
+    /// Makes a candidate the target that has answered with its list, and forgets one that is not there.
+    fn judge_candidate(&mut self, order: &RenewalOrder, answer: &RenewalAnswer, now: Timestamp) {
+        let name = &order.incarnation;
+        match answer {
+            RenewalAnswer::Listed { .. } => {
+                if let Some(candidate) = self.candidates.remove(name) {
+                    let token = candidate.fencing_token;
+                    self.begin_target_incarnation(candidate.registration, token, now);
+                    self.report_incarnation(name, true);
+                }
+            }
+            RenewalAnswer::OtherIncarnation => {
+                if self.candidates.remove(name).is_some() {
+                    self.remember_as_ended(name.clone());
+                    self.report_incarnation(name, false);
+                }
+            }
+            RenewalAnswer::Fenced => {
+                let refused = order.fencing_token;
+                self.candidates.raise_fencing_token(name, refused);
+            }
+            RenewalAnswer::Unanswered => {}
+        }
+    }
+
+    fn report_incarnation(&mut self, incarnation: &str, is_living: bool) {
+        let incarnation = incarnation.into();
+        self.actions.push(RunnerAction::ReportIncarnation {
+            incarnation,
+            is_living,
+        });
+    }
+
     /// Brings runs and target up to date with a list, unless a newer list was processed.
     fn receive_list(&mut self, order: &RenewalOrder, list: TargetList, now: Timestamp) {
         let Some(target) = &mut self.target else {
--- a/crates/leased/cloverfold_lease/src/runner/target.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target.rs
@@ -18,18 +18,20 @@
 impl Runner {
     /// Processes a registration of the target; one that comes late from an earlier incarnation changes nothing.
     ///
-    /// An unknown name is a new incarnation: all runs of the one before are over.
+    /// An unknown name beside a known target is a candidate, which is asked whether it is there (`candidates`).
     pub fn register(&mut self, registration: TargetRegistration, now: Timestamp) {
-        if self.ended_incarnations.contains(&registration.incarnation) {
+        let name = &registration.incarnation;
+        if self.ended_incarnations.contains(name) {
             return;
         }
-        if self
-            .target_of_incarnation(&registration.incarnation)
-            .is_some()
-        {
+        if self.target_of_incarnation(name).is_some() {
             self.update_registration(registration, now);
+        } else if self.target.is_none() {
+            self.begin_target_incarnation(registration, self.first_fencing_token, now);
         } else {
-            self.begin_target_incarnation(registration, now);
+            let fencing_token = self.first_fencing_token;
+            self.candidates.record(registration, fencing_token, now);
+            self.actions.push(RunnerAction::RenewNow);
         }
     }
 
@@ -53,11 +55,13 @@
         self.announce_target();
     }
 
-    /// Forgets the target that reports its own end, and ends its runs.
+    /// Forgets the target or candidate that reports its own end, and ends its runs.
     pub fn unregister(&mut self, incarnation: &str, now: Timestamp) {
         if self.target_of_incarnation(incarnation).is_some() {
             self.end_target_incarnation(now);
             self.announce_target();
+        } else if self.candidates.remove(incarnation).is_some() {
+            self.remember_as_ended(incarnation.into());
         }
     }
 
@@ -70,12 +74,16 @@
         target.filter(|target| target.registration.incarnation == incarnation)
     }
 
-    /// Replaces the target by a new incarnation, which ends all runs of the one before, and asks for its list.
-    fn begin_target_incarnation(&mut self, registration: TargetRegistration, now: Timestamp) {
+    /// Makes a new incarnation the target, which ends all runs of the one before, and asks for its list.
+    pub(super) fn begin_target_incarnation(
+        &mut self,
+        registration: TargetRegistration,
+        fencing_token: u64,
+        now: Timestamp,
+    ) {
         self.end_target_incarnation(now);
         self.next_sequence += 1;
         let number = self.next_sequence;
-        let fencing_token = self.first_fencing_token;
         self.target = Some(TargetIncarnation::new(
             registration,
             number,
@@ -89,15 +97,19 @@
     /// Ends the present incarnation, if there is one, and with it all that ran there.
     fn end_target_incarnation(&mut self, now: Timestamp) {
         if let Some(target) = self.target.take() {
-            self.ended_incarnations
-                .push_back(target.registration.incarnation);
-            if self.ended_incarnations.len() > REMEMBERED_INCARNATIONS {
-                self.ended_incarnations.pop_front();
-            }
+            self.remember_as_ended(target.registration.incarnation);
         }
         self.end_all_runs(now);
     }
 
+    /// Remembers an incarnation as over: what comes from it later is ignored.
+    pub(super) fn remember_as_ended(&mut self, incarnation: String) {
+        self.ended_incarnations.push_back(incarnation);
+        if self.ended_incarnations.len() > REMEMBERED_INCARNATIONS {
+            self.ended_incarnations.pop_front();
+        }
+    }
+
     /// Decides whether the target is unresponsive: it has answered no renewal for [`Timings::silence`](crate::Timings::silence) and the time
     /// that a renewal may wait.
     ///
--- a/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
@@ -17,7 +17,7 @@
 ///
 /// Fencing tokens are milliseconds since 1970 at the start of the guard (docs/design/6-leased-runs.md, "Fencing tokens"), so this is 10 s of a
 /// clock that was put back. Chosen, not measured.
-const FENCING_TOKEN_STEP: u64 = 10_000;
+pub(super) const FENCING_TOKEN_STEP: u64 = 10_000;
 
 /// Why a target gets no work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/leased/cloverfold_leased_guard/src/event_log.rs
+++ b/crates/leased/cloverfold_leased_guard/src/event_log.rs
@@ -45,3 +45,12 @@
         );
     }
 }
+
+/// Logs what became of an incarnation that registered beside a known target.
+pub(crate) fn log_incarnation(incarnation: &str, is_living: bool) {
+    if is_living {
+        log::info!(target = incarnation; "a new incarnation has replaced the target");
+    } else {
+        log::info!(target = incarnation; "a late registration of a dead incarnation is ignored");
+    }
+}
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::configuration::ConfigurationCopy;
-use crate::event_log::{log_end, log_unacknowledged_start};
+use crate::event_log::{log_end, log_incarnation, log_unacknowledged_start};
 use crate::interface::RegistrationCall;
 use crate::target_orders::TargetOrder;
 
@@ -169,6 +169,10 @@
             RunnerAction::Start(order) => self.order(TargetOrder::Start(order)),
             RunnerAction::Stop(order) => self.order(TargetOrder::Stop(order)),
             RunnerAction::RenewNow => self.renew_now.notify_one(),
+            RunnerAction::ReportIncarnation {
+                incarnation,
+                is_living,
+            } => log_incarnation(&incarnation, is_living),
         }
     }
 
