--- a/crates/leased/cloverfold_control/src/state/applying.rs
+++ b/crates/leased/cloverfold_control/src/state/applying.rs
@@ -126,7 +126,7 @@
         for member in &members.voters {
             self.dialed.add(member.address);
         }
-        self.send_directory();
+        self.directories.mark_outdated(self.clock.now());
     }
 
     /// Announces a version that has come into force to the waiting calls of operators, and to entries and guards.
--- a/crates/leased/cloverfold_control/src/state/mod.rs
+++ b/crates/leased/cloverfold_control/src/state/mod.rs
@@ -10,14 +10,16 @@
 //! | `bootstrap` | when the group begins |
 //! | `proposals`, `reads`, `pending_reads` | calls of operators, here and at the leader |
 //! | `peers` | links to the other processes |
-//! | `directory`, `known_entries` | what entries and guards are sent |
+//! | `notices` | when entries and guards are told the version in force |
+//! | `directories`, `known_peers` | which addresses entries and guards are told |
 //! | `pending_writes` | what waits for the disk |
 //! | `status` | what operators are shown |
 
 mod applying;
 mod bootstrap;
-mod directory;
-mod known_entries;
+mod directories;
+mod known_peers;
+mod notices;
 mod peers;
 mod pending_reads;
 mod pending_writes;
@@ -36,8 +38,9 @@
 use tokio::sync::watch;
 
 use self::applying::GroupView;
-use self::directory::LastNotice;
-use self::known_entries::KnownEntries;
+use self::directories::SentDirectories;
+use self::known_peers::KnownPeers;
+use self::notices::LastNotice;
 use self::pending_reads::PendingReads;
 use self::pending_writes::PendingWrites;
 use self::proposals::AppendedVersions;
@@ -63,7 +66,9 @@
     replica_links: HashMap<ReplicaId, LinkId>,
     /// Addresses of control processes: the seeds and all that have connected.
     known_controls: BTreeSet<SocketAddr>,
-    entries: KnownEntries,
+    entries: KnownPeers,
+    guards: KnownPeers,
+    directories: SentDirectories,
     /// `None` once the group exists or if another process begins it.
     bootstrap: Option<Bootstrap>,
     appended: AppendedVersions,
@@ -98,7 +103,9 @@
             links: PeerLinks::default(),
             replica_links: HashMap::new(),
             known_controls: BTreeSet::new(),
-            entries: KnownEntries::default(),
+            entries: KnownPeers::default(),
+            guards: KnownPeers::default(),
+            directories: SentDirectories::default(),
             bootstrap,
             appended: AppendedVersions::default(),
             reads: PendingReads::default(),
@@ -129,9 +136,11 @@
         self.replica.tick(now);
         self.try_bootstrap();
         self.advance();
-        if self.entries.forget_gone(now) {
-            self.send_directory();
+        let has_gone = self.entries.forget_gone(now) | self.guards.forget_gone(now);
+        if has_gone {
+            self.directories.mark_outdated(now);
         }
+        self.send_due_directories(now);
         self.send_due_notice(now);
         self.writes.log_slow(now);
     }
--- a/crates/leased/cloverfold_control/src/state/directory.rs
+++ b/crates/leased/cloverfold_control/src/state/notices.rs
@@ -1,13 +1,12 @@
-//! What entries and guards are sent: the version in force and the addresses of the other processes.
+//! Notices to entries and guards of the version in force.
 //!
 //! Owns when the last notice was sent. Relies on the links of the state; a notice that is lost is followed by the next.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use cloverfold_base::Timestamp;
 use cloverfold_link::LinkId;
-use cloverfold_peer::{Directory, PeerMessage, PeerRole};
+use cloverfold_peer::{PeerMessage, PeerRole};
 
 use super::ControlState;
 
@@ -40,17 +39,10 @@
         self.send_to_attached(&self.notice());
     }
 
-    /// Sends an entry or guard that has just connected the version in force and all addresses.
+    /// Sends an entry or guard that has just connected the version in force.
     pub(super) fn welcome(&self, link: LinkId) {
         // A link that closed meanwhile is dialed again by the process.
         self.links.send(link, &self.notice());
-        self.links
-            .send(link, &PeerMessage::Directory(self.directory()));
-    }
-
-    /// Sends every entry and guard the addresses of all processes.
-    pub(super) fn send_directory(&self) {
-        self.send_to_attached(&PeerMessage::Directory(self.directory()));
     }
 
     fn send_to_attached(&self, message: &PeerMessage) {
@@ -64,29 +56,4 @@
             has_quorum: self.has_quorum(),
         }
     }
-
-    fn directory(&self) -> Directory {
-        Directory {
-            entries: self.entries.addresses().collect(),
-            controls: self.list_controls(),
-        }
-    }
-
-    /// Lists the voters first, then this process, then the other control processes that are connected.
-    fn list_controls(&self) -> Vec<SocketAddr> {
-        let voters = self.replica.members().voters.iter();
-        let voters = voters.map(|member| member.address);
-        let own = std::iter::once(self.own.address);
-        let peers = self.links.peers();
-        let connected = peers
-            .filter(|hello| matches!(hello.role, PeerRole::Control { .. }))
-            .map(|hello| hello.address);
-        let mut controls: Vec<SocketAddr> = Vec::new();
-        for address in voters.chain(own).chain(connected) {
-            if !controls.contains(&address) {
-                controls.push(address);
-            }
-        }
-        controls
-    }
 }
--- a/crates/leased/cloverfold_control/src/state/peers.rs
+++ b/crates/leased/cloverfold_control/src/state/peers.rs
@@ -53,7 +53,8 @@
             | PeerMessage::ToDispatcher(_)
             | PeerMessage::Configuration(_)
             | PeerMessage::Directory(_)
-            | PeerMessage::Invite { .. } => {}
+            | PeerMessage::Invite { .. }
+            | PeerMessage::Goodbye => {}
         }
     }
 
@@ -83,17 +84,27 @@
                 self.control_connected(link, Member { id, address });
             }
             PeerRole::Entry => {
-                self.entries.connected(address);
-                self.send_directory();
-                self.welcome(link);
+                let is_new = self.entries.connected(address);
+                self.attached_connected(link, is_new);
             }
-            PeerRole::Guard => self.welcome(link),
+            PeerRole::Guard => {
+                let is_new = self.guards.connected(address);
+                self.attached_connected(link, is_new);
+            }
+        }
+    }
+
+    /// Welcomes an entry or guard; one that did not count before changes the directories of others.
+    fn attached_connected(&mut self, link: LinkId, is_new: bool) {
+        if is_new {
+            self.directories.mark_outdated(self.clock.now());
         }
+        self.welcome(link);
     }
 
     fn control_connected(&mut self, link: LinkId, member: Member) {
         if self.known_controls.insert(member.address) {
-            self.send_directory();
+            self.directories.mark_outdated(self.clock.now());
         }
         self.dialed.add(member.address);
         if self.links.is_dialed(link) {
@@ -104,6 +115,8 @@
     }
 
     fn link_closed(&mut self, link: LinkId) {
+        let now = self.clock.now();
+        self.directories.forget(link);
         let Some(hello) = self.links.close(link) else {
             return;
         };
@@ -115,8 +128,8 @@
                     self.replica.remove_learner(replica);
                 }
             }
-            PeerRole::Entry => self.entries.disconnected(hello.address, self.clock.now()),
-            PeerRole::Guard => {}
+            PeerRole::Entry => self.entries.disconnected(hello.address, now),
+            PeerRole::Guard => self.guards.disconnected(hello.address, now),
         }
     }
 
--- a/crates/leased/cloverfold_lease/src/runner/reports.rs
+++ b/crates/leased/cloverfold_lease/src/runner/reports.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    /// Reports the free capacity to every session whose last report differs.
+    /// Reports the free capacity to every session whose last report differs, unless it is retired.
     ///
     /// The heartbeats alone would be too late: a dispatcher that does not know of free capacity refuses work which would fit.
     pub(super) fn report_free_capacity(&mut self, now: Timestamp) {
@@ -47,7 +47,7 @@
         let stale: Vec<SessionId> = self
             .sessions
             .iter()
-            .filter(|(_, session)| session.reported_free != free)
+            .filter(|(_, session)| !session.is_retired && session.reported_free != free)
             .map(|(id, _)| *id)
             .collect();
         for session in stale {
@@ -80,11 +80,12 @@
     pub(super) fn announce_target(&mut self) {
         let has_leftovers = self.runs.values().any(|run| run.session.is_none());
         let target = self.target.as_ref();
-        let offered = target.filter(|target| target.accepts_work() && !self.is_leaving);
-        let announcement = offered.map_or(Announcement::NoTarget, |target| {
-            Announcement::Target(target.number())
-        });
+        let available = target.filter(|target| target.accepts_work() && !self.is_leaving);
         for (id, session) in &mut self.sessions {
+            let offered = available.filter(|_| !session.is_retired);
+            let announcement = offered.map_or(Announcement::NoTarget, |target| {
+                Announcement::Target(target.number())
+            });
             if session.announced == announcement {
                 continue;
             }
--- a/crates/leased/cloverfold_lease/src/runner/session.rs
+++ b/crates/leased/cloverfold_lease/src/runner/session.rs
@@ -37,6 +37,8 @@
     /// What was reported as free last.
     pub(super) reported_free: Resources,
     pub(super) announced: Announcement,
+    /// Whether no target is offered to it any more.
+    pub(super) is_retired: bool,
 }
 
 impl Session {
@@ -47,6 +49,7 @@
             heartbeat_at: Timestamp::ZERO,
             reported_free: Resources::default(),
             announced: Announcement::NotSent,
+            is_retired: false,
         }
     }
 
--- a/crates/leased/cloverfold_lease/src/runner/sessions.rs
+++ b/crates/leased/cloverfold_lease/src/runner/sessions.rs
@@ -9,6 +9,7 @@
 use cloverfold_base::Timestamp;
 
 use crate::messages::{RunOutcome, RunRefusal, SessionId, TaskId};
+use crate::runner::run::Run;
 use crate::runner::session::Session;
 use crate::runner::{Runner, RunnerAction};
 
@@ -28,6 +29,21 @@
         }
     }
 
+    /// Offers no target to a session any more, or offers it again. What is assigned to a retired session goes on, and assignments that
+    /// were under way are accepted, so that leaving a dispatcher cuts nothing.
+    pub fn retire_session(&mut self, session: SessionId, is_retired: bool) {
+        if let Some(state) = self.sessions.get_mut(&session) {
+            state.is_retired = is_retired;
+            self.announce_target();
+        }
+    }
+
+    /// Counts the runs of a session that are not certainly over.
+    pub fn count_session_runs(&self, session: SessionId) -> usize {
+        let is_of_session = |run: &&Run| run.session == Some(session);
+        self.runs.values().filter(is_of_session).count()
+    }
+
     /// Prolongs a session from the clock reading that its dispatcher echoed; a reading from the future counts as one from now.
     pub(super) fn receive_echo(&mut self, session: SessionId, clock: Timestamp, now: Timestamp) {
         let span = self.timings.session;
--- a/crates/leased/cloverfold_leased_entry/src/known_guards.rs
+++ b/crates/leased/cloverfold_leased_entry/src/known_guards.rs
@@ -46,6 +46,13 @@
         }
     }
 
+    /// Forgets a guard that has left for other entries, unless another link to it is open.
+    pub(crate) fn forget(&mut self, address: SocketAddr) {
+        if self.guards.get(&address).is_some_and(|guard| guard.links == 0) {
+            self.guards.remove(&address);
+        }
+    }
+
     /// Forgets guards that have been away too long, and returns those to invite now: none before [`INVITE_INTERVAL`] is over.
     pub(crate) fn take_due_invitations(&mut self, now: Timestamp) -> Vec<SocketAddr> {
         if now < self.last_invited_at + INVITE_INTERVAL {
--- a/crates/leased/cloverfold_leased_entry/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/links.rs
@@ -36,6 +36,7 @@
             PeerMessage::Fetch => self.send_configuration(link),
             PeerMessage::Configuration(stored) => self.receive_configuration(stored),
             PeerMessage::Directory(directory) => self.controls.set_listed(directory.controls),
+            PeerMessage::Goodbye => self.release_guard(link),
             // Never sent to an entry.
             PeerMessage::ToRunner(_)
             | PeerMessage::Invite { .. }
@@ -70,6 +71,15 @@
         }
     }
 
+    /// Closes the link to a guard that works with other entries from now on, and invites it no more.
+    fn release_guard(&mut self, link: LinkId) {
+        let Some(guard) = self.links.hello(link).map(|hello| hello.address) else {
+            return;
+        };
+        self.close_link(link);
+        self.guards.forget(guard);
+    }
+
     /// Asks a peer for its configuration if it is newer and no other peer was asked just now.
     fn fetch_if_newer(&mut self, link: LinkId, version: Version) {
         let now = self.clock.now();
--- a/crates/leased/cloverfold_leased_guard/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/links.rs
@@ -3,9 +3,12 @@
 //! Handles the events of links: passes entries' messages to the runner, and plans fetches of newer configurations. Changes the links, sessions
 //! and addresses of [`GuardState`] and owns no state besides. Relies on `cloverfold_link` for links and on control processes for the directory.
 
+use std::net::SocketAddr;
+
+use cloverfold_base::Timestamp;
 use cloverfold_configuration::{StoredConfiguration, Version};
 use cloverfold_link::{LinkEvent, LinkId};
-use cloverfold_peer::{Directory, Hello, PeerMessage, PeerRole};
+use cloverfold_peer::{DepartureStep, Directory, Hello, PeerMessage, PeerRole};
 
 use super::GuardState;
 
@@ -34,10 +37,11 @@
             PeerMessage::VersionNotice { version, .. } => self.plan_fetch(link, version),
             PeerMessage::Fetch => self.send_configuration(link),
             PeerMessage::Configuration(stored) => self.receive_configuration(stored),
-            PeerMessage::Directory(directory) => self.receive_directory(directory),
-            PeerMessage::Invite { entry } => self.entries.add(entry),
+            PeerMessage::Directory(directory) => self.receive_directory(link, directory),
+            PeerMessage::Invite { entry } => self.receive_invitation(entry),
             // Never sent to a guard.
-            PeerMessage::ToDispatcher(_)
+            PeerMessage::Goodbye
+            | PeerMessage::ToDispatcher(_)
             | PeerMessage::Consensus(_)
             | PeerMessage::Proposal(_)
             | PeerMessage::Read { .. }
@@ -59,11 +63,14 @@
     /// Removes a link that has closed or is to be closed, and with it an entry's session.
     pub(super) fn close_link(&mut self, link: LinkId) {
         let now = self.clock.now();
+        self.departures.forget(link);
         let Some(hello) = self.links.close(link) else {
             return;
         };
-        if hello.role == PeerRole::Entry {
-            self.runner.close_session(link, now);
+        match hello.role {
+            PeerRole::Entry => self.runner.close_session(link, now),
+            PeerRole::Control { .. } => self.chosen.forget_control(link),
+            PeerRole::Guard => {}
         }
     }
 
@@ -91,14 +98,54 @@
         });
     }
 
-    /// Dials the entries of a directory, and no others but those that are connected: entries that are gone for good are dialed no
-    /// more.
-    fn receive_directory(&mut self, directory: Directory) {
-        let mut entries = directory.entries;
-        let peers = self.links.peers();
-        let connected = peers.filter(|peer| peer.role == PeerRole::Entry);
-        entries.extend(connected.map(|peer| peer.address));
-        self.entries.set(&entries);
+    /// Dials the entries that a control process names, and the control processes.
+    fn receive_directory(&mut self, link: LinkId, directory: Directory) {
+        self.chosen.record_named(link, directory.entries);
+        for entry in self.chosen.wanted() {
+            self.entries.add(*entry);
+        }
         self.controls.set_listed(directory.controls);
     }
+
+    fn receive_invitation(&mut self, entry: SocketAddr) {
+        if self.chosen.accepts_invitation(entry) {
+            self.entries.add(entry);
+        }
+    }
+
+    /// Leaves the entries that no control process names any more, step by step.
+    pub(super) fn leave_unnamed_entries(&mut self, now: Timestamp) {
+        let dialed: Vec<SocketAddr> = self.entries.addresses().collect();
+        let left = self.chosen.list_left(dialed.iter().copied(), now);
+        for entry in dialed {
+            let is_left = left.contains(&entry);
+            match self.links.find_dialed(entry) {
+                Some(link) => self.advance_departure(entry, link, is_left, now),
+                None if is_left => self.entries.remove(entry),
+                None => {}
+            }
+        }
+    }
+
+    /// Takes the next step of leaving an entry, if it is left.
+    fn advance_departure(
+        &mut self,
+        entry: SocketAddr,
+        link: LinkId,
+        is_left: bool,
+        now: Timestamp,
+    ) {
+        let has_runs = self.runner.count_session_runs(link) > 0;
+        match self.departures.advance(link, is_left, has_runs, now) {
+            DepartureStep::Stay => {}
+            DepartureStep::Retire => self.runner.retire_session(link, true),
+            DepartureStep::Restore => self.runner.retire_session(link, false),
+            DepartureStep::SayGoodbye => {
+                log::info!(entry = entry.to_string().as_str(), link; "an entry is left");
+                // One that misses it invites this guard for a while, which changes nothing.
+                self.links.send(link, &PeerMessage::Goodbye);
+            }
+            DepartureStep::Close => self.entries.remove(entry),
+        }
+    }
 }
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -15,7 +15,9 @@
 };
 use cloverfold_leased_process::LeasedState;
 use cloverfold_link::LinkEvent;
-use cloverfold_peer::{ControlLinks, DialedPeers, Hello, PeerLinks, PeerMessage};
+use cloverfold_peer::{
+    ChosenEntries, ControlLinks, Departures, DialedPeers, Hello, PeerLinks, PeerMessage,
+};
 use tokio::sync::{Notify, mpsc};
 
 use crate::configuration::ConfigurationCopy;
@@ -32,6 +34,8 @@
     links: PeerLinks,
     controls: ControlLinks,
     entries: DialedPeers,
+    chosen: ChosenEntries,
+    departures: Departures,
     orders: mpsc::UnboundedSender<TargetOrder>,
     /// Notified when the lease is to be renewed without waiting.
     renew_now: Arc<Notify>,
@@ -55,6 +59,7 @@
         if let Some(link) = self.configuration.take_due_fetch(now) {
             self.links.send(link, &PeerMessage::Fetch);
         }
+        self.leave_unnamed_entries(now);
         self.advance();
     }
 }
@@ -76,6 +81,8 @@
             links: PeerLinks::default(),
             controls,
             entries,
+            chosen: ChosenEntries::default(),
+            departures: Departures::default(),
             orders,
             renew_now,
             logged_reason: Some(UnavailableReason::NoTarget),
--- a/crates/leased/cloverfold_peer/src/addresses.rs
+++ b/crates/leased/cloverfold_peer/src/addresses.rs
@@ -41,6 +41,16 @@
         }
     }
 
+    /// Keeps a link to an address no longer: an open one closes.
+    pub fn remove(&mut self, address: SocketAddr) {
+        self.dialers.remove(&address);
+    }
+
+    /// Returns the addresses that links are kept to, in no order.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.dialers.keys().copied()
+    }
+
     /// Keeps links to these addresses and no others: other links close.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/leased/cloverfold_peer/src/entry_subsets.rs
@@ -0,0 +1,110 @@
+//! Decision: which entries a guard works with.
+//!
+//! Every entry that works with a guard places tasks on the same free capacity, and each change of it is a message to each of them. So a
+//! guard works with a subset of the entries, whose size does not grow with the installation:
+//!
+//! - a guard has [`ENTRIES_PER_GUARD`] entries, more if the entries would else have too few guards: each should see
+//!   [`GUARDS_PER_ENTRY`], or all if there are fewer;
+//! - **balanced**: no entry has more guards than its equal part, rounded up, unless a guard would else have too few entries;
+//! - **stable**: each guard prefers entries in an order of its own, drawn by a hash of both addresses, so that one that comes or goes
+//!   moves little else. Of 240 guards and 51 entries, four each, a guard that goes moves 7 to 12 links of the others and an entry 64 to
+//!   71, its own 19 among them (simulated, three removals each).
+//!
+//! Owns no state: the same addresses give the same subsets in every control process.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use cloverfold_base::hash_parts;
+
+/// Entries that a guard works with at least.
+const ENTRIES_PER_GUARD: usize = 4;
+/// Guards that an entry works with at least: the places for the tasks of a wide job. Chosen, not measured.
+const GUARDS_PER_ENTRY: usize = 16;
+
+/// An address with its hash.
+#[derive(Clone, Copy, Debug)]
+struct Hashed {
+    address: SocketAddr,
+    hash: u64,
+}
+
+impl Hashed {
+    fn new(address: SocketAddr) -> Self {
+        let hash = hash_parts(&[address.to_string().as_bytes()]);
+        let mut first = [0; 8];
+        first.copy_from_slice(&hash[..8]);
+        Self {
+            address,
+            hash: u64::from_le_bytes(first),
+        }
+    }
+
+    /// Returns how much this guard prefers an entry.
+    fn weigh(&self, entry: &Self) -> u64 {
+        mix(self.hash ^ mix(entry.hash))
+    }
+}
+
+/// Spreads the bits of a number over all its bits, so that numbers that differ little give unlike results (the finalizer of SplitMix64).
+fn mix(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
+
+/// Returns the entries of each guard, by the addresses at which they listen to peers.
+pub fn choose_entries(
+    guards: &BTreeSet<SocketAddr>,
+    entries: &BTreeSet<SocketAddr>,
+) -> BTreeMap<SocketAddr, BTreeSet<SocketAddr>> {
+    let entries: Vec<Hashed> = entries.iter().copied().map(Hashed::new).collect();
+    let mut guards: Vec<Hashed> = guards.iter().copied().map(Hashed::new).collect();
+    // Addresses of one data hall follow each other; in their order its guards would be served last by the entries with free places.
+    guards.sort_unstable_by_key(|guard| (guard.hash, guard.address));
+    let size = subset_size(guards.len(), entries.len());
+    let mut chosen = BTreeMap::new();
+    let mut places = EntryPlaces::new(guards.len() * size, entries.len());
+    for guard in guards {
+        let subset = places.take(&guard, &entries, size);
+        chosen.insert(guard.address, subset);
+    }
+    chosen
+}
+
+/// Returns with how many entries a guard works.
+fn subset_size(guards: usize, entries: usize) -> usize {
+    let wanted_links = entries * GUARDS_PER_ENTRY;
+    let needed = wanted_links.div_ceil(guards.max(1));
+    needed.max(ENTRIES_PER_GUARD).min(entries)
+}
+
+/// How many guards each entry may still get.
+#[derive(Debug)]
+struct EntryPlaces {
+    /// In the order of the entries.
+    left: Vec<usize>,
+}
+
+impl EntryPlaces {
+    /// Divides so many links equally.
+    fn new(links: usize, entries: usize) -> Self {
+        let equal_part = links.div_ceil(entries.max(1));
+        Self {
+            left: vec![equal_part; entries],
+        }
+    }
+
+    /// Takes the entries that a guard prefers of those with places left, then of the others.
+    fn take(&mut self, guard: &Hashed, entries: &[Hashed], size: usize) -> BTreeSet<SocketAddr> {
+        let mut order: Vec<usize> = (0..entries.len()).collect();
+        let rank = |&index: &usize| (self.left[index] == 0, Reverse(guard.weigh(&entries[index])));
+        order.sort_by_cached_key(rank);
+        order.truncate(size);
+        for &index in &order {
+            self.left[index] = self.left[index].saturating_sub(1);
+        }
+        order.iter().map(|&index| entries[index].address).collect()
+    }
+}
--- a/crates/leased/cloverfold_peer/src/lib.rs
+++ b/crates/leased/cloverfold_peer/src/lib.rs
@@ -1,16 +1,23 @@
 //! Messages between the processes of a leased installation, and how the processes find one another.
 //!
-//! Entries and guards dial control processes: first the seeds of their settings, later those in the newest [`Directory`]. Guards dial
-//! every entry in the directory. An entry invites guards that were connected to it before, so that the two reconnect while no control
+//! Entries and guards dial control processes: first the seeds of their settings, later those in the newest [`Directory`]. A control
+//! process chooses which entries each guard works with ([`choose_entries`]) and names them in the guard's directory; the guard dials
+//! those ([`ChosenEntries`]). An entry invites guards that were connected to it before, so that the two reconnect while no control
 //! process can be reached.
 //!
 //! Owns, for each process, its open links ([`PeerLinks`]) and the addresses that it dials ([`DialedPeers`], [`ControlLinks`]). Relies
 //! on `cloverfold_link` for the connections.
 
 mod addresses;
+mod chosen_entries;
+mod departures;
+mod entry_subsets;
 mod links;
 mod messages;
 
 pub use addresses::{ControlLinks, DialedPeers};
+pub use chosen_entries::ChosenEntries;
+pub use departures::{DepartureStep, Departures};
+pub use entry_subsets::choose_entries;
 pub use links::PeerLinks;
 pub use messages::{Directory, Hello, PeerMessage, PeerRole};
--- a/crates/leased/cloverfold_peer/src/links.rs
+++ b/crates/leased/cloverfold_peer/src/links.rs
@@ -4,6 +4,7 @@
 //! ([`Hello`]); it decides nothing. Relies on `cloverfold_link`, which reports when a link opens, brings a message, or closes.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use cloverfold_configuration::Version;
 use cloverfold_link::{LinkId, LinkSender};
@@ -80,6 +81,22 @@
         self.links.get(&link).is_some_and(|open| open.is_dialed)
     }
 
+    /// Returns the link that this process opened to the peer that listens at an address, if there is one.
+    pub fn find_dialed(&self, address: SocketAddr) -> Option<LinkId> {
+        let is_meant = |open: &PeerLink| {
+            let hello = open.hello.as_ref();
+            open.is_dialed && hello.is_some_and(|hello| hello.address == address)
+        };
+        let mut links = self.links.iter();
+        links.find(|(_, open)| is_meant(open)).map(|(link, _)| *link)
+    }
+
+    /// Returns all links whose peer has introduced itself, with who that is, in no order.
+    pub fn introduced(&self) -> impl Iterator<Item = (LinkId, &Hello)> {
+        let links = self.links.iter();
+        links.filter_map(|(link, open)| Some((*link, open.hello.as_ref()?)))
+    }
+
     /// Returns all peers that have introduced themselves, in no order. A peer with two links is returned twice.
     pub fn peers(&self) -> impl Iterator<Item = &Hello> {
         self.links.values().filter_map(|open| open.hello.as_ref())
--- a/crates/leased/cloverfold_peer/src/messages.rs
+++ b/crates/leased/cloverfold_peer/src/messages.rs
@@ -43,7 +43,7 @@
 /// Addresses at which processes accept links.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Directory {
-    /// The entries.
+    /// The entries that the receiver works with, if it is a guard; an entry gets none.
     pub entries: Vec<SocketAddr>,
     /// The control processes.
     pub controls: Vec<SocketAddr>,
@@ -93,4 +93,7 @@
         /// repeated.
         index: Option<LogIndex>,
     },
+    /// From a guard to an entry: the guard works with other entries from now on and has nothing of this one left. The entry closes the
+    /// link and does not invite the guard any more.
+    Goodbye,
 }
