--- a/compatibility/tests/leased_messages.rs
+++ b/compatibility/tests/leased_messages.rs
@@ -441,6 +441,7 @@
         PeerMessage::Proposal(_) => offers(),
         PeerMessage::Read { .. } => one("read", read),
         PeerMessage::ReadReply { .. } => read_replies(),
+        PeerMessage::Goodbye => one("goodbye", PeerMessage::Goodbye),
     })
 }
 
@@ -481,7 +482,7 @@
 
 #[test]
 fn every_message_about_addresses_is_as_recorded() {
-    for word in ["directory", "invite"] {
+    for word in ["directory", "invite", "goodbye"] {
         assert_frames(&messages_named(word));
     }
 }
--- a/crates/leased/cloverfold_lease/tests/runner/sessions.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/sessions.rs
@@ -2,7 +2,7 @@
 
 use cloverfold_lease::{EndCause, Runner, RunnerAction, RunnerMessage};
 
-use crate::fixture::{SESSION, at, echo, list, ready, renew, started, stops};
+use crate::fixture::{SESSION, assign, at, echo, list, ready, renew, started, stops, take_starts};
 
 #[test]
 fn a_session_that_is_not_echoed_ends_and_its_runs_are_stopped() {
@@ -84,3 +84,58 @@
     runner.tick(at(130));
     assert_eq!(reported_sessions(&mut runner), []);
 }
+
+/// Takes the actions of a runner and returns whether each message about the target to [`SESSION`] offers one.
+fn take_offers(runner: &mut Runner) -> Vec<bool> {
+    let actions = runner.take_actions().into_iter();
+    let offers = actions.filter_map(|action| match action {
+        RunnerAction::Send(SESSION, RunnerMessage::Target(target)) => Some(target.is_some()),
+        _ => None,
+    });
+    offers.collect()
+}
+
+#[test]
+fn a_retired_session_is_offered_no_target_and_keeps_what_it_has() {
+    let mut runner = ready();
+    started(&mut runner, 1, at(110));
+
+    runner.retire_session(SESSION, true);
+
+    assert_eq!(take_offers(&mut runner), [false]);
+    assert_eq!(runner.count_session_runs(SESSION), 1);
+    runner.receive(SESSION, assign(2, at(500)), at(112));
+    assert_eq!(take_starts(&mut runner).len(), 1, "it was under way");
+    let ended = [(1, 1, EndCause::Done), (2, 2, EndCause::Done)];
+    renew(&mut runner, at(140), list(50_050, vec![], &ended));
+    assert_eq!(runner.count_session_runs(SESSION), 0);
+}
+
+#[test]
+fn a_session_that_is_no_longer_retired_is_offered_the_target_again() {
+    let mut runner = ready();
+    runner.retire_session(SESSION, true);
+    runner.take_actions();
+
+    runner.retire_session(SESSION, false);
+
+    assert_eq!(take_offers(&mut runner), [true]);
+}
+
+#[test]
+fn other_sessions_are_offered_the_target_while_one_is_retired() {
+    let mut runner = ready();
+    runner.retire_session(SESSION, true);
+    runner.take_actions();
+
+    runner.open_session(8, at(120));
+
+    let actions = runner.take_actions();
+    let is_offer = |action: &RunnerAction| {
+        matches!(
+            action,
+            RunnerAction::Send(8, RunnerMessage::Target(Some(_)))
+        )
+    };
+    assert!(actions.iter().any(is_offer));
+}
--- a/crates/leased/cloverfold_leased_entry/src/known_guards.rs
+++ b/crates/leased/cloverfold_leased_entry/src/known_guards.rs
@@ -48,7 +48,11 @@
 
     /// Forgets a guard that has left for other entries, unless another link to it is open.
     pub(crate) fn forget(&mut self, address: SocketAddr) {
-        if self.guards.get(&address).is_some_and(|guard| guard.links == 0) {
+        if self
+            .guards
+            .get(&address)
+            .is_some_and(|guard| guard.links == 0)
+        {
             self.guards.remove(&address);
         }
     }
--- a/crates/leased/cloverfold_peer/src/links.rs
+++ b/crates/leased/cloverfold_peer/src/links.rs
@@ -88,7 +88,9 @@
             open.is_dialed && hello.is_some_and(|hello| hello.address == address)
         };
         let mut links = self.links.iter();
-        links.find(|(_, open)| is_meant(open)).map(|(link, _)| *link)
+        links
+            .find(|(_, open)| is_meant(open))
+            .map(|(link, _)| *link)
     }
 
     /// Returns all links whose peer has introduced itself, with who that is, in no order.
