--- a/crates/common/cloverfold_http/src/client.rs
+++ b/crates/common/cloverfold_http/src/client.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
@@ -23,6 +23,14 @@
 
 type Connection = SendRequest<Full<Bytes>>;
 
+/// A connection without a call.
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
+    /// When its last answer had arrived.
+    answered_at: Instant,
+}
+
 /// Why a call has no usable answer; the caller may safely repeat only what was not sent.
 #[derive(Debug, thiserror::Error)]
 pub enum HttpCallError {
@@ -37,12 +45,15 @@
 /// A client that reuses connections; share one, since each keeps its own.
 #[derive(Debug, Default)]
 pub struct HttpClient {
-    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 impl HttpClient {
     /// Sends a request and reads the whole answer within `limit`, the time to connect included.
     ///
+    /// Connections can go silent together, without an error. So after a call that was given up no connection is used again but those
+    /// that have brought an answer since the call began: the others would cost a call each.
+    ///
     /// # Errors
     ///
     /// Returns [`HttpCallError::NotSent`] if the request certainly did not arrive, [`HttpCallError::Unanswered`] if it may have, which
@@ -53,10 +64,22 @@
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<(StatusCode, HeaderMap, Bytes), HttpCallError> {
+        let began_at = Instant::now();
         let exchange = self.exchange(address, request);
         match timeout(limit, exchange).await {
             Ok(outcome) => outcome,
-            Err(_elapsed) => Err(HttpCallError::Unanswered("timed out".into())),
+            Err(_elapsed) => {
+                self.close_unproven(address, began_at);
+                Err(HttpCallError::Unanswered("timed out".into()))
+            }
+        }
+    }
+
+    /// Closes the idle connections to an address that have brought no answer since `since`.
+    fn close_unproven(&self, address: SocketAddr, since: Instant) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(connections) = idle.get_mut(&address) {
+            connections.retain(|idle| idle.answered_at >= since);
         }
     }
 
@@ -110,7 +133,7 @@
         if connections.is_empty() {
             idle.remove(&address);
         }
-        connection
+        connection.map(|idle| idle.connection)
     }
 
     /// Keeps a connection for the next call, up to [`MAX_IDLE_CONNECTIONS`].
@@ -118,7 +141,10 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(address).or_default();
         if connections.len() < MAX_IDLE_CONNECTIONS && !connection.is_closed() {
-            connections.push(connection);
+            connections.push(IdleConnection {
+                connection,
+                answered_at: Instant::now(),
+            });
         }
     }
 }
--- a/crates/common/cloverfold_http/src/server.rs
+++ b/crates/common/cloverfold_http/src/server.rs
@@ -16,6 +16,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -202,6 +203,19 @@
     let _ = phase.wait_for(|phase| *phase == StopPhase::Closing).await;
 }
 
+/// Sets the options of an accepted connection. Without the bound on unacknowledged bytes a client that goes silent while it is answered
+/// would hold its connection, and a descriptor, for good.
+fn tune_socket(stream: &TcpStream, limits: &HttpLimits) {
+    let socket = SockRef::from(stream);
+    let outcomes = [
+        socket.set_tcp_nodelay(true),
+        socket.set_tcp_user_timeout(Some(limits.idle_timeout)),
+    ];
+    for refused in outcomes.into_iter().filter_map(Result::err) {
+        log::debug!("a socket option is refused: {refused}");
+    }
+}
+
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: HttpLimits,
@@ -211,8 +225,7 @@
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    // A failure only costs latency: answers may then wait for acknowledgements.
-    let _ = stream.set_nodelay(true);
+    tune_socket(&stream, &limits);
     let follow = phase.clone();
     let service = service_fn(move |request: http::Request<Incoming>| {
         let handler = handler.clone();
--- a/crates/common/cloverfold_http/tests/server.rs
+++ b/crates/common/cloverfold_http/tests/server.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cloverfold_faults::TcpProxy;
 use cloverfold_http::{
     HttpCallError, HttpClient, HttpLimits, Request, Serving, StopPhase, plain_response, serve,
 };
@@ -16,6 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -37,16 +39,16 @@
 
 impl Seen {
     async fn wait_begun(&self) {
-        wait_above_zero(&self.begun).await;
+        wait_for(&self.begun, 1).await;
     }
 
     async fn wait_dropped(&self) {
-        wait_above_zero(&self.dropped).await;
+        wait_for(&self.dropped, 1).await;
     }
 }
 
-async fn wait_above_zero(count: &AtomicUsize) {
-    while count.load(Ordering::SeqCst) == 0 {
+async fn wait_for(count: &AtomicUsize, least: usize) {
+    while count.load(Ordering::SeqCst) < least {
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
 }
@@ -190,3 +192,68 @@
 
     assert!(matches!(answer, Err(HttpCallError::Unanswered(_))));
 }
+
+/// Leaves so many idle connections to an address behind at a client, by calls that are answered at the same time.
+async fn open_idle(
+    client: &Arc<HttpClient>,
+    address: SocketAddr,
+    count: usize,
+    answer_all: impl Future,
+) {
+    let mut calls = JoinSet::new();
+    for _ in 0..count {
+        let client = client.clone();
+        calls.spawn(async move { post(&client, address, "x").await.unwrap() });
+    }
+    answer_all.await;
+    calls.join_all().await;
+}
+
+#[tokio::test]
+async fn silent_connections_cost_one_call_that_is_given_up() {
+    let gate = Arc::new(Semaphore::new(0));
+    let seen = Seen::default();
+    let serving = start(gate.clone(), seen.clone());
+    let proxy = TcpProxy::start(serving.address()).await.unwrap();
+    let client = Arc::new(HttpClient::default());
+    let answer_all = async {
+        wait_for(&seen.begun, 6).await;
+        gate.add_permits(100);
+    };
+    open_idle(&client, proxy.address(), 6, answer_all).await;
+    let request = http::Request::builder()
+        .uri("/")
+        .header("Host", "a")
+        .body(Full::default())
+        .unwrap();
+
+    proxy.silence_open();
+    let given_up = client
+        .call(proxy.address(), request, Duration::from_millis(50))
+        .await;
+    let next = tokio::time::timeout(PATIENCE, post(&client, proxy.address(), "x")).await;
+
+    assert!(matches!(given_up, Err(HttpCallError::Unanswered(_))));
+    let (status, ..) = next.expect("a new connection is opened").unwrap();
+    assert_eq!(status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_client_that_is_silent_while_it_is_answered_is_given_up() {
+    let listener = cloverfold_link::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let long_answer = |_| async { plain_response(StatusCode::OK, "x".repeat(32 * 1024 * 1024)) };
+    let serving = serve(listener, limits, long_answer).unwrap();
+    let mut client = TcpStream::connect(serving.address()).await.unwrap();
+    client
+        .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        .await
+        .unwrap();
+    client.read_u8().await.unwrap();
+
+    serving.advance(StopPhase::Closing);
+
+    tokio::time::timeout(PATIENCE, serving.wait_closed())
+        .await
+        .expect("the connection is closed, although the client still holds it");
+    drop(client);
+}
--- a/crates/common/cloverfold_link/tests/links.rs
+++ b/crates/common/cloverfold_link/tests/links.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{BufMut, BytesMut};
+use cloverfold_faults::TcpProxy;
 use cloverfold_link::{
     DialBackoff, Dialer, FrameError, LinkEvent, MAX_FRAME_LEN, accept_links, decode_frame,
     encode_frame, listen,
@@ -192,3 +193,34 @@
         assert_eq!(message, number.to_string());
     }
 }
+
+#[tokio::test]
+async fn a_link_that_goes_silent_is_given_up_at_both_ends_and_opened_anew() {
+    let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let proxy = TcpProxy::start(listener.local_addr().unwrap())
+        .await
+        .unwrap();
+    let (server_tx, mut server) = mpsc::channel(16);
+    let (client_tx, mut client) = mpsc::channel(16);
+    tokio::spawn(accept_links(listener, server_tx));
+    let _dialer = Dialer::start(proxy.address(), DialBackoff::default(), client_tx);
+    // The senders within the events keep the link open from both sides.
+    let _opened = [next(&mut client).await, next(&mut server).await];
+
+    proxy.silence_open();
+
+    assert!(matches!(next(&mut client).await, LinkEvent::Closed { .. }));
+    let LinkEvent::Opened { sender, .. } = next(&mut client).await else {
+        panic!("expected a new link");
+    };
+    assert!(sender.send(&"again".to_owned()));
+    let mut is_received = false;
+    let mut is_closed = false;
+    let mut held = Vec::new();
+    while !(is_received && is_closed) {
+        let event = next(&mut server).await;
+        is_received |= matches!(&event, LinkEvent::Received { message, .. } if message == "again");
+        is_closed |= matches!(event, LinkEvent::Closed { .. });
+        held.push(event);
+    }
+}
--- a/crates/tools/cloverfold_faults/src/tcp_proxy.rs
+++ b/crates/tools/cloverfold_faults/src/tcp_proxy.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -25,6 +25,7 @@
     address: SocketAddr,
     faults: FaultTable,
     cuts: watch::Sender<u64>,
+    silences: watch::Sender<u64>,
     task: JoinHandle<()>,
 }
 
@@ -39,11 +40,19 @@
         let address = listener.local_addr()?;
         let faults = FaultTable::default();
         let cuts = watch::Sender::new(0);
-        let task = tokio::spawn(accept_all(listener, upstream, faults.clone(), cuts.clone()));
+        let silences = watch::Sender::new(0);
+        let forwarding = Forwarding {
+            upstream,
+            faults: faults.clone(),
+            cuts: cuts.clone(),
+            silences: silences.clone(),
+        };
+        let task = tokio::spawn(accept_all(listener, forwarding));
         Ok(Self {
             address,
             faults,
             cuts,
+            silences,
             task,
         })
     }
@@ -58,6 +67,11 @@
         self.faults.set(faults);
     }
 
+    /// Lets nothing more through on every connection that is open now, for good and without an error at either end; new ones work.
+    pub fn silence_open(&self) {
+        self.silences.send_modify(|silences| *silences += 1);
+    }
+
     /// Closes every connection that is open now.
     pub fn cut(&self) {
         self.cuts.send_modify(|cuts| *cuts += 1);
@@ -71,36 +85,48 @@
     }
 }
 
-/// Forwards each connection until it ends or is cut.
-async fn accept_all(
-    listener: TcpListener,
+/// How connections are forwarded.
+#[derive(Clone)]
+struct Forwarding {
     upstream: SocketAddr,
     faults: FaultTable,
     cuts: watch::Sender<u64>,
-) {
+    silences: watch::Sender<u64>,
+}
+
+async fn accept_all(listener: TcpListener, forwarding: Forwarding) {
     while let Ok((front, source)) = listener.accept().await {
-        let faults = faults.clone();
-        let mut cut = cuts.subscribe();
-        tokio::spawn(async move {
-            let Ok(back) = TcpStream::connect(upstream).await else {
-                return;
-            };
-            let (front_rx, front_tx) = front.into_split();
-            let (back_rx, back_tx) = back.into_split();
-            let there = copy_with_faults(front_rx, back_tx, source, faults.clone());
-            let back = copy_with_faults(back_rx, front_tx, source, faults);
-            tokio::select! {
-                _ = cut.changed() => {}
-                _ = async { tokio::join!(there, back) } => {}
-            }
-        });
+        tokio::spawn(forward(front, source, forwarding.clone()));
+    }
+}
+
+/// Forwards a connection until it ends or is cut.
+async fn forward(mut front: TcpStream, source: SocketAddr, forwarding: Forwarding) {
+    let mut cut = forwarding.cuts.subscribe();
+    let mut silenced = forwarding.silences.subscribe();
+    let Ok(mut back) = TcpStream::connect(forwarding.upstream).await else {
+        return;
+    };
+    let faults = forwarding.faults;
+    let (front_rx, front_tx) = front.split();
+    let (back_rx, back_tx) = back.split();
+    let there = copy_with_faults(front_rx, back_tx, source, faults.clone());
+    let back_again = copy_with_faults(back_rx, front_tx, source, faults);
+    let is_silenced = tokio::select! {
+        _ = cut.changed() => false,
+        _ = silenced.changed() => true,
+        _ = async { tokio::join!(there, back_again) } => false,
+    };
+    if is_silenced {
+        // Both ends stay open until the proxy cuts them. It fails only with the proxy, which cuts them too.
+        let _ = cut.changed().await;
     }
 }
 
 /// Copies one direction of a connection; holds what was read while the source is silenced.
 async fn copy_with_faults(
-    mut rx: OwnedReadHalf,
-    mut tx: OwnedWriteHalf,
+    mut rx: ReadHalf<'_>,
+    mut tx: WriteHalf<'_>,
     source: SocketAddr,
     faults: FaultTable,
 ) {
