--- a/crates/leased/cloverfold_lease/src/dispatcher/counts.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/counts.rs
@@ -2,13 +2,41 @@
 //!
 //! Owns [`DispatcherCounts`] and relies on nothing.
 
+use crate::messages::RunRefusal;
+
+/// Runs given back without a start, by the reason that their runner gave.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GivenBackCounts {
+    /// In the order of [`RunRefusal::ALL`].
+    by_reason: [u64; RunRefusal::ALL.len()],
+}
+
+impl GivenBackCounts {
+    pub(super) fn record(&mut self, reason: RunRefusal) {
+        self.by_reason[reason as usize] += 1;
+    }
+
+    /// Returns how many there are in all.
+    pub fn total(&self) -> u64 {
+        self.by_reason.iter().sum()
+    }
+
+    /// Returns each reason with its count.
+    pub fn iter(&self) -> impl Iterator<Item = (RunRefusal, u64)> {
+        RunRefusal::ALL.into_iter().zip(self.by_reason)
+    }
+}
+
 /// Counts since the start, by cause.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DispatcherCounts {
     /// Runs assigned.
     pub assigned: u64,
     /// Runs given back without a start.
-    pub given_back: u64,
+    pub given_back: GivenBackCounts,
+    /// Jobs that began while not all their tasks found a target: a job that has begun is no longer refused, and what it uses is lost if
+    /// the rest comes late.
+    pub begun_in_part: u64,
     /// Runs that ended `failed`.
     pub failed: u64,
     /// Runs whose target or lease was lost.
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -45,7 +45,7 @@
 use crate::timings::Timings;
 pub use actions::DispatcherAction;
 pub use answers::{JobAnswer, JobRefusal, RETRY_AFTER};
-pub use counts::DispatcherCounts;
+pub use counts::{DispatcherCounts, GivenBackCounts};
 pub use events::{DispatcherEvent, TargetCounts};
 pub use job::JobNumber;
 
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -103,9 +103,12 @@
 
     /// Assigns the waiting tasks of one job; returns whether all found a target.
     fn place_job(&mut self, number: JobNumber, now: Timestamp) -> bool {
+        let had_begun = self.jobs.get(&number).is_some_and(Job::may_have_run);
         for index in self.list_placeable(number) {
             let position = TaskPosition { job: number, index };
             let Some(session) = self.choose_target(position, now) else {
+                let has_begun = self.jobs.get(&number).is_some_and(Job::may_have_run);
+                self.counts.begun_in_part += u64::from(has_begun && !had_begun);
                 return false;
             };
             self.assign(position, session, now);
--- a/crates/leased/cloverfold_lease/src/dispatcher/run_ends.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/run_ends.rs
@@ -136,7 +136,7 @@
         refusal: RunRefusal,
         now: Timestamp,
     ) {
-        self.counts.given_back += 1;
+        self.counts.given_back.record(refusal);
         match refusal {
             RunRefusal::NoCapacity | RunRefusal::NoTarget | RunRefusal::Draining => {
                 if let Some(runner) = self.sessions.get_mut(&session) {
--- a/crates/leased/cloverfold_lease/src/lib.rs
+++ b/crates/leased/cloverfold_lease/src/lib.rs
@@ -49,8 +49,8 @@
 mod timings;
 
 pub use dispatcher::{
-    Dispatcher, DispatcherAction, DispatcherCounts, DispatcherEvent, JobAnswer, JobNumber,
-    JobRefusal, RETRY_AFTER, TargetCounts,
+    Dispatcher, DispatcherAction, DispatcherCounts, DispatcherEvent, GivenBackCounts, JobAnswer,
+    JobNumber, JobRefusal, RETRY_AFTER, TargetCounts,
 };
 pub use health::{HealthLimits, TargetHealth};
 pub use messages::{
--- a/crates/leased/cloverfold_lease/src/messages.rs
+++ b/crates/leased/cloverfold_lease/src/messages.rs
@@ -92,6 +92,20 @@
 }
 
 impl RunRefusal {
+    /// All of them, in order.
+    pub const ALL: [Self; 10] = [
+        Self::NoCapacity,
+        Self::NoTarget,
+        Self::Draining,
+        Self::Expired,
+        Self::EarlierRunOpen,
+        Self::Stale,
+        Self::Unanswered,
+        Self::Unhealthy,
+        Self::Rejected,
+        Self::Withdrawn,
+    ];
+
     /// Returns the name by which logs and answers call it; it is part of the outside interface.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/leased/cloverfold_lease/tests/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/placement.rs
@@ -84,3 +84,23 @@
 
     assert_eq!(fixture.assigned()[0].0, 2);
 }
+
+#[test]
+fn a_job_that_begins_without_all_its_tasks_is_counted_once() {
+    let mut fixture = Fixture::new(1);
+
+    fixture.submit(job("wide", vec![step(6, vec![])]));
+    fixture.pass(40, &[1]);
+
+    assert_eq!(fixture.dispatcher.counts().begun_in_part, 1);
+}
+
+#[test]
+fn a_job_that_begins_whole_or_not_at_all_is_not_counted_as_begun_in_part() {
+    let mut fixture = Fixture::new(1);
+
+    fixture.submit(job("whole", vec![step(4, vec![])]));
+    fixture.submit(job("waiting", vec![step(4, vec![])]));
+
+    assert_eq!(fixture.dispatcher.counts().begun_in_part, 0);
+}
--- a/crates/leased/cloverfold_lease/tests/dispatcher/run_ends.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/run_ends.rs
@@ -4,7 +4,7 @@
 
 use cloverfold_lease::{JobAnswer, JobRefusal, JobRequest, RunOutcome, RunRefusal, StepRequest};
 
-use crate::fixture::{FULL, Fixture, job, one_task_job, step};
+use crate::fixture::{CAPACITY, FULL, Fixture, job, one_task_job, step};
 
 #[test]
 fn a_job_is_complete_when_all_tasks_of_all_steps_are_done() {
@@ -125,3 +125,23 @@
 
     assert_eq!(fixture.dispatcher.counts().pauses, 0);
 }
+
+#[test]
+fn runs_that_are_given_back_are_counted_by_reason() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(one_task_job("a"));
+    let first = fixture.assigned().remove(0);
+    fixture.end(&first, RunOutcome::NotStarted(RunRefusal::NoCapacity));
+    fixture.heartbeat(1, CAPACITY, u64::MAX);
+    let second = fixture.assigned().remove(0);
+
+    fixture.end(&second, RunOutcome::NotStarted(RunRefusal::Stale));
+
+    let given_back = fixture.dispatcher.counts().given_back;
+    let counted: Vec<_> = given_back.iter().filter(|(_, count)| *count > 0).collect();
+    assert_eq!(
+        counted,
+        [(RunRefusal::NoCapacity, 1), (RunRefusal::Stale, 1)]
+    );
+    assert_eq!(given_back.total(), 2);
+}
--- a/crates/leased/cloverfold_leased_entry/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_entry/src/metrics.rs
@@ -35,6 +35,7 @@
     answer_seconds: Histogram,
     jobs: JobCounts,
     runs: CauseGauges,
+    given_back: CauseGauges,
     version: Gauge,
     ready_targets: Gauge,
     open_jobs: Gauge,
@@ -52,6 +53,8 @@
         metrics.add("jobs", "Jobs by queue and outcome", jobs.counters());
         let help = "Runs since the start, by what became of them";
         let runs = metrics.add_cause_gauges("runs", help);
+        let help = "Runs given back without a start since the start, by the guard's reason";
+        let given_back = metrics.add_cause_gauges("given_back", help);
         Self {
             version: metrics.add_gauge("configuration_version", "Version in force here"),
             ready_targets: metrics.add_gauge("ready_targets", "Targets that take work"),
@@ -60,6 +63,7 @@
             answer_seconds,
             jobs,
             runs,
+            given_back,
             metrics: metrics.finish(),
         }
     }
@@ -82,7 +86,7 @@
         let counts = state.counts();
         self.runs.set(&[
             ("assigned", counts.assigned),
-            ("given_back", counts.given_back),
+            ("given_back", counts.given_back.total()),
             ("failed", counts.failed),
             ("lost", counts.lost),
             ("stuck", counts.stuck),
@@ -91,7 +95,13 @@
             ("withdrawn", counts.withdrawn),
             ("stalled", counts.stalled),
             ("target_pauses", counts.pauses),
+            ("begun_in_part", counts.begun_in_part),
         ]);
+        let given_back = counts.given_back.iter();
+        let given_back: Vec<_> = given_back
+            .map(|(reason, count)| (reason.as_str(), count))
+            .collect();
+        self.given_back.set(&given_back);
         self.version.set(state.version() as i64);
         self.ready_targets.set(state.ready_targets() as i64);
         self.open_jobs.set(state.open_jobs() as i64);
