--- a/crates/leased/cloverfold_peer/src/entry_subsets.rs
+++ b/crates/leased/cloverfold_peer/src/entry_subsets.rs
@@ -6,12 +6,12 @@
 //! - a guard has [`ENTRIES_PER_GUARD`] entries, more if the entries would else have too few guards of its service: each should see
 //!   [`GUARDS_PER_ENTRY`], or all if there are fewer, so that a service of few targets can be reached through every entry;
 //! - **balanced**: every entry gets its equal part of the links: with 240 guards of four entries each, 18 or 19 guards for each of 51
-//!   entries (drawn without equal parts, 8 to 29);
+//!   entries (drawn without equal parts, in a simulation, 8 to 29);
 //! - **stable**: each guard prefers entries in an order of its own, drawn by a hash of both addresses, so that one that comes or goes
 //!   moves little else. There a guard that goes moves 7 to 16 of the 960 links of others, and an entry 35 to 44, its own 19 among
-//!   them (eight removals each).
+//!   them (a simulation of this rule with another hash, eight removals each; the tests bound them at 24 and 110).
 //!
-//! Owns no state: the same addresses give the same subsets in every control process.
+//! Owns no state: the same addresses and services give the same subsets in every control process.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
