Tune sockets in one place, and let a guard that leaves no entry look no further

Found on reading the change again. The HTTP server's socket options were a twin of those of links: cloverfold_link::tune_socket serves both, with the bound as an argument. A guard looked up link and runs of each of its entries 50 times a second, also while it left none. PeerLinks::peers is written on introduced.

--- a/crates/common/cloverfold_http/src/server.rs
+++ b/crates/common/cloverfold_http/src/server.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cloverfold_link::tune_socket;
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use http::{HeaderMap, Method, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -16,7 +17,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -203,19 +203,6 @@
     let _ = phase.wait_for(|phase| *phase == StopPhase::Closing).await;
 }
 
-/// Sets the options of an accepted connection. Without the bound on unacknowledged bytes a client that goes silent while it is answered
-/// would hold its connection, and a descriptor, for good.
-fn tune_socket(stream: &TcpStream, limits: &HttpLimits) {
-    let socket = SockRef::from(stream);
-    let outcomes = [
-        socket.set_tcp_nodelay(true),
-        socket.set_tcp_user_timeout(Some(limits.idle_timeout)),
-    ];
-    for refused in outcomes.into_iter().filter_map(Result::err) {
-        log::debug!("a socket option is refused: {refused}");
-    }
-}
-
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: HttpLimits,
@@ -225,7 +212,8 @@
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    tune_socket(&stream, &limits);
+    // Without the bound a client that goes silent while it is answered would hold its connection, and a descriptor, for good.
+    tune_socket(&stream, limits.idle_timeout);
     let follow = phase.clone();
     let service = service_fn(move |request: http::Request<Incoming>| {
         let handler = handler.clone();
--- a/crates/common/cloverfold_link/src/dial.rs
+++ b/crates/common/cloverfold_link/src/dial.rs
@@ -16,7 +16,7 @@
 
 use crate::frame::encode_frame;
 use crate::link::{LinkEvent, run_link};
-use crate::socket::tune_socket;
+use crate::socket::{USER_TIMEOUT, tune_socket};
 
 /// How long [`send_once`] may take. Chosen, not measured.
 const SEND_ONCE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -157,7 +157,7 @@
 pub async fn send_once<M: Serialize>(address: SocketAddr, message: &M) -> std::io::Result<()> {
     let attempt = async {
         let mut stream = TcpStream::connect(address).await?;
-        tune_socket(&stream);
+        tune_socket(&stream, USER_TIMEOUT);
         let mut buf = BytesMut::new();
         encode_frame(message, &mut buf).map_err(std::io::Error::other)?;
         stream.write_all(&buf).await?;
--- a/crates/common/cloverfold_link/src/lib.rs
+++ b/crates/common/cloverfold_link/src/lib.rs
@@ -15,4 +15,4 @@
 pub use dial::{DialAttempt, DialBackoff, Dialer, send_once};
 pub use frame::{FrameError, MAX_FRAME_LEN, decode_frame, encode_frame};
 pub use link::{LinkEvent, LinkId, LinkSender, accept_links};
-pub use socket::listen;
+pub use socket::{listen, tune_socket};
--- a/crates/common/cloverfold_link/src/link.rs
+++ b/crates/common/cloverfold_link/src/link.rs
@@ -20,7 +20,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::frame::{decode_frame, encode_frame, encode_heartbeat};
-use crate::socket::tune_socket;
+use crate::socket::{USER_TIMEOUT, tune_socket};
 
 /// Messages that may wait for a slow peer; further ones are refused and the first of them is logged. Chosen, not measured.
 const SEND_QUEUE_MESSAGES: usize = 4_096;
@@ -157,7 +157,7 @@
     M: Serialize + DeserializeOwned + Send + 'static,
 {
     static NEXT_LINK: AtomicU64 = AtomicU64::new(1);
-    tune_socket(&stream);
+    tune_socket(&stream, USER_TIMEOUT);
     let link = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
     let (reader, writer) = stream.into_split();
     let (tx, rx) = mpsc::channel(SEND_QUEUE_MESSAGES);
--- a/crates/common/cloverfold_link/src/socket.rs
+++ b/crates/common/cloverfold_link/src/socket.rs
@@ -1,4 +1,4 @@
-//! Socket options of links.
+//! Socket options of links, and of other connections.
 //!
 //! Owns nothing; relies on the system's TCP.
 
@@ -8,8 +8,8 @@
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-/// How long sent bytes may stay unacknowledged before the connection counts as lost. Chosen, not measured.
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long the bytes sent on a link may stay unacknowledged before it counts as lost. Chosen, not measured.
+pub(crate) const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Connections that may wait to be accepted. Chosen, not measured.
 const BACKLOG: u32 = 1_024;
 
@@ -28,13 +28,13 @@
     socket.listen(BACKLOG)
 }
 
-/// Sets the options that every link needs: no delay of small messages, and a bound on unacknowledged bytes. An option that the system
-/// refuses stays at its default, with a log line.
-pub(crate) fn tune_socket(stream: &TcpStream) {
+/// Sets the options of a connection on which a peer may go silent: no delay of small messages, and a bound on how long sent bytes may
+/// stay unacknowledged. An option that the system refuses stays at its default, with a log line.
+pub fn tune_socket(stream: &TcpStream, user_timeout: Duration) {
     let socket = SockRef::from(stream);
     let outcomes = [
         socket.set_tcp_nodelay(true),
-        socket.set_tcp_user_timeout(Some(USER_TIMEOUT)),
+        socket.set_tcp_user_timeout(Some(user_timeout)),
     ];
     for refused in outcomes.into_iter().filter_map(Result::err) {
         log::debug!("a socket option is refused: {refused}");
--- a/crates/leased/cloverfold_lease/src/dispatcher/judging.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/judging.rs
@@ -34,7 +34,8 @@
 /// Highest ratio that the expected duration of a run is calculated with, as [`LOWEST_EXPECTED_RATIO`].
 const HIGHEST_EXPECTED_RATIO: f64 = 4.0;
 
-/// A run whose progress is not seen is overdue after this many times its expected duration and [`OVERDUE_ALLOWANCE`]. Chosen, not measured.
+/// A run whose progress is not seen is overdue after this many times its expected duration and [`OVERDUE_ALLOWANCE`]. Chosen, not
+/// measured.
 const OVERDUE_FACTOR: f64 = 2.6;
 /// Time allowed on top of [`OVERDUE_FACTOR`], for short runs. Chosen, not measured.
 const OVERDUE_ALLOWANCE: Duration = Duration::from_millis(120);
--- a/crates/leased/cloverfold_leased_guard/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/links.rs
@@ -146,6 +146,9 @@
         let left = self
             .chosen
             .list_left(dialed.iter().copied(), &connected, now);
+        if left.is_empty() && self.departures.is_empty() {
+            return;
+        }
         for entry in dialed {
             let is_left = left.contains(&entry);
             match self.links.find_dialed(entry) {
--- a/crates/leased/cloverfold_peer/src/departures.rs
+++ b/crates/leased/cloverfold_peer/src/departures.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Returns whether no entry is being left.
+    pub fn is_empty(&self) -> bool {
+        self.links.is_empty()
+    }
+
     /// Forgets a link that has closed.
     pub fn forget(&mut self, link: LinkId) {
         self.links.remove(&link);
--- a/crates/leased/cloverfold_peer/src/links.rs
+++ b/crates/leased/cloverfold_peer/src/links.rs
@@ -103,7 +103,7 @@
 
     /// Returns all peers that have introduced themselves, in no order. A peer with two links is returned twice.
     pub fn peers(&self) -> impl Iterator<Item = &Hello> {
-        self.links.values().filter_map(|open| open.hello.as_ref())
+        self.introduced().map(|(_, hello)| hello)
     }
 
     /// Returns the peers that this process has dialed and that have introduced themselves, in no order.
