--- a/compatibility/tests/leased_messages.rs
+++ b/compatibility/tests/leased_messages.rs
@@ -18,12 +18,14 @@
     Append, AppendReply, Entry, InstallSnapshot, Member, Members, Message, Payload, Snapshot, Vote,
     VoteReply,
 };
+use cloverfold_evacuation::{EvacuatedHalls, EvacuationOrder, HallChange};
 use cloverfold_lease::{
     Assignment, DispatcherMessage, FreeCapacity, Resources, RunOutcome, RunRefusal, RunnerMessage,
     TargetDescription, TaskId,
 };
 use cloverfold_link::{decode_frame, encode_frame};
-use cloverfold_peer::{Directory, Hello, PeerMessage, PeerRole};
+use cloverfold_peer::{Directory, Hello, PeerDetails, PeerMessage, PeerRole, Trailing};
+use serde::Deserialize;
 
 use crate::samples::{Sample, each_variant, one, several, wrap};
 use crate::support::{assert_recorded, fixture_path, read_or_record};
@@ -192,6 +194,7 @@
         RunRefusal::Unhealthy => one("unhealthy", RunRefusal::Unhealthy),
         RunRefusal::Rejected => one("rejected", RunRefusal::Rejected),
         RunRefusal::Withdrawn => one("withdrawn", RunRefusal::Withdrawn),
+        RunRefusal::Evacuated => one("evacuated", RunRefusal::Evacuated),
     })
 }
 
@@ -360,13 +363,58 @@
             role,
             address,
             version: 52_000,
+            details: Trailing(None),
         })
     };
     let mut all = wrap("hello", peer_roles(), |role| hello(role, v4(53, 5_400)));
     all.extend(one("hello-ipv6", hello(PeerRole::Guard, v6(55, 5_600))));
+    all.extend(one("hello-details", detailed_hello()));
     all
 }
 
+/// Returns an introduction as builds make it that know of evacuations.
+fn detailed_hello() -> PeerMessage {
+    PeerMessage::Hello(Hello {
+        name: "process-56".to_owned(),
+        role: PeerRole::Guard,
+        address: v4(57, 5_700),
+        version: 58_000,
+        details: Trailing(Some(PeerDetails {
+            protocol: 1,
+            data_hall: "hall-59".to_owned(),
+        })),
+    })
+}
+
+fn evacuations() -> Vec<Sample<PeerMessage>> {
+    let message = |revision, halls: &[&str]| {
+        let halls = halls.iter().map(|hall| (*hall).to_owned()).collect();
+        PeerMessage::Evacuations(EvacuatedHalls { revision, halls })
+    };
+    several([
+        ("evacuations", message(73_000, &["hall-74", "hall-75"])),
+        ("evacuations-none", message(76_000, &[])),
+    ])
+}
+
+fn evacuation_orders() -> Vec<Sample<PeerMessage>> {
+    let message = |change| {
+        PeerMessage::EvacuationOrder(EvacuationOrder {
+            id: 0x8182_8384_8586_8788,
+            hall: "hall-77".to_owned(),
+            change,
+            based_on: 78_000,
+            source: "control-4".to_owned(),
+            received_at: Duration::new(1_790_000_000, 123_456_789),
+        })
+    };
+    let changes = each_variant!(HallChange {
+        HallChange::Evacuate => one("evacuate", HallChange::Evacuate),
+        HallChange::TakeBack => one("take-back", HallChange::TakeBack),
+    });
+    wrap("evacuation-order", changes, message)
+}
+
 fn holdings() -> Vec<Sample<PeerMessage>> {
     let holding = |has_quorum| PeerMessage::VersionNotice {
         version: 61_000,
@@ -442,6 +490,8 @@
         PeerMessage::Read { .. } => one("read", read),
         PeerMessage::ReadReply { .. } => read_replies(),
         PeerMessage::Goodbye => one("goodbye", PeerMessage::Goodbye),
+        PeerMessage::EvacuationOrder(_) => evacuation_orders(),
+        PeerMessage::Evacuations(_) => evacuations(),
     })
 }
 
@@ -487,6 +537,56 @@
     }
 }
 
+#[test]
+fn every_message_about_evacuations_is_as_recorded() {
+    assert_frames(&messages_named("evacuation"));
+}
+
+/// The first fields of an introduction, which are all that builds before evacuations know.
+#[derive(Debug, PartialEq, Deserialize)]
+struct OldHello {
+    name: String,
+    role: PeerRole,
+    address: SocketAddr,
+    version: u64,
+}
+
+/// The only variant of a message that this test decodes as an older build does.
+#[derive(Debug, PartialEq, Deserialize)]
+enum OldMessage {
+    Hello(OldHello),
+}
+
+#[test]
+fn a_build_before_evacuations_reads_an_introduction_with_details() {
+    let mut frame = to_frame(&detailed_hello());
+
+    let decoded: Option<OldMessage> = decode_frame(&mut frame).unwrap();
+
+    let expected = OldHello {
+        name: "process-56".to_owned(),
+        role: PeerRole::Guard,
+        address: v4(57, 5_700),
+        version: 58_000,
+    };
+    assert_eq!(decoded, Some(OldMessage::Hello(expected)));
+    assert!(frame.is_empty());
+}
+
+#[test]
+fn an_introduction_of_a_build_before_evacuations_has_no_details() {
+    let file = file_name("hello-guard");
+    let recorded = read_or_record(&file, &[]);
+
+    let decoded: Option<PeerMessage> = decode_frame(&mut BytesMut::from(&recorded[..])).unwrap();
+
+    let Some(PeerMessage::Hello(hello)) = decoded else {
+        panic!("{decoded:?}");
+    };
+    assert!(!hello.knows_evacuations());
+    assert_eq!(hello.data_hall(), None);
+}
+
 #[test]
 fn every_message_of_the_list_is_as_recorded() {
     assert_frames(&peer_messages());
--- /dev/null
+++ b/crates/leased/cloverfold_control/src/evacuations.rs
@@ -0,0 +1,102 @@
+//! Operators' calls to evacuate a data hall and to take it back.
+//!
+//! Decision: when an order is acknowledged. Rule: any control process checks the name and answers 400 or 404 with its fault, 400 also to
+//! a call with a body; a valid order it submits to the leader every 250 ms, and acknowledges it once the order is applied here and was
+//! taken, or the hall was as wanted already. An order that turns out to be based on an outdated state is made anew. If nothing is decided within
+//! 2.5 s the answer is 503, and the order may still be taken later. Reason: every acknowledgement stands for a place in the log, so
+//! that a process that lags behind acknowledges nothing that has been undone since (docs/design/10-evacuations.md).
+
+use cloverfold_evacuation::{
+    DataHall, EvacuationOrder, EvacuationRecord, HallChange, HallNameFault, OrderOutcome,
+};
+use cloverfold_http::{Request, Response, json_response};
+use http::StatusCode;
+use serde_json::{Value, json};
+use tokio::time::timeout;
+
+use crate::operators::{Operators, PROPOSAL_RESEND_INTERVAL, PROPOSAL_TIMEOUT, answer_unavailable};
+
+impl Operators {
+    /// Evacuates a data hall or takes it back, and answers once that is decided.
+    pub(crate) async fn change_hall(
+        &self,
+        hall: &DataHall,
+        change: HallChange,
+        request: &Request,
+    ) -> Response {
+        if let Err(fault) = self.halls.check(hall) {
+            return refuse_order(hall, find_status(&fault), &fault.to_string());
+        }
+        if !request.body.is_empty() {
+            let fault = "an order for a data hall has no body";
+            return refuse_order(hall, StatusCode::BAD_REQUEST, fault);
+        }
+        let decided = timeout(PROPOSAL_TIMEOUT, self.decide_order(hall, change)).await;
+        let is_taken = decided.is_ok();
+        log::info!(hall = hall.as_str(), change = change.as_str(), is_taken; "an operator's order for a data hall");
+        if is_taken {
+            json_response(StatusCode::OK, "{}")
+        } else {
+            answer_unavailable("it is not known whether the order is taken; send it again\n")
+        }
+    }
+
+    /// Submits an order until it is decided, and makes it anew while it is outdated.
+    async fn decide_order(&self, hall: &DataHall, change: HallChange) {
+        loop {
+            let order = self.state.lock().make_order(hall, change);
+            match self.wait_until_decided(&order).await {
+                OrderOutcome::Taken | OrderOutcome::Repeated => return,
+                OrderOutcome::Outdated => {}
+            }
+        }
+    }
+
+    /// Submits an order to the leader again and again until it is applied here; returns what became of it.
+    async fn wait_until_decided(&self, order: &EvacuationOrder) -> OrderOutcome {
+        loop {
+            self.state.lock().submit_order(order);
+            let outcome = self.wait_until_applied(order);
+            if let Ok(outcome) = timeout(PROPOSAL_RESEND_INTERVAL, outcome).await {
+                return outcome;
+            }
+        }
+    }
+
+    async fn wait_until_applied(&self, order: &EvacuationOrder) -> OrderOutcome {
+        let mut applied = self.state.lock().follow_applied();
+        loop {
+            if let Some(outcome) = self.state.lock().order_outcome(order.id) {
+                return outcome;
+            }
+            // This fails only without a sender, and the state owns it.
+            let _ = applied.changed().await;
+        }
+    }
+}
+
+/// Describes a decision on an order as the audit trail shows it.
+pub(crate) fn describe_order(record: &EvacuationRecord) -> Value {
+    json!({
+        "hall": record.hall,
+        "change": record.change.as_str(),
+        "outcome": record.outcome.as_str().to_lowercase(),
+        "revision": record.revision,
+        "index": record.index,
+        "source": record.source,
+        "unix_ms": record.received_at.as_millis() as u64,
+    })
+}
+
+fn find_status(fault: &HallNameFault) -> StatusCode {
+    match fault {
+        HallNameFault::Malformed => StatusCode::BAD_REQUEST,
+        HallNameFault::Unknown { .. } => StatusCode::NOT_FOUND,
+    }
+}
+
+fn refuse_order(hall: &str, status: StatusCode, fault: &str) -> Response {
+    log::warn!(hall, fault; "an order for a data hall is refused");
+    let body = json!({ "faults": [fault] }).to_string();
+    json_response(status, body)
+}
--- a/crates/leased/cloverfold_control/src/lib.rs
+++ b/crates/leased/cloverfold_control/src/lib.rs
@@ -1,9 +1,10 @@
-//! The control process: it replicates the configuration with its peers and announces the version in force to every process of the
-//! installation.
+//! The control process: it replicates the configuration and the evacuations of data halls with its peers and announces what is in force
+//! to every process of the installation.
 //!
 //! [`start_control`] runs it. One state (`state::ControlState`) reacts to links, ticks, the disk and operators; records are written from a
 //! thread of its own (`disk`). It owns its data folder. It relies on `cloverfold_consensus` for the replicated log, on
-//! `cloverfold_configuration` for what a configuration is and which of two is in force, and on `cloverfold_peer` for links.
+//! `cloverfold_configuration` for what a configuration is and which of two is in force, on `cloverfold_evacuation` for what an order
+//! changes, and on `cloverfold_peer` for links.
 //!
 //! # From an operator's call to a configuration in force at an entry
 //!
@@ -18,12 +19,16 @@
 //! 6. An entry with an older version fetches the text, which `state::peers` sends. The entry decodes it, puts it in force, and reports its
 //!    version back; `GET /v1/status` shows it under `processes`.
 //!
+//! An order to evacuate a data hall goes the same way through `state::evacuations`. It is answered once it is applied here, and entries
+//! and guards get the evacuated halls themselves instead of a notice.
+//!
 //! The answer 200 therefore says that the configuration is committed, not that entries have it yet. To look for a version that does not
 //! arrive: `version` in the status of each control process (steps 2 to 4), then `version` of the entry in `processes` (5 and 6), then the
 //! entry's log, since it keeps its present configuration if it cannot decode the new one.
 
 mod disk;
 mod error;
+mod evacuations;
 mod metrics;
 mod operators;
 mod process;
@@ -32,3 +37,4 @@
 pub use error::ControlError;
 pub use operators::{OperatorCall, OperatorInterface};
 pub use process::{ControlProcess, start_control};
+pub use state::{Command, ReplicatedState};
--- a/crates/leased/cloverfold_control/src/metrics.rs
+++ b/crates/leased/cloverfold_control/src/metrics.rs
@@ -13,6 +13,8 @@
     version: Gauge,
     term: Gauge,
     has_quorum: Gauge,
+    evacuation_revision: Gauge,
+    evacuated_halls: Gauge,
 }
 
 impl ControlMetrics {
@@ -22,6 +24,11 @@
             version: metrics.add_gauge("configuration_version", "Version that holds here"),
             term: metrics.add_gauge("term", "Term of the group"),
             has_quorum: metrics.add_gauge("in_touch", "1 while in touch with a majority"),
+            evacuation_revision: metrics.add_gauge(
+                "evacuation_revision",
+                "Orders on data halls that were taken",
+            ),
+            evacuated_halls: metrics.add_gauge("evacuated_halls", "Data halls that are evacuated"),
             process: metrics.finish(),
         }
     }
@@ -31,6 +38,10 @@
         self.version.set(state.current_version() as i64);
         self.term.set(state.term() as i64);
         self.has_quorum.set(i64::from(state.has_quorum()));
+        let evacuations = state.evacuations();
+        self.evacuation_revision.set(evacuations.revision() as i64);
+        self.evacuated_halls
+            .set(evacuations.in_force().len() as i64);
         self.process.write(state.sent())
     }
 }
--- a/crates/leased/cloverfold_control/src/operators.rs
+++ b/crates/leased/cloverfold_control/src/operators.rs
@@ -6,6 +6,8 @@
 //! within 2.5 s the answer is 503, and the configuration may still come into force later. Reason: an acknowledged configuration is never
 //! lost, and an operator who calls again with the same configuration does no harm (docs/design/7-control.md, "Proposals").
 //!
+//! Calls about evacuations are in `evacuations`.
+//!
 //! Owns no state; relies on [`ControlState`] for the answers.
 
 use std::sync::Arc;
@@ -15,19 +17,21 @@
 use cloverfold_configuration::{
     AuditRecord, ConfigurationFault, ConfigurationFormat, Proposal, StoredConfiguration,
 };
+use cloverfold_evacuation::{DataHall, HallChange, HallNames};
 use cloverfold_http::{Request, Response, json_response, plain_response};
 use cloverfold_leased_process::Shared;
 use http::{HeaderValue, Method, StatusCode};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::{sleep, timeout};
 
+use crate::evacuations::describe_order;
 use crate::state::ControlState;
 
-/// How long a call waits until its configuration is committed. Chosen, not measured (docs/design/7-control.md, "Proposals").
-const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// How often a configuration is submitted again, to the leader of that moment. Chosen, not measured (docs/design/7-control.md,
-/// "Proposals").
-const PROPOSAL_RESEND_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a call waits until its configuration or order is committed. Chosen, not measured (docs/design/7-control.md, "Proposals").
+pub(crate) const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How often a configuration or order is submitted again, to the leader of that moment. Chosen, not measured
+/// (docs/design/7-control.md, "Proposals").
+pub(crate) const PROPOSAL_RESEND_INTERVAL: Duration = Duration::from_millis(250);
 /// How long a call waits for the proof that what it reads is the newest. Chosen, not measured (docs/design/7-control.md, "Reads").
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause after a proof that failed. Chosen, not measured: half a heartbeat of the log.
@@ -36,7 +40,7 @@
 const RETRY_AFTER_SECONDS: HeaderValue = HeaderValue::from_static("1");
 
 /// A call of an operator.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OperatorCall {
     /// Bring the configuration in the body into force.
     PutConfiguration,
@@ -46,9 +50,25 @@
     GetAudit,
     /// Show the status of this process.
     GetStatus,
+    /// Evacuate a data hall or take it back; the name is not checked yet.
+    ChangeHall(DataHall, HallChange),
+    /// Show the evacuations in force.
+    GetEvacuations,
 }
 
-/// Further paths of operators' calls, beside the product's own (`/v1/configuration`, `/v1/audit`, `/v1/status`).
+impl OperatorCall {
+    /// Returns which call on a data hall this is, by its method: POST evacuates the hall, DELETE takes it back.
+    pub fn on_hall(method: &Method, hall: &str) -> Option<Self> {
+        let change = match *method {
+            Method::POST => HallChange::Evacuate,
+            Method::DELETE => HallChange::TakeBack,
+            _ => return None,
+        };
+        Some(Self::ChangeHall(hall.into(), change))
+    }
+}
+
+/// Further paths of operators' calls, beside the product's own (`/v1/configuration`, `/v1/evacuations`, `/v1/audit`, `/v1/status`).
 pub trait OperatorInterface: ConfigurationFormat {
     /// Returns which call a request is; `None` if it is unknown.
     fn classify(&self, method: &Method, path: &str) -> Option<OperatorCall>;
@@ -56,9 +76,10 @@
 
 /// Answers operators' calls.
 pub(crate) struct Operators {
-    state: Shared<ControlState>,
+    pub(crate) state: Shared<ControlState>,
     interface: Arc<dyn OperatorInterface>,
     name: String,
+    pub(crate) halls: HallNames,
 }
 
 impl Operators {
@@ -66,11 +87,13 @@
         state: Shared<ControlState>,
         interface: Arc<dyn OperatorInterface>,
         name: String,
+        halls: HallNames,
     ) -> Self {
         Self {
             state,
             interface,
             name,
+            halls,
         }
     }
 
@@ -83,6 +106,10 @@
             Some(OperatorCall::GetConfiguration) => self.get_configuration().await,
             Some(OperatorCall::GetAudit) => self.show_audit(),
             Some(OperatorCall::GetStatus) => self.show_status(),
+            Some(OperatorCall::ChangeHall(hall, change)) => {
+                self.change_hall(&hall, change, &request).await
+            }
+            Some(OperatorCall::GetEvacuations) => self.get_evacuations().await,
             None => plain_response(StatusCode::NOT_FOUND, "no such call\n"),
         }
     }
@@ -136,16 +163,32 @@
     }
 
     async fn get_configuration(&self) -> Response {
-        match timeout(READ_TIMEOUT, self.read_newest()).await {
-            Ok(Some(text)) => json_response(StatusCode::OK, text),
-            Ok(None) => answer_unavailable("no configuration was taken yet\n"),
-            // Timed out: no leader could prove that it still leads.
-            Err(_) => answer_unavailable("the newest configuration is not known here at present\n"),
+        // Timed out: no leader could prove that it still leads.
+        if timeout(READ_TIMEOUT, self.wait_until_newest())
+            .await
+            .is_err()
+        {
+            return answer_unavailable("the newest configuration is not known here at present\n");
+        }
+        match self.state.lock().current_text() {
+            Some(text) => json_response(StatusCode::OK, text),
+            None => answer_unavailable("no configuration was taken yet\n"),
         }
     }
 
-    /// Returns the text of the configuration in force, once it is proved to be the newest; `None` before the first.
-    async fn read_newest(&self) -> Option<Vec<u8>> {
+    async fn get_evacuations(&self) -> Response {
+        if timeout(READ_TIMEOUT, self.wait_until_newest())
+            .await
+            .is_err()
+        {
+            return answer_unavailable("the newest evacuations are not known here at present\n");
+        }
+        let body = self.state.lock().describe_evacuations().to_string();
+        json_response(StatusCode::OK, body)
+    }
+
+    /// Waits until the state here is proved to be as new as any when the call came.
+    async fn wait_until_newest(&self) {
         loop {
             let proof = self.state.lock().begin_read();
             // A read that is given up counts as failed.
@@ -153,21 +196,22 @@
                 let mut applied = self.state.lock().follow_applied();
                 // This fails only without a sender, and the state owns it.
                 let _ = applied.wait_for(|applied| *applied >= index).await;
-                return self.state.lock().current_text();
+                return;
             }
             sleep(READ_RETRY_PAUSE).await;
         }
     }
 
     fn show_audit(&self) -> Response {
-        let records: Vec<serde_json::Value> = self
-            .state
-            .lock()
-            .audit()
-            .iter()
-            .map(describe_decision)
-            .collect();
-        json_response(StatusCode::OK, json!({ "audit": records }).to_string())
+        let state = self.state.lock();
+        let records: Vec<Value> = state.audit().iter().map(describe_decision).collect();
+        let mut body = json!({ "audit": records });
+        let orders: Vec<Value> = state.evacuations().audit().map(describe_order).collect();
+        // Absent before the first order, as in the audit trail of builds that know none.
+        if !orders.is_empty() {
+            body["evacuations"] = json!(orders);
+        }
+        json_response(StatusCode::OK, body.to_string())
     }
 
     fn show_status(&self) -> Response {
@@ -183,7 +227,11 @@
         (&Method::GET, "/v1/configuration") => Some(OperatorCall::GetConfiguration),
         (&Method::GET, "/v1/audit") => Some(OperatorCall::GetAudit),
         (&Method::GET, "/v1/status") => Some(OperatorCall::GetStatus),
-        _ => None,
+        (&Method::GET, "/v1/evacuations") => Some(OperatorCall::GetEvacuations),
+        (method, path) => {
+            let hall = path.strip_prefix("/v1/evacuations/")?;
+            OperatorCall::on_hall(method, hall)
+        }
     }
 }
 
@@ -212,7 +260,7 @@
     json_response(StatusCode::BAD_REQUEST, body)
 }
 
-fn answer_unavailable(text: &str) -> Response {
+pub(crate) fn answer_unavailable(text: &str) -> Response {
     let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, text);
     response
         .headers_mut()
--- a/crates/leased/cloverfold_control/src/process.rs
+++ b/crates/leased/cloverfold_control/src/process.rs
@@ -9,13 +9,14 @@
 
 use cloverfold_base::{Timestamp, random_u64};
 use cloverfold_consensus::{DiskIdentity, Record, Replica, ReplicaConfig, ReplicaId, Store};
+use cloverfold_evacuation::HallNames;
 use cloverfold_http::{HttpLimits, ListenError, Request, Serving, StopPhase, serve_at};
 use cloverfold_leased_process::{
     ListeningPeerPort, PeerPort, Shared, serve_state_operations, start_ticks,
 };
 use cloverfold_leased_settings::ControlSettings;
 use cloverfold_link::MAX_FRAME_LEN;
-use cloverfold_peer::{Hello, PeerRole};
+use cloverfold_peer::{Hello, PeerDetails, PeerRole, Trailing};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -152,6 +153,7 @@
         },
         address: settings.peer.address(),
         version: 0,
+        details: Trailing(Some(PeerDetails::new(&settings.peer.data_hall))),
     }
 }
 
@@ -162,7 +164,8 @@
 ) -> Result<Serving, ListenError> {
     let address = settings.operator_address;
     let name = settings.peer.name.clone();
-    let operators = Arc::new(Operators::new(state.clone(), interface, name));
+    let halls = HallNames::new(settings.halls.iter().cloned());
+    let operators = Arc::new(Operators::new(state.clone(), interface, name, halls));
     let limits = || HttpLimits {
         body_bytes: MAX_CONFIGURATION_BYTES,
         ..HttpLimits::default()
--- a/crates/leased/cloverfold_control/src/state/applying.rs
+++ b/crates/leased/cloverfold_control/src/state/applying.rs
@@ -2,13 +2,14 @@
 //!
 //! Owns what was last logged of the group. Relies on the replica for every decision, and on the disk and the links to carry them out.
 
-use cloverfold_configuration::{ConfigurationState, Proposal};
+use cloverfold_configuration::Proposal;
 use cloverfold_consensus::{
     Entry, LogIndex, Members, Outgoing, Payload, Ready, ReplicaId, Role, Snapshot, Term,
 };
 use cloverfold_peer::PeerMessage;
 
 use super::ControlState;
+use super::replicated::{Command, ReplicatedState};
 use super::status::format_id;
 use crate::disk::DiskEvent;
 
@@ -58,6 +59,7 @@
         for outcome in ready.reads {
             self.finish_read(outcome.token, outcome.index);
         }
+        self.tell_new_evacuations();
         self.announce_new_version();
         self.log_changed_view();
     }
@@ -82,7 +84,7 @@
     }
 
     fn restore(&mut self, snapshot: &Snapshot) {
-        match ConfigurationState::decode(&snapshot.state) {
+        match ReplicatedState::decode(&snapshot.state) {
             Ok(state) => self.state = state,
             Err(cause) => log::error!("a snapshot cannot be read: {cause}"),
         }
@@ -102,17 +104,18 @@
     }
 
     fn apply_command(&mut self, index: LogIndex, command: &[u8]) {
-        let proposal = match postcard::from_bytes::<Proposal>(command) {
-            Ok(proposal) => proposal,
-            Err(cause) => {
-                log::error!(index; "an entry cannot be read: {cause}");
-                return;
-            }
-        };
+        match Command::decode(command) {
+            Ok(Command::Configuration(proposal)) => self.apply_proposal(proposal, index),
+            Ok(Command::Evacuation(order)) => self.apply_order(order, index),
+            Err(cause) => log::error!(index; "an entry cannot be read: {cause}"),
+        }
+    }
+
+    fn apply_proposal(&mut self, proposal: Proposal, index: LogIndex) {
         let version = proposal.configuration.version;
         let source = proposal.source.clone();
-        let before = self.state.version();
-        let outcome = self.state.apply(proposal);
+        let before = self.current_version();
+        let outcome = self.state.configuration.apply(proposal);
         log::info!(
             version, before, index, source = source.as_str(), outcome = outcome.as_str();
             "a configuration is decided on"
@@ -131,7 +134,7 @@
 
     /// Announces a version that has come into force to the waiting calls of operators, and to entries and guards.
     fn announce_new_version(&mut self) {
-        let version = self.state.version();
+        let version = self.current_version();
         if version != *self.version.borrow() {
             self.version.send_replace(version);
             self.send_notice();
--- a/crates/leased/cloverfold_control/src/state/mod.rs
+++ b/crates/leased/cloverfold_control/src/state/mod.rs
@@ -8,16 +8,19 @@
 //! |---|---|
 //! | `applying` | what the replica wants done, and what the group has decided |
 //! | `bootstrap` | when the group begins |
-//! | `proposals`, `reads`, `pending_reads` | calls of operators, here and at the leader |
+//! | `replicated` | what the log yields, and the commands in it |
+//! | `proposals`, `evacuations`, `appended`, `reads`, `pending_reads` | calls of operators, here and at the leader |
 //! | `peers` | links to the other processes |
 //! | `notices` | when entries and guards are told the version in force |
 //! | `directories`, `known_peers` | which addresses entries and guards are told |
 //! | `pending_writes` | what waits for the disk |
 //! | `status` | what operators are shown |
 
+mod appended;
 mod applying;
 mod bootstrap;
 mod directories;
+mod evacuations;
 mod known_peers;
 mod notices;
 mod peers;
@@ -25,28 +28,31 @@
 mod pending_writes;
 mod proposals;
 mod reads;
+mod replicated;
 mod status;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use cloverfold_base::ProcessClock;
-use cloverfold_configuration::{AuditRecord, ConfigurationState, Version};
+use cloverfold_configuration::{AuditRecord, Version};
 use cloverfold_consensus::{LogIndex, Replica, ReplicaId};
+use cloverfold_evacuation::{EvacuationRevision, OrderId};
 use cloverfold_link::LinkId;
 use cloverfold_peer::{DialedPeers, Hello, PeerLinks, SentCounts};
 use tokio::sync::watch;
 
+use self::appended::AppendedEntries;
 use self::applying::GroupView;
 use self::directories::SentDirectories;
 use self::known_peers::KnownPeers;
 use self::notices::LastNotice;
 use self::pending_reads::PendingReads;
 use self::pending_writes::PendingWrites;
-use self::proposals::AppendedVersions;
 use crate::disk::Disk;
 
 pub(crate) use self::bootstrap::Bootstrap;
+pub use self::replicated::{Command, ReplicatedState};
 pub(crate) use self::status::format_id;
 
 /// The state of a control process.
@@ -56,8 +62,8 @@
     own: Hello,
     replica_id: ReplicaId,
     replica: Replica,
-    /// The configuration and the audit trail, after all applied entries.
-    state: ConfigurationState,
+    /// After all applied entries.
+    state: ReplicatedState,
     disk: Disk,
     writes: PendingWrites,
     dialed: DialedPeers,
@@ -73,7 +79,10 @@
     directories: SentDirectories,
     /// `None` once the group exists or if another process begins it.
     bootstrap: Option<Bootstrap>,
-    appended: AppendedVersions,
+    appended_versions: AppendedEntries<Version>,
+    appended_orders: AppendedEntries<OrderId>,
+    /// The revision that entries and guards were told of last.
+    told_evacuations: EvacuationRevision,
     reads: PendingReads,
     /// Index of the last applied entry.
     applied: watch::Sender<LogIndex>,
@@ -98,7 +107,7 @@
             own,
             replica_id: replica.status().id,
             replica,
-            state: ConfigurationState::default(),
+            state: ReplicatedState::default(),
             disk,
             writes: PendingWrites::default(),
             dialed,
@@ -110,7 +119,9 @@
             services: HashMap::new(),
             directories: SentDirectories::default(),
             bootstrap,
-            appended: AppendedVersions::default(),
+            appended_versions: AppendedEntries::default(),
+            appended_orders: AppendedEntries::default(),
+            told_evacuations: 0,
             reads: PendingReads::default(),
             applied: watch::Sender::new(0),
             version: watch::Sender::new(0),
@@ -160,17 +171,20 @@
 
     /// Returns the text of the configuration in force, as the operator sent it.
     pub(crate) fn current_text(&self) -> Option<Vec<u8>> {
-        self.state.current().map(|current| current.text.to_vec())
+        self.state
+            .configuration
+            .current()
+            .map(|current| current.text.to_vec())
     }
 
     /// Returns the decisions on configurations, oldest first.
     pub(crate) fn audit(&self) -> Vec<AuditRecord> {
-        self.state.audit().cloned().collect()
+        self.state.configuration.audit().cloned().collect()
     }
 
     /// Returns the version in force here; 0 before the first.
     pub(crate) fn current_version(&self) -> Version {
-        self.state.version()
+        self.state.configuration.version()
     }
 
     /// Returns what was sent to other processes since the start.
--- a/crates/leased/cloverfold_control/src/state/notices.rs
+++ b/crates/leased/cloverfold_control/src/state/notices.rs
@@ -37,10 +37,13 @@
             had_quorum: self.has_quorum(),
         };
         self.send_to_attached(&self.notice());
+        self.tell_evacuations();
     }
 
-    /// Sends an entry or guard that has just connected the version in force.
+    /// Sends an entry or guard that has just connected the evacuations, then the version in force: it begins work once it has a
+    /// configuration, and knows the evacuations by then.
     pub(super) fn welcome(&self, link: LinkId) {
+        self.tell_evacuations();
         // A link that closed meanwhile is dialed again by the process.
         self.links.send(link, &self.notice());
     }
@@ -52,7 +55,7 @@
 
     fn notice(&self) -> PeerMessage {
         PeerMessage::VersionNotice {
-            version: self.state.version(),
+            version: self.current_version(),
             has_quorum: self.has_quorum(),
         }
     }
--- a/crates/leased/cloverfold_control/src/state/peers.rs
+++ b/crates/leased/cloverfold_control/src/state/peers.rs
@@ -29,7 +29,7 @@
     }
 
     fn update_own_hello(&mut self) {
-        self.own.version = self.state.version();
+        self.own.version = self.current_version();
         self.own.role = PeerRole::Control {
             replica: self.replica_id,
             has_empty_log: self.replica.status().last_index == 0,
@@ -49,6 +49,8 @@
             PeerMessage::Read { token } => self.begin_peer_read(link, token),
             PeerMessage::ReadReply { token, index } => self.finish_read(token, index),
             PeerMessage::VersionNotice { version, .. } => self.links.record_version(link, version),
+            PeerMessage::EvacuationOrder(order) => self.receive_order(&order),
+            PeerMessage::Evacuations(known) => self.record_known_evacuations(link, &known),
             PeerMessage::ToDispatcher(RunnerMessage::Target(Some(target))) => {
                 self.record_target(link, &target);
             }
@@ -63,7 +65,7 @@
     }
 
     fn send_configuration(&self, link: LinkId) {
-        if let Some(current) = self.state.current().cloned() {
+        if let Some(current) = self.state.configuration.current().cloned() {
             // A process whose link is closed fetches from another one.
             self.links.send(link, &PeerMessage::Configuration(current));
         }
--- a/crates/leased/cloverfold_control/src/state/proposals.rs
+++ b/crates/leased/cloverfold_control/src/state/proposals.rs
@@ -9,34 +9,12 @@
 //! Reason: the process that received a proposal submits it again every 250 ms until a version as high is committed; without the check each
 //! repetition would become an entry.
 
-use std::collections::HashMap;
-
-use cloverfold_configuration::{Proposal, Version};
-use cloverfold_consensus::{LogIndex, Role};
+use cloverfold_configuration::Proposal;
+use cloverfold_consensus::Role;
 use cloverfold_peer::PeerMessage;
 
 use super::ControlState;
-
-/// Versions that this process appended as the leader, and where.
-#[derive(Debug, Default)]
-pub(super) struct AppendedVersions {
-    indexes: HashMap<Version, LogIndex>,
-}
-
-impl AppendedVersions {
-    /// Returns whether a version was appended and is not committed yet.
-    fn is_uncommitted(&self, version: Version, commit: LogIndex) -> bool {
-        self.indexes
-            .get(&version)
-            .is_some_and(|&index| index > commit)
-    }
-
-    /// Records an append, and forgets what is committed.
-    fn record(&mut self, version: Version, index: LogIndex, commit: LogIndex) {
-        self.indexes.retain(|_, appended| *appended > commit);
-        self.indexes.insert(version, index);
-    }
-}
+use super::replicated::Command;
 
 impl ControlState {
     /// Appends a proposal if this process leads, and passes it to the leader otherwise. Where neither is possible it is dropped;
@@ -59,15 +37,17 @@
     fn append_proposal(&mut self, proposal: &Proposal) {
         let version = proposal.configuration.version;
         let commit = self.replica.status().commit;
-        if version <= self.state.version() || self.appended.is_uncommitted(version, commit) {
+        if version <= self.current_version()
+            || self.appended_versions.is_uncommitted(&version, commit)
+        {
             return;
         }
-        let Ok(command) = postcard::to_stdvec(proposal) else {
+        let Ok(command) = Command::Configuration(proposal.clone()).encode() else {
             log::error!(version; "a proposal cannot be encoded");
             return;
         };
         if let Ok(index) = self.replica.propose(command, self.clock.now()) {
-            self.appended.record(version, index, commit);
+            self.appended_versions.record(version, index, commit);
         }
         self.advance();
     }
--- a/crates/leased/cloverfold_control/src/state/status.rs
+++ b/crates/leased/cloverfold_control/src/state/status.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cloverfold_consensus::ReplicaId;
+use cloverfold_link::LinkId;
 use cloverfold_peer::{Hello, PeerRole};
 use serde_json::{Value, json};
 
@@ -30,7 +31,7 @@
         let voters: Vec<_> = voters
             .map(|member| json!({ "replica": format_id(member.id), "address": member.address }))
             .collect();
-        json!({
+        let mut described = json!({
             "name": self.own.name,
             "replica": format_id(status.id),
             "role": status.role.as_str().to_lowercase(),
@@ -40,21 +41,56 @@
             "voters": voters,
             "last_index": status.last_index,
             "commit": status.commit,
-            "version": self.state.version(),
+            "version": self.current_version(),
             "processes": self.describe_processes(),
-        })
+        });
+        // Absent before the first order, as in the status of builds that know none.
+        if self.evacuation_revision() > 0 {
+            described["evacuations"] = self.describe_evacuations();
+        }
+        described
+    }
+
+    /// Describes the evacuations in force: the data hall, who received the order, when, and where it stands in the log.
+    pub(crate) fn describe_evacuations(&self) -> Value {
+        let in_force = self.evacuations().in_force().iter();
+        let halls: Vec<_> = in_force
+            .map(|(hall, evacuation)| {
+                json!({
+                    "hall": hall,
+                    "source": evacuation.source,
+                    "unix_ms": evacuation.received_at.as_millis() as u64,
+                    "index": evacuation.index,
+                })
+            })
+            .collect();
+        json!({ "revision": self.evacuation_revision(), "halls": halls })
     }
 
     /// Describes the connected processes, each once, with the version in force there.
     fn describe_processes(&self) -> Vec<Value> {
-        let peers = self.links.peers();
-        let by_name: BTreeMap<&str, &Hello> =
-            peers.map(|hello| (hello.name.as_str(), hello)).collect();
-        by_name.into_values().map(describe_process).collect()
+        let peers = self.links.introduced();
+        let by_name: BTreeMap<&str, (LinkId, &Hello)> = peers
+            .map(|(link, hello)| (hello.name.as_str(), (link, hello)))
+            .collect();
+        let processes = by_name.into_values();
+        processes
+            .map(|(link, hello)| self.describe_process(link, hello))
+            .collect()
+    }
+
+    /// Describes a process; an entry or guard also by the revision of the evacuations that it knows, once there was an order.
+    fn describe_process(&self, link: LinkId, hello: &Hello) -> Value {
+        let mut described = describe_hello(hello);
+        let is_attached = matches!(hello.role, PeerRole::Entry | PeerRole::Guard);
+        if is_attached && self.evacuation_revision() > 0 {
+            described["evacuations"] = json!(self.links.known_evacuations(link));
+        }
+        described
     }
 }
 
-fn describe_process(hello: &Hello) -> Value {
+fn describe_hello(hello: &Hello) -> Value {
     let role = match hello.role {
         PeerRole::Entry => "entry",
         PeerRole::Guard => "guard",
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -4,7 +4,7 @@
 //!
 //! - `admission`: which jobs are refused or given up; `deadlines`, `standing_queues`: until when;
 //! - `precedence`, `shares`: in which order waiting jobs are served;
-//! - `placement`, `headroom`: which target a task goes to;
+//! - `placement`, `headroom`: which target a task goes to; `evacuation`: in which data halls none is;
 //! - `run_ends`: what follows from the end of a run; `judging`: which runs take too long;
 //! - `sessions`, `runner_session`: what is known of runners, and when the runs of a lost session are over;
 //! - `closing`: what a closed job leaves behind; `reports`: the decisions that are logged.
@@ -20,6 +20,7 @@
 mod closing;
 mod counts;
 mod deadlines;
+mod evacuation;
 mod events;
 mod headroom;
 mod job;
@@ -36,6 +37,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use cloverfold_base::Timestamp;
+use cloverfold_evacuation::DataHall;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -82,6 +84,7 @@
     shares: QueueShares,
     standing_queues: StandingQueues,
     is_leaving: bool,
+    evacuated_halls: BTreeSet<DataHall>,
     counts: DispatcherCounts,
     actions: Vec<DispatcherAction>,
 }
@@ -106,6 +109,7 @@
             shares: QueueShares::default(),
             standing_queues: StandingQueues::default(),
             is_leaving: false,
+            evacuated_halls: BTreeSet::new(),
             counts: DispatcherCounts::default(),
             actions: Vec::new(),
         }
--- a/crates/leased/cloverfold_lease/src/dispatcher/run_ends.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/run_ends.rs
@@ -138,7 +138,10 @@
     ) {
         self.counts.given_back.record(refusal);
         match refusal {
-            RunRefusal::NoCapacity | RunRefusal::NoTarget | RunRefusal::Draining => {
+            RunRefusal::NoCapacity
+            | RunRefusal::NoTarget
+            | RunRefusal::Draining
+            | RunRefusal::Evacuated => {
                 if let Some(runner) = self.sessions.get_mut(&session) {
                     runner.record_full();
                 }
--- a/crates/leased/cloverfold_lease/src/dispatcher/runner_session.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/runner_session.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cloverfold_base::Timestamp;
+use cloverfold_evacuation::DataHall;
 
 use crate::health::TargetHealth;
 use crate::messages::{FreeCapacity, TargetDescription};
@@ -33,6 +34,10 @@
     pub(crate) last_echo_at: Timestamp,
     pub(crate) last_message_at: Timestamp,
     pub(crate) health: TargetHealth,
+    /// The data hall the runner stands in; `None` if it does not tell.
+    pub(super) data_hall: Option<DataHall>,
+    /// Whether that hall is evacuated.
+    pub(super) is_evacuated: bool,
 }
 
 impl RunnerSession {
@@ -48,12 +53,15 @@
             last_echo_at: now,
             last_message_at: now,
             health,
+            data_hall: None,
+            is_evacuated: false,
         }
     }
 
     /// Returns whether the target gets work.
     pub(crate) fn accepts_work(&self, now: Timestamp) -> bool {
         self.description.is_some()
+            && !self.is_evacuated
             && self.last_echo_clock.is_some()
             && self.health.accepts_work(now)
     }
--- a/crates/leased/cloverfold_lease/src/messages.rs
+++ b/crates/leased/cloverfold_lease/src/messages.rs
@@ -89,11 +89,13 @@
     Rejected,
     /// The dispatcher withdrew it first.
     Withdrawn,
+    /// The data hall is evacuated. Sent only to dispatchers whose build can read it; others get `Draining`.
+    Evacuated,
 }
 
 impl RunRefusal {
     /// All of them, in order.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::NoCapacity,
         Self::NoTarget,
         Self::Draining,
@@ -104,6 +106,7 @@
         Self::Unhealthy,
         Self::Rejected,
         Self::Withdrawn,
+        Self::Evacuated,
     ];
 
     /// Returns the name by which logs and answers call it; it is part of the outside interface.
@@ -119,6 +122,7 @@
             Self::Unhealthy => "Unhealthy",
             Self::Rejected => "Rejected",
             Self::Withdrawn => "Withdrawn",
+            Self::Evacuated => "Evacuated",
         }
     }
 }
@@ -178,7 +182,7 @@
     pub labels: Vec<String>,
 }
 
-/// From a runner to a dispatcher.
+/// From a runner to a dispatcher. Read by a build that does not know [`RunRefusal::Evacuated`] after [`Self::without_evacuated`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunnerMessage {
     /// The runner is alive.
@@ -206,3 +210,26 @@
         free_capacity: FreeCapacity,
     },
 }
+
+impl RunnerMessage {
+    /// Returns the message for a dispatcher that does not know [`RunRefusal::Evacuated`]: it is told `Draining` instead.
+    #[must_use]
+    pub fn without_evacuated(self) -> Self {
+        match self {
+            Self::Ended {
+                task,
+                run,
+                outcome: RunOutcome::NotStarted(RunRefusal::Evacuated),
+                ran_ms,
+                free_capacity,
+            } => Self::Ended {
+                task,
+                run,
+                outcome: RunOutcome::NotStarted(RunRefusal::Draining),
+                ran_ms,
+                free_capacity,
+            },
+            other => other,
+        }
+    }
+}
--- a/crates/leased/cloverfold_lease/src/runner/assignment.rs
+++ b/crates/leased/cloverfold_lease/src/runner/assignment.rs
@@ -53,10 +53,11 @@
     ///
     /// 1. `Expired`: its session is over, or it arrives after the end of the session as the dispatcher knew it (runner's clock). The
     ///    dispatcher may already count its runs here as over.
-    /// 2. `Draining` or `NoTarget`: the target accepts no work, see [`TargetIncarnation::find_unavailable_reason`].
-    /// 3. `Draining`: this runner is leaving.
-    /// 4. `EarlierRunOpen`: a run of the same task is not certainly over; two at once must not happen.
-    /// 5. `NoCapacity`: it is larger than the whole target. What fits into the target but not now waits instead.
+    /// 2. `Evacuated`: no task starts in the data hall.
+    /// 3. `Draining` or `NoTarget`: the target accepts no work, see [`TargetIncarnation::find_unavailable_reason`].
+    /// 4. `Draining`: this runner is leaving.
+    /// 5. `EarlierRunOpen`: a run of the same task is not certainly over; two at once must not happen.
+    /// 6. `NoCapacity`: it is larger than the whole target. What fits into the target but not now waits instead.
     fn find_refusal(
         &self,
         session: SessionId,
@@ -67,6 +68,9 @@
         if !is_valid || now > assignment.valid_until {
             return Some(RunRefusal::Expired);
         }
+        if self.is_evacuated {
+            return Some(RunRefusal::Evacuated);
+        }
         let Some(target) = self.target.as_ref().filter(|target| target.accepts_work()) else {
             return Some(self.refusal_without_target());
         };
--- a/crates/leased/cloverfold_lease/src/runner/mod.rs
+++ b/crates/leased/cloverfold_lease/src/runner/mod.rs
@@ -21,6 +21,7 @@
 //! | when a lease is extended | `renewals` |
 //! | when a session is over | `sessions` |
 //! | when the target is announced to a dispatcher | `reports` |
+//! | what an evacuation of the data hall changes | `evacuation` |
 
 mod actions;
 mod answers;
@@ -28,6 +29,7 @@
 mod candidates;
 mod counts;
 mod ending;
+mod evacuation;
 mod listing;
 mod orders;
 mod performance;
@@ -83,6 +85,8 @@
     /// Names of earlier incarnations of the target, oldest first.
     ended_incarnations: VecDeque<String>,
     is_leaving: bool,
+    /// Whether the data hall is evacuated.
+    is_evacuated: bool,
     counts: RunnerCounts,
     actions: Vec<RunnerAction>,
 }
@@ -103,6 +107,7 @@
             candidates: Candidates::default(),
             ended_incarnations: VecDeque::new(),
             is_leaving: false,
+            is_evacuated: false,
             counts: RunnerCounts::default(),
             actions: Vec::new(),
         }
@@ -141,10 +146,11 @@
 
     /// Returns why the target gets no work, if there is a reason.
     pub fn find_unavailable_reason(&self) -> Option<UnavailableReason> {
-        match &self.target {
-            Some(target) => target.find_unavailable_reason(),
-            None => Some(UnavailableReason::NoTarget),
-        }
+        let Some(target) = &self.target else {
+            return Some(UnavailableReason::NoTarget);
+        };
+        let reason = target.find_unavailable_reason();
+        reason.or(self.is_evacuated.then_some(UnavailableReason::Evacuated))
     }
 
     /// Accepts no further work from now on; what was started goes on, what waits is given back.
--- a/crates/leased/cloverfold_lease/src/runner/reports.rs
+++ b/crates/leased/cloverfold_lease/src/runner/reports.rs
@@ -80,7 +80,8 @@
     pub(super) fn announce_target(&mut self) {
         let has_leftovers = self.runs.values().any(|run| run.session.is_none());
         let target = self.target.as_ref();
-        let available = target.filter(|target| target.accepts_work() && !self.is_leaving);
+        let available =
+            target.filter(|target| target.accepts_work() && !self.is_leaving && !self.is_evacuated);
         for (id, session) in &mut self.sessions {
             let offered = available.filter(|_| !session.is_retired);
             let announcement = offered.map_or(Announcement::NoTarget, |target| {
--- a/crates/leased/cloverfold_lease/src/runner/starts.rs
+++ b/crates/leased/cloverfold_lease/src/runner/starts.rs
@@ -7,7 +7,7 @@
 
 use cloverfold_base::Timestamp;
 
-use crate::messages::{RunOutcome, TaskId};
+use crate::messages::{RunOutcome, RunRefusal, TaskId};
 use crate::runner::answers::{StartAnswer, StartRefusal};
 use crate::runner::orders::StartOrder;
 use crate::runner::refused_start::{RefusedStartStep, step_after_refused_start};
@@ -110,6 +110,10 @@
         now: Timestamp,
     ) {
         match step_after_refused_start(refusal, attempts) {
+            RefusedStartStep::Replace if self.is_evacuated => {
+                // A start with a later deadline would be a new start in an evacuated hall.
+                self.end_run(task, RunOutcome::NotStarted(RunRefusal::Evacuated), now);
+            }
             RefusedStartStep::Replace => self.replace_start(task, now),
             RefusedStartStep::Repeat => self.repeat_start(task, now),
             RefusedStartStep::GiveBack(reason) => {
--- a/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
@@ -34,6 +34,8 @@
     OtherRuns,
     /// Its clock is not known yet, so no deadline can be set.
     NoClock,
+    /// Its data hall is evacuated.
+    Evacuated,
 }
 
 impl UnavailableReason {
@@ -46,6 +48,7 @@
             Self::StuckRuns => "RunsStandStill",
             Self::OtherRuns => "OtherRuns",
             Self::NoClock => "NoClock",
+            Self::Evacuated => "Evacuated",
         }
     }
 }
--- a/crates/leased/cloverfold_lease/src/runner/waiting.rs
+++ b/crates/leased/cloverfold_lease/src/runner/waiting.rs
@@ -62,7 +62,7 @@
     pub fn processor_use(&self) -> ProcessorUse {
         let target = self.target.as_ref();
         let registered = target.map_or(0, |target| target.capacity().cpu_milli);
-        let ready = target.filter(|target| target.accepts_work());
+        let ready = target.filter(|_| self.has_ready_target());
         let offered = ready.map_or(0, |target| target.offered_capacity().cpu_milli);
         let sum = |is_counted: fn(&Run) -> bool| {
             let counted = self.runs.values().filter(|run| is_counted(run));
--- a/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod admission;
+mod evacuation;
 mod fixture;
 mod judging;
 mod placement;
--- a/crates/leased/cloverfold_lease/tests/runner/main.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod assignments;
+mod evacuation;
 mod fixture;
 mod sessions;
 mod starts;
--- a/crates/leased/cloverfold_lease/tests/written_names.rs
+++ b/crates/leased/cloverfold_lease/tests/written_names.rs
@@ -17,6 +17,7 @@
         (RunRefusal::Unhealthy, "Unhealthy"),
         (RunRefusal::Rejected, "Rejected"),
         (RunRefusal::Withdrawn, "Withdrawn"),
+        (RunRefusal::Evacuated, "Evacuated"),
     ];
 
     for (refusal, name) in names {
@@ -65,6 +66,7 @@
         (UnavailableReason::StuckRuns, "RunsStandStill"),
         (UnavailableReason::OtherRuns, "OtherRuns"),
         (UnavailableReason::NoClock, "NoClock"),
+        (UnavailableReason::Evacuated, "Evacuated"),
     ];
 
     for (reason, name) in names {
--- a/crates/leased/cloverfold_leased_entry/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_entry/src/metrics.rs
@@ -39,6 +39,8 @@
     version: Gauge,
     ready_targets: Gauge,
     open_jobs: Gauge,
+    evacuation_revision: Gauge,
+    evacuated_halls: Gauge,
 }
 
 impl EntryMetrics {
@@ -59,6 +61,11 @@
             version: metrics.add_gauge("configuration_version", "Version in force here"),
             ready_targets: metrics.add_gauge("ready_targets", "Targets that take work"),
             open_jobs: metrics.add_gauge("open_jobs", "Jobs without an answer yet"),
+            evacuation_revision: metrics.add_gauge(
+                "evacuation_revision",
+                "Revision of the evacuations that is in force here",
+            ),
+            evacuated_halls: metrics.add_gauge("evacuated_halls", "Data halls that get no work"),
             answers,
             answer_seconds,
             jobs,
@@ -105,6 +112,9 @@
         self.version.set(state.version() as i64);
         self.ready_targets.set(state.ready_targets() as i64);
         self.open_jobs.set(state.open_jobs() as i64);
+        let evacuated = state.evacuated_halls();
+        self.evacuation_revision.set(evacuated.revision as i64);
+        self.evacuated_halls.set(evacuated.halls.len() as i64);
         self.metrics.write(state.sent())
     }
 }
--- a/crates/leased/cloverfold_leased_entry/src/process.rs
+++ b/crates/leased/cloverfold_leased_entry/src/process.rs
@@ -15,7 +15,7 @@
 use cloverfold_lease::{Dispatcher, HealthLimits};
 use cloverfold_leased_process::{PeerPort, Shared, serve_state_operations};
 use cloverfold_leased_settings::LeasedEntrySettings;
-use cloverfold_peer::{ControlLinks, Hello, PeerRole};
+use cloverfold_peer::{ControlLinks, Hello, PeerDetails, PeerRole, Trailing};
 use http::StatusCode;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
@@ -138,6 +138,7 @@
         role: PeerRole::Entry,
         address: settings.peer.address(),
         version: 0,
+        details: Trailing(Some(PeerDetails::new(&settings.peer.data_hall))),
     };
     let timings = settings.lease.timings();
     let dispatcher = Dispatcher::new(timings, HealthLimits::default(), random_u64());
--- a/crates/leased/cloverfold_leased_entry/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/links.rs
@@ -5,6 +5,7 @@
 
 use cloverfold_base::Timestamp;
 use cloverfold_configuration::{StoredConfiguration, Version};
+use cloverfold_evacuation::EvacuatedHalls;
 use cloverfold_link::{LinkEvent, LinkId, send_once};
 use cloverfold_peer::{Hello, PeerMessage, PeerRole};
 
@@ -36,12 +37,14 @@
             PeerMessage::Fetch => self.send_configuration(link),
             PeerMessage::Configuration(stored) => self.receive_configuration(stored),
             PeerMessage::Directory(directory) => self.controls.set_listed(directory.controls),
+            PeerMessage::Evacuations(told) => self.receive_evacuations(link, told),
             PeerMessage::Goodbye => self.release_guard(link),
             // Never sent to an entry.
             PeerMessage::ToRunner(_)
             | PeerMessage::Invite { .. }
             | PeerMessage::Consensus(_)
             | PeerMessage::Proposal(_)
+            | PeerMessage::EvacuationOrder(_)
             | PeerMessage::Read { .. }
             | PeerMessage::ReadReply { .. } => {}
         }
@@ -53,9 +56,13 @@
         log::info!(peer = hello.name.as_str(), link, version; "peer connected");
         if hello.role == PeerRole::Guard {
             self.dispatcher.open_session(link, &hello.name, now);
+            if let Some(hall) = hello.data_hall() {
+                self.dispatcher.set_data_hall(link, hall);
+            }
             self.guards.record_connected(hello.address, now);
         }
         self.links.record_hello(link, hello);
+        self.evacuations.tell_peers(&self.links);
         self.fetch_if_newer(link, version);
     }
 
@@ -101,6 +108,14 @@
         }
     }
 
+    /// Assigns nothing in the evacuated halls that a peer tells of, if it knows more than this entry.
+    fn receive_evacuations(&mut self, link: LinkId, told: EvacuatedHalls) {
+        if self.evacuations.receive(told, link, &mut self.links) {
+            let halls = &self.evacuations.halls().halls;
+            self.dispatcher.set_evacuated_halls(halls);
+        }
+    }
+
     /// Sends the version in force here to the control processes, for operators who ask them.
     fn announce_version(&self) {
         let notice = PeerMessage::VersionNotice {
--- a/crates/leased/cloverfold_leased_entry/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/mod.rs
@@ -12,13 +12,14 @@
 
 use cloverfold_base::{ProcessClock, Timestamp, unix_now};
 use cloverfold_configuration::{Configuration, Version};
+use cloverfold_evacuation::EvacuatedHalls;
 use cloverfold_lease::{
     Dispatcher, DispatcherAction, DispatcherCounts, JobAnswer, JobNumber, JobRefusal, JobRequest,
     REQUEST_STALL,
 };
 use cloverfold_leased_process::LeasedState;
 use cloverfold_link::LinkEvent;
-use cloverfold_peer::{ControlLinks, Hello, PeerLinks, PeerMessage, SentCounts};
+use cloverfold_peer::{ControlLinks, Hello, KnownEvacuations, PeerLinks, PeerMessage, SentCounts};
 use tokio::sync::oneshot;
 
 use crate::configuration::{ConfigurationInForce, FetchLimiter};
@@ -35,6 +36,7 @@
     dispatcher: Dispatcher,
     configuration: ConfigurationInForce,
     fetches: FetchLimiter,
+    evacuations: KnownEvacuations,
     links: PeerLinks,
     controls: ControlLinks,
     guards: KnownGuards,
@@ -84,6 +86,7 @@
             dispatcher,
             configuration: ConfigurationInForce::default(),
             fetches: FetchLimiter::default(),
+            evacuations: KnownEvacuations::default(),
             links: PeerLinks::default(),
             controls,
             guards: KnownGuards::default(),
@@ -108,6 +111,11 @@
         self.configuration.version()
     }
 
+    /// Returns the evacuated data halls as this entry knows them.
+    pub(crate) fn evacuated_halls(&self) -> &EvacuatedHalls {
+        self.evacuations.halls()
+    }
+
     pub(crate) fn counts(&self) -> DispatcherCounts {
         self.dispatcher.counts()
     }
--- a/crates/leased/cloverfold_leased_guard/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_guard/src/metrics.rs
@@ -20,6 +20,8 @@
     held_back: Gauge,
     running: Gauge,
     waiting: Gauge,
+    evacuation_revision: Gauge,
+    evacuated_halls: Gauge,
 }
 
 impl GuardMetrics {
@@ -34,6 +36,11 @@
             held_back: metrics.add_gauge("held_back_millicores", "Processors not offered now"),
             running: metrics.add_gauge("running_millicores", "Processors of runs started here"),
             waiting: metrics.add_gauge("waiting_millicores", "Processors that runs wait for"),
+            evacuation_revision: metrics.add_gauge(
+                "evacuation_revision",
+                "Revision of the evacuations that is in force here",
+            ),
+            evacuated_halls: metrics.add_gauge("evacuated_halls", "Data halls that get no work"),
             runs,
             metrics: metrics.finish(),
         }
@@ -64,6 +71,9 @@
         self.is_target_ready
             .set(i64::from(state.has_ready_target()));
         self.set_processor_use(state.processor_use());
+        let evacuated = state.evacuated_halls();
+        self.evacuation_revision.set(evacuated.revision as i64);
+        self.evacuated_halls.set(evacuated.halls.len() as i64);
         self.metrics.write(state.sent())
     }
 }
--- a/crates/leased/cloverfold_leased_guard/src/process.rs
+++ b/crates/leased/cloverfold_leased_guard/src/process.rs
@@ -14,7 +14,7 @@
 use cloverfold_lease::Runner;
 use cloverfold_leased_process::{PeerPort, Shared, serve_state_operations};
 use cloverfold_leased_settings::LeasedGuardSettings;
-use cloverfold_peer::{ControlLinks, Hello, PeerRole};
+use cloverfold_peer::{ControlLinks, Hello, PeerDetails, PeerRole, Trailing};
 use http::StatusCode;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
@@ -126,6 +126,7 @@
         role: PeerRole::Guard,
         address: settings.peer.address(),
         version: 0,
+        details: Trailing(Some(PeerDetails::new(&settings.peer.data_hall))),
     };
     let timings = settings.lease.timings();
     // A restarted guard begins with a higher fencing token; should the clock have gone back, the target's refusals raise it.
--- a/crates/leased/cloverfold_leased_guard/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/links.rs
@@ -7,6 +7,7 @@
 
 use cloverfold_base::Timestamp;
 use cloverfold_configuration::{StoredConfiguration, Version};
+use cloverfold_evacuation::EvacuatedHalls;
 use cloverfold_lease::{RunnerMessage, TargetDescription};
 use cloverfold_link::{LinkEvent, LinkId};
 use cloverfold_peer::{DepartureStep, Directory, Hello, PeerMessage, PeerRole};
@@ -39,12 +40,14 @@
             PeerMessage::Fetch => self.send_configuration(link),
             PeerMessage::Configuration(stored) => self.receive_configuration(stored),
             PeerMessage::Directory(directory) => self.receive_directory(link, directory),
+            PeerMessage::Evacuations(told) => self.receive_evacuations(link, told),
             PeerMessage::Invite { entry } => self.receive_invitation(entry),
             // Never sent to a guard.
             PeerMessage::Goodbye
             | PeerMessage::ToDispatcher(_)
             | PeerMessage::Consensus(_)
             | PeerMessage::Proposal(_)
+            | PeerMessage::EvacuationOrder(_)
             | PeerMessage::Read { .. }
             | PeerMessage::ReadReply { .. } => {}
         }
@@ -54,12 +57,14 @@
         let now = self.clock.now();
         let version = hello.version;
         log::info!(peer = hello.name.as_str(), link, version; "peer connected");
-        match hello.role {
+        let role = hello.role;
+        self.links.record_hello(link, hello);
+        self.evacuations.tell_peers(&self.links);
+        match role {
             PeerRole::Entry => self.runner.open_session(link, now),
             PeerRole::Control { .. } => self.tell_of_target(link),
             PeerRole::Guard => {}
         }
-        self.links.record_hello(link, hello);
         self.plan_fetch(link, version);
     }
 
@@ -115,6 +120,16 @@
         }
     }
 
+    /// Starts nothing more while this guard's data hall is among the evacuated ones that a peer tells of, if it knows more.
+    fn receive_evacuations(&mut self, link: LinkId, told: EvacuatedHalls) {
+        if !self.evacuations.receive(told, link, &mut self.links) {
+            return;
+        }
+        let own_hall = self.own.data_hall();
+        let is_evacuated = own_hall.is_some_and(|hall| self.evacuations.halls().contains(hall));
+        self.runner.set_evacuated(is_evacuated, self.clock.now());
+    }
+
     fn announce_version(&self) {
         self.links.send_to_all(&PeerMessage::VersionNotice {
             version: self.configuration.version(),
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -9,14 +9,16 @@
 use std::sync::Arc;
 
 use cloverfold_base::ProcessClock;
+use cloverfold_evacuation::EvacuatedHalls;
 use cloverfold_lease::{
-    ProcessorUse, RenewalAnswer, RenewalOrder, Runner, RunnerAction, RunnerCounts, StartAnswer,
-    StartOrder, UnavailableReason,
+    ProcessorUse, RenewalAnswer, RenewalOrder, Runner, RunnerAction, RunnerCounts, RunnerMessage,
+    SessionId, StartAnswer, StartOrder, UnavailableReason,
 };
 use cloverfold_leased_process::LeasedState;
 use cloverfold_link::LinkEvent;
 use cloverfold_peer::{
-    ChosenEntries, ControlLinks, Departures, DialedPeers, Hello, PeerLinks, PeerMessage, SentCounts,
+    ChosenEntries, ControlLinks, Departures, DialedPeers, Hello, KnownEvacuations, PeerLinks,
+    PeerMessage, SentCounts,
 };
 use tokio::sync::{Notify, mpsc};
 
@@ -31,6 +33,7 @@
     own: Hello,
     runner: Runner,
     configuration: ConfigurationCopy,
+    evacuations: KnownEvacuations,
     links: PeerLinks,
     controls: ControlLinks,
     entries: DialedPeers,
@@ -80,6 +83,7 @@
             own,
             runner,
             configuration: ConfigurationCopy::default(),
+            evacuations: KnownEvacuations::default(),
             links: PeerLinks::default(),
             controls,
             entries,
@@ -116,6 +120,11 @@
         self.runner.processor_use()
     }
 
+    /// Returns the evacuated data halls as this guard knows them.
+    pub(crate) fn evacuated_halls(&self) -> &EvacuatedHalls {
+        self.evacuations.halls()
+    }
+
     pub(crate) fn has_ready_target(&self) -> bool {
         self.runner.has_ready_target()
     }
@@ -175,8 +184,9 @@
             RunnerAction::Send(session, message) => {
                 log_end(&message);
                 // Lost if the link has closed, which ends its session as well, or if its queue is full, which is logged.
-                let message = PeerMessage::ToDispatcher(message);
-                self.links.send(session, &message);
+                let message = self.make_readable(session, message);
+                self.links
+                    .send(session, &PeerMessage::ToDispatcher(message));
             }
             RunnerAction::CloseSession(session) => {
                 log::warn!(link = session; "an entry is silent; its runs are stopped");
@@ -192,6 +202,16 @@
         }
     }
 
+    /// Returns a message as the entry at the other end can read it: a build that does not know of evacuations is told that the target
+    /// drains, which it handles alike.
+    fn make_readable(&self, session: SessionId, message: RunnerMessage) -> RunnerMessage {
+        let entry = self.links.hello(session);
+        if entry.is_some_and(Hello::knows_evacuations) {
+            return message;
+        }
+        message.without_evacuated()
+    }
+
     /// Queues an order to the target.
     fn order(&self, order: TargetOrder) {
         // Can't fail: the receiver lives as long as the process.
--- a/crates/leased/cloverfold_leased_settings/src/control.rs
+++ b/crates/leased/cloverfold_leased_settings/src/control.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use cloverfold_evacuation::{DataHall, HallNames};
 use cloverfold_settings::{Check, FaultList, LogSettings};
 use serde::Deserialize;
 
@@ -27,6 +28,9 @@
     pub may_found: bool,
     /// How many control processes may be lost at once; twice as many and one more keep the configuration.
     pub tolerated_losses: usize,
+    /// The data halls of the installation; an order for any other is refused. Where none is named, every name is accepted.
+    #[serde(default)]
+    pub halls: Vec<DataHall>,
     /// Where log lines go.
     #[serde(default)]
     pub log: LogSettings,
@@ -45,5 +49,20 @@
             "tolerated_losses",
             "must be at most 4: nine control processes",
         );
+        self.check_halls(faults);
+    }
+}
+
+impl ControlSettings {
+    fn check_halls(&self, faults: &mut FaultList) {
+        let any_name = HallNames::default();
+        let is_malformed = |hall: &DataHall| any_name.check(hall).is_err();
+        faults.add_if(
+            self.halls.iter().any(is_malformed),
+            "halls",
+            "each must have 1 to 128 letters, digits, dots, hyphens or underscores",
+        );
+        let is_own_missing = !self.halls.is_empty() && !self.halls.contains(&self.peer.data_hall);
+        faults.add_if(is_own_missing, "halls", "must name peer.hall");
     }
 }
--- a/crates/leased/cloverfold_leased_settings/src/peer.rs
+++ b/crates/leased/cloverfold_leased_settings/src/peer.rs
@@ -13,7 +13,7 @@
 pub struct PeerSettings {
     /// Name of this process; no other has it.
     pub name: String,
-    /// The data hall it stands in. No program reads it; the files of all installations name it.
+    /// The data hall it stands in: an order to evacuate it is carried out by this name.
     #[serde(rename = "hall")]
     pub data_hall: String,
     /// Address of this box, on which it listens.
--- a/crates/leased/cloverfold_peer/src/lib.rs
+++ b/crates/leased/cloverfold_peer/src/lib.rs
@@ -12,14 +12,20 @@
 mod chosen_entries;
 mod departures;
 mod entry_subsets;
+mod known_evacuations;
 mod links;
 mod messages;
 mod sent_counts;
+mod trailing;
 
 pub use addresses::{ControlLinks, DialedPeers};
 pub use chosen_entries::ChosenEntries;
 pub use departures::{DepartureStep, Departures};
 pub use entry_subsets::{EntrySubsets, GuardServices, choose_entries};
+pub use known_evacuations::KnownEvacuations;
 pub use links::PeerLinks;
-pub use messages::{Directory, Hello, PeerMessage, PeerRole};
+pub use messages::{
+    Directory, Hello, PROTOCOL_VERSION, PeerDetails, PeerMessage, PeerRole, ProtocolVersion,
+};
 pub use sent_counts::{SentCounts, SentKind};
+pub use trailing::Trailing;
--- a/crates/leased/cloverfold_peer/src/links.rs
+++ b/crates/leased/cloverfold_peer/src/links.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use cloverfold_configuration::Version;
+use cloverfold_evacuation::{EvacuatedHalls, EvacuationRevision};
 use cloverfold_link::{LinkId, LinkSender};
 
 use crate::messages::{Hello, PeerMessage, PeerRole};
@@ -20,6 +21,8 @@
     is_dialed: bool,
     /// `None` until the peer has introduced itself.
     hello: Option<Hello>,
+    /// The newest revision of the evacuations that the peer has sent; 0 before the first.
+    evacuations: EvacuationRevision,
 }
 
 /// All open links of a process.
@@ -44,6 +47,7 @@
             sender,
             is_dialed,
             hello: None,
+            evacuations: 0,
         };
         self.links.insert(link, opened);
     }
@@ -65,6 +69,35 @@
         }
     }
 
+    /// Records the revision of the evacuations that a peer knows.
+    pub fn record_evacuations(&mut self, link: LinkId, revision: EvacuationRevision) {
+        if let Some(open) = self.links.get_mut(&link) {
+            open.evacuations = open.evacuations.max(revision);
+        }
+    }
+
+    /// Returns the newest revision of the evacuations that a peer has sent; 0 before the first.
+    pub fn known_evacuations(&self, link: LinkId) -> EvacuationRevision {
+        self.links.get(&link).map_or(0, |open| open.evacuations)
+    }
+
+    /// Sends the evacuated halls to each peer whose role is selected, that can read them, and that has not shown to know them. One
+    /// whose queue is full misses them: they are sent again with the next change or when it connects, by control processes also at
+    /// regular intervals.
+    pub fn send_evacuations(&self, halls: &EvacuatedHalls, is_selected: impl Fn(PeerRole) -> bool) {
+        let message = PeerMessage::Evacuations(halls.clone());
+        for open in self.links.values() {
+            let lacks_them = |hello: &Hello| {
+                hello.knows_evacuations()
+                    && open.evacuations < halls.revision
+                    && is_selected(hello.role)
+            };
+            if open.hello.as_ref().is_some_and(lacks_them) {
+                self.queue(&open.sender, &message);
+            }
+        }
+    }
+
     /// Removes a link, which closes it if it is still open. Returns who was at the other end; `None` if the link was removed before or
     /// the peer never introduced itself.
     pub fn close(&mut self, link: LinkId) -> Option<Hello> {
--- a/crates/leased/cloverfold_peer/src/messages.rs
+++ b/crates/leased/cloverfold_peer/src/messages.rs
@@ -1,16 +1,29 @@
 //! Messages between processes, as they stand on the wire.
 //!
 //! The bytes are postcard's: variants are told apart by their position and fields by their order, so neither is ever changed
-//! (`compatibility/` holds recorded bytes of each message). Owns nothing; relies on the message types of `cloverfold_lease`,
-//! `cloverfold_consensus` and `cloverfold_configuration`.
+//! (`compatibility/` holds recorded bytes of each message). What a build before it cannot read is sent only to a peer whose [`Hello`]
+//! names a [`ProtocolVersion`] that has it. Owns nothing; relies on the message types of `cloverfold_lease`, `cloverfold_consensus`,
+//! `cloverfold_configuration` and `cloverfold_evacuation`.
 
 use std::net::SocketAddr;
 
 use cloverfold_configuration::{Proposal, StoredConfiguration, Version};
 use cloverfold_consensus::{LogIndex, Message, ReplicaId};
+use cloverfold_evacuation::{DataHall, EvacuatedHalls, EvacuationOrder};
 use cloverfold_lease::{DispatcherMessage, RunnerMessage};
 use serde::{Deserialize, Serialize};
 
+use crate::trailing::Trailing;
+
+/// What a build can read. Builds that name none read neither [`PeerMessage::Evacuations`], [`PeerMessage::EvacuationOrder`] nor
+/// [`RunRefusal::Evacuated`](cloverfold_lease::RunRefusal::Evacuated).
+pub type ProtocolVersion = u32;
+
+/// The version of this build.
+pub const PROTOCOL_VERSION: ProtocolVersion = 1;
+/// The first version that reads everything about evacuations.
+const EVACUATIONS_SINCE: ProtocolVersion = 1;
+
 /// The role of a process in its installation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum PeerRole {
@@ -38,6 +51,41 @@
     pub address: SocketAddr,
     /// Version of the configuration in force there; 0 before the first.
     pub version: Version,
+    /// What builds before it do not send.
+    pub details: Trailing<PeerDetails>,
+}
+
+/// What a process tells of itself beyond its first fields. The order of the fields is the format on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerDetails {
+    /// What its build can read.
+    pub protocol: ProtocolVersion,
+    /// The data hall it stands in.
+    pub data_hall: DataHall,
+}
+
+impl PeerDetails {
+    /// Returns the details of a process of this build in a data hall.
+    pub fn new(data_hall: &str) -> Self {
+        Self {
+            protocol: PROTOCOL_VERSION,
+            data_hall: data_hall.into(),
+        }
+    }
+}
+
+impl Hello {
+    /// Returns the data hall the process stands in; `None` from a build that does not tell it.
+    pub fn data_hall(&self) -> Option<&DataHall> {
+        let details = self.details.0.as_ref();
+        details.map(|details| &details.data_hall)
+    }
+
+    /// Returns whether the process can read what is sent about evacuations.
+    pub fn knows_evacuations(&self) -> bool {
+        let details = self.details.0.as_ref();
+        details.is_some_and(|details| details.protocol >= EVACUATIONS_SINCE)
+    }
 }
 
 /// Addresses at which processes accept links.
@@ -96,4 +144,9 @@
     /// From a guard to an entry: the guard works with other entries from now on and has nothing of this one left. The entry closes the
     /// link and does not invite the guard any more.
     Goodbye,
+    /// From a control process to the leader: an order on a data hall to append to the log. It is not answered.
+    EvacuationOrder(EvacuationOrder),
+    /// The evacuated data halls as the sender knows them; a receiver that knows an older revision takes them over. Entries and guards
+    /// send them to control processes too, which record that they know them.
+    Evacuations(EvacuatedHalls),
 }
--- a/crates/leased/cloverfold_peer/src/sent_counts.rs
+++ b/crates/leased/cloverfold_peer/src/sent_counts.rs
@@ -29,11 +29,13 @@
     Read,
     ReadReply,
     Goodbye,
+    EvacuationOrder,
+    Evacuations,
 }
 
 impl MessageKind {
     /// All of them, in order.
-    const ALL: [Self; 18] = [
+    const ALL: [Self; 20] = [
         Self::Hello,
         Self::Echo,
         Self::Assign,
@@ -52,6 +54,8 @@
         Self::Read,
         Self::ReadReply,
         Self::Goodbye,
+        Self::EvacuationOrder,
+        Self::Evacuations,
     ];
 
     fn of(message: &PeerMessage) -> Self {
@@ -74,6 +78,8 @@
             PeerMessage::Read { .. } => Self::Read,
             PeerMessage::ReadReply { .. } => Self::ReadReply,
             PeerMessage::Goodbye => Self::Goodbye,
+            PeerMessage::EvacuationOrder(_) => Self::EvacuationOrder,
+            PeerMessage::Evacuations(_) => Self::Evacuations,
         }
     }
 
@@ -98,6 +104,8 @@
             Self::Read => "read",
             Self::ReadReply => "read_reply",
             Self::Goodbye => "goodbye",
+            Self::EvacuationOrder => "evacuation_order",
+            Self::Evacuations => "evacuations",
         }
     }
 }
--- a/crates/leased/cloverfold_peer/tests/links.rs
+++ b/crates/leased/cloverfold_peer/tests/links.rs
@@ -5,8 +5,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cloverfold_evacuation::EvacuatedHalls;
 use cloverfold_link::{DialBackoff, Dialer, LinkEvent, LinkId, accept_links, listen};
-use cloverfold_peer::{Hello, PeerLinks, PeerMessage, PeerRole};
+use cloverfold_peer::{Hello, PeerDetails, PeerLinks, PeerMessage, PeerRole, Trailing};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -68,6 +69,14 @@
         role,
         address,
         version: 0,
+        details: Trailing(Some(PeerDetails::new("hall-a"))),
+    }
+}
+
+fn evacuated(revision: u64) -> EvacuatedHalls {
+    EvacuatedHalls {
+        revision,
+        halls: ["hall-a".to_owned()].into(),
     }
 }
 
@@ -150,3 +159,34 @@
     assert_eq!(sent, [("hello", 1), ("fetch", 2)]);
     assert!(entry.links.sent().iter().all(|s| s.bytes >= 5 * s.messages));
 }
+
+#[tokio::test]
+async fn evacuations_are_sent_to_peers_that_have_not_shown_to_know_them() {
+    let (mut entry, entry_link, mut guard, _, _dialer) = connect().await;
+
+    entry.links.record_evacuations(entry_link, 2);
+    entry.links.send_evacuations(&evacuated(2), |_| true);
+    entry.links.send_evacuations(&evacuated(3), |_| true);
+
+    assert_eq!(
+        guard.receive().await,
+        PeerMessage::Evacuations(evacuated(3))
+    );
+    entry.links.record_evacuations(entry_link, 1);
+    assert_eq!(entry.links.known_evacuations(entry_link), 2);
+}
+
+#[tokio::test]
+async fn a_peer_that_cannot_read_evacuations_is_not_sent_any() {
+    let (mut entry, entry_link, mut guard, _, _dialer) = connect().await;
+    let old = Hello {
+        details: Trailing(None),
+        ..guard.own.clone()
+    };
+    entry.links.record_hello(entry_link, old);
+
+    entry.links.send_evacuations(&evacuated(3), |_| true);
+    entry.links.send(entry_link, &PeerMessage::Fetch);
+
+    assert_eq!(guard.receive().await, PeerMessage::Fetch);
+}
