Balance subsets of entries in each data hall

Cause: control processes chose a guard's entries without regard to halls. Of 70 guards in three halls an entry kept 16 to 26 while one hall was evacuated. Change: every entry gets its equal part of each hall's guards, and of all, to within one; an entry keeps 20 to 22. Halls come with the introduction of a guard; guards of an older build count as a hall of their own.

--- a/crates/leased/cloverfold_control/src/state/directories.rs
+++ b/crates/leased/cloverfold_control/src/state/directories.rs
@@ -15,7 +15,7 @@
 use cloverfold_lease::TargetDescription;
 use cloverfold_link::LinkId;
 use cloverfold_peer::{
-    Directory, EntrySubsets, GuardServices, PeerMessage, PeerRole, choose_entries,
+    Directory, EntrySubsets, GuardTraits, KnownGuards, PeerMessage, PeerRole, choose_entries,
 };
 
 use super::ControlState;
@@ -77,7 +77,7 @@
         if is_update_due {
             self.directories.outdated_since = None;
         }
-        let entries = choose_entries(&self.list_guard_services(), &self.entries.addresses());
+        let entries = choose_entries(&self.list_guards(), &self.entries.addresses());
         let controls = self.list_controls();
         for peer in receivers {
             let directory = build_directory(&entries, &controls, peer.address);
@@ -99,14 +99,18 @@
         }
     }
 
-    /// Returns the guards that count, with the services of their targets, and forgets those of guards that no longer count.
-    fn list_guard_services(&mut self) -> GuardServices {
+    /// Returns the guards that count, with the services of their targets and their halls, and forgets those of guards that no longer
+    /// count.
+    fn list_guards(&mut self) -> KnownGuards {
         let guards = self.guards.addresses();
         self.services.retain(|guard, _| guards.contains(guard));
+        self.halls.retain(|guard, _| guards.contains(guard));
+        let describe = |guard| GuardTraits {
+            service: self.services.get(&guard).cloned(),
+            data_hall: self.halls.get(&guard).cloned(),
+        };
         let guards = guards.into_iter();
-        guards
-            .map(|guard| (guard, self.services.get(&guard).cloned()))
-            .collect()
+        guards.map(|guard| (guard, describe(guard))).collect()
     }
 
     fn list_attached(&self) -> Vec<AttachedPeer> {
--- a/crates/leased/cloverfold_control/src/state/mod.rs
+++ b/crates/leased/cloverfold_control/src/state/mod.rs
@@ -37,7 +37,7 @@
 use cloverfold_base::ProcessClock;
 use cloverfold_configuration::{AuditRecord, Version};
 use cloverfold_consensus::{LogIndex, Replica, ReplicaId};
-use cloverfold_evacuation::{EvacuationRevision, OrderId};
+use cloverfold_evacuation::{DataHall, EvacuationRevision, OrderId};
 use cloverfold_link::LinkId;
 use cloverfold_peer::{DialedPeers, Hello, PeerLinks, SentCounts};
 use tokio::sync::watch;
@@ -76,6 +76,8 @@
     guards: KnownPeers,
     /// What the targets of guards run, by the guard's address.
     services: HashMap<SocketAddr, String>,
+    /// The data halls of guards that tell theirs, by the guard's address.
+    halls: HashMap<SocketAddr, DataHall>,
     directories: SentDirectories,
     /// `None` once the group exists or if another process begins it.
     bootstrap: Option<Bootstrap>,
@@ -117,6 +119,7 @@
             entries: KnownPeers::default(),
             guards: KnownPeers::default(),
             services: HashMap::new(),
+            halls: HashMap::new(),
             directories: SentDirectories::default(),
             bootstrap,
             appended_versions: AppendedEntries::default(),
--- a/crates/leased/cloverfold_control/src/state/peers.rs
+++ b/crates/leased/cloverfold_control/src/state/peers.rs
@@ -80,6 +80,7 @@
 
     fn peer_connected(&mut self, link: LinkId, hello: Hello) {
         let (name, role, address) = (hello.name.clone(), hello.role, hello.address);
+        let hall = hello.data_hall().cloned();
         if !self.links.record_hello(link, hello) {
             return;
         }
@@ -95,6 +96,9 @@
             }
             PeerRole::Guard => {
                 let is_new = self.guards.connected(address);
+                if let Some(hall) = hall {
+                    self.halls.insert(address, hall);
+                }
                 self.attached_connected(link, is_new);
             }
         }
--- a/crates/leased/cloverfold_peer/src/entry_subsets.rs
+++ b/crates/leased/cloverfold_peer/src/entry_subsets.rs
@@ -7,6 +7,9 @@
 //!   [`GUARDS_PER_ENTRY`], or all if there are fewer, so that a service of few targets can be reached through every entry;
 //! - **balanced**: every entry gets its equal part of the links: with 240 guards of four entries each, 18 or 19 guards for each of 51
 //!   entries (drawn without equal parts, in a simulation, 8 to 29);
+//! - **balanced in each data hall**: every entry gets its equal part of the links of each hall to within one, so that an evacuated or
+//!   lost hall takes the same from all: of 70 guards in three halls each of nine entries keeps 20 to 22, whichever hall is gone
+//!   (drawn without regard to halls 16 to 26);
 //! - **stable**: each guard prefers entries in an order of its own, drawn by a hash of both addresses, so that one that comes or goes
 //!   moves little else. There a guard that goes moves 7 to 16 of the 960 links of others, and an entry 35 to 44, its own 19 among
 //!   them (a simulation of this rule with another hash, eight removals each; the tests bound them at 24 and 110).
@@ -18,6 +21,7 @@
 use std::net::SocketAddr;
 
 use cloverfold_base::hash_parts;
+use cloverfold_evacuation::DataHall;
 
 /// Entries that a guard works with at least. Measured with 51 entries and 240 guards on the first 14 s of a loaded day, worth of one play
 /// each: 51 entries 0.440, 8 0.680, 6 0.700, 4 0.721, 3 0.720, 2 0.698 (docs/LARGE.md, round 1).
@@ -25,11 +29,27 @@
 /// Guards of each service that an entry works with at least: the places for the tasks of a wide job. Chosen, not measured.
 const GUARDS_PER_ENTRY: usize = 16;
 
-/// The service that the target of each guard runs, by the address at which the guard listens to peers; `None` while it is not known.
-pub type GuardServices = BTreeMap<SocketAddr, Option<String>>;
+/// What the choice of a guard's entries depends on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GuardTraits {
+    /// The service that its target runs; `None` while it is not known.
+    pub service: Option<String>,
+    /// The data hall it stands in; `None` if it does not tell.
+    pub data_hall: Option<DataHall>,
+}
+
+/// The guards that count, by the address at which they listen to peers.
+pub type KnownGuards = BTreeMap<SocketAddr, GuardTraits>;
 /// The entries that each guard works with, by the addresses at which they listen to peers.
 pub type EntrySubsets = BTreeMap<SocketAddr, BTreeSet<SocketAddr>>;
 
+/// A guard in its data hall.
+#[derive(Clone, Copy, Debug)]
+struct HallGuard<'a> {
+    hall: Option<&'a DataHall>,
+    guard: Hashed,
+}
+
 /// An address with its hash.
 #[derive(Clone, Copy, Debug)]
 struct Hashed {
@@ -63,20 +83,23 @@
 
 /// Returns the entries of each guard. A guard whose service is not known yet is taken to run the most common one, so that it moves
 /// no links when its target registers in an installation of one service.
-pub fn choose_entries(guards: &GuardServices, entries: &BTreeSet<SocketAddr>) -> EntrySubsets {
+pub fn choose_entries(guards: &KnownGuards, entries: &BTreeSet<SocketAddr>) -> EntrySubsets {
     let entries: Vec<Hashed> = entries.iter().copied().map(Hashed::new).collect();
     let groups = group_by_service(guards).into_values();
-    let subsets = groups.map(|group| choose_in_group(group, &entries));
+    let subsets = groups.map(|group| choose_in_group(&group, &entries));
     subsets.flatten().collect()
 }
 
 /// Returns the guards of each service.
-fn group_by_service(guards: &GuardServices) -> BTreeMap<&str, Vec<Hashed>> {
-    let mut groups: BTreeMap<&str, Vec<Hashed>> = BTreeMap::new();
+fn group_by_service(guards: &KnownGuards) -> BTreeMap<&str, Vec<HallGuard<'_>>> {
+    let mut groups: BTreeMap<&str, Vec<HallGuard<'_>>> = BTreeMap::new();
     let mut unknown = Vec::new();
-    for (address, service) in guards {
-        let guard = Hashed::new(*address);
-        match service {
+    for (address, traits) in guards {
+        let guard = HallGuard {
+            hall: traits.data_hall.as_ref(),
+            guard: Hashed::new(*address),
+        };
+        match &traits.service {
             Some(service) => groups.entry(service).or_default().push(guard),
             None => unknown.push(guard),
         }
@@ -89,11 +112,39 @@
 }
 
 /// Returns the entries of each of these guards, which run the same service.
-fn choose_in_group(mut guards: Vec<Hashed>, entries: &[Hashed]) -> EntrySubsets {
-    // Addresses of one data hall follow each other; in their order its guards would be served last by the entries with free places.
-    guards.sort_unstable_by_key(|guard| (guard.hash, guard.address));
+fn choose_in_group(guards: &[HallGuard<'_>], entries: &[Hashed]) -> EntrySubsets {
     let size = subset_size(guards.len(), entries.len());
-    let mut places = EntryPlaces::new(guards.len() * size, entries.len());
+    let mut links_before = 0;
+    let mut chosen = EntrySubsets::new();
+    for hall in group_by_hall(guards).into_values() {
+        let links = hall.len() * size;
+        let places = EntryPlaces::new(links_before, links, entries.len());
+        chosen.extend(choose_in_hall(&hall, entries, size, places));
+        links_before += links;
+    }
+    chosen
+}
+
+/// Returns the guards of each data hall, in an order that does not follow their addresses: else its last ones would be served by the
+/// entries with free places.
+fn group_by_hall<'a>(guards: &[HallGuard<'a>]) -> BTreeMap<Option<&'a DataHall>, Vec<Hashed>> {
+    let mut halls: BTreeMap<Option<&DataHall>, Vec<Hashed>> = BTreeMap::new();
+    for HallGuard { hall, guard } in guards {
+        halls.entry(*hall).or_default().push(*guard);
+    }
+    for hall in halls.values_mut() {
+        hall.sort_unstable_by_key(|guard| (guard.hash, guard.address));
+    }
+    halls
+}
+
+/// Returns the entries of each of these guards, which stand in the same data hall.
+fn choose_in_hall(
+    guards: &[Hashed],
+    entries: &[Hashed],
+    size: usize,
+    mut places: EntryPlaces,
+) -> EntrySubsets {
     let mut chosen = EntrySubsets::new();
     for (index, guard) in guards.iter().enumerate() {
         let guards_left = guards.len() - index;
@@ -110,7 +161,7 @@
     needed.max(ENTRIES_PER_GUARD).min(entries)
 }
 
-/// How many guards each entry may still get.
+/// How many guards of a data hall each entry may still get.
 #[derive(Debug)]
 struct EntryPlaces {
     /// In the order of the entries.
@@ -118,11 +169,13 @@
 }
 
 impl EntryPlaces {
-    /// Divides so many links equally; the first entries get one more where they don't divide.
-    fn new(links: usize, entries: usize) -> Self {
-        let part = |index| (links + entries - 1 - index) / entries;
+    /// Divides the links of a hall equally, and together with those of the halls before it too; where they don't divide, the entries
+    /// that are next in turn get one more.
+    fn new(links_before: usize, links: usize, entries: usize) -> Self {
+        let part = |links: usize, index: usize| (links + entries - 1 - index) / entries;
+        let in_hall = |index| part(links_before + links, index) - part(links_before, index);
         Self {
-            left: (0..entries).map(part).collect(),
+            left: (0..entries).map(in_hall).collect(),
         }
     }
 
--- a/crates/leased/cloverfold_peer/src/lib.rs
+++ b/crates/leased/cloverfold_peer/src/lib.rs
@@ -21,7 +21,7 @@
 pub use addresses::{ControlLinks, DialedPeers};
 pub use chosen_entries::ChosenEntries;
 pub use departures::{DepartureStep, Departures};
-pub use entry_subsets::{EntrySubsets, GuardServices, choose_entries};
+pub use entry_subsets::{EntrySubsets, GuardTraits, KnownGuards, choose_entries};
 pub use known_evacuations::KnownEvacuations;
 pub use links::PeerLinks;
 pub use messages::{
--- a/crates/leased/cloverfold_peer/tests/entry_subsets.rs
+++ b/crates/leased/cloverfold_peer/tests/entry_subsets.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
 
-use cloverfold_peer::{EntrySubsets, GuardServices, choose_entries};
+use cloverfold_peer::{EntrySubsets, GuardTraits, KnownGuards, choose_entries};
 use proptest::prelude::*;
 
 /// Addresses in data halls of their own, as boxes are numbered in them.
@@ -18,10 +18,49 @@
     (0..count).map(address).collect()
 }
 
+/// A guard, in no data hall that it tells, whose target runs a service.
+fn guard_of(service: Option<&str>) -> GuardTraits {
+    GuardTraits {
+        service: service.map(Into::into),
+        data_hall: None,
+    }
+}
+
 /// Guards whose targets run the same service.
-fn guards(count: usize) -> GuardServices {
-    let service = |guard| (guard, Some("send".to_owned()));
-    addresses(count, 1).into_iter().map(service).collect()
+fn guards(count: usize) -> KnownGuards {
+    let guard = |guard| (guard, guard_of(Some("send")));
+    addresses(count, 1).into_iter().map(guard).collect()
+}
+
+/// Guards of one service, so many in each data hall.
+fn guards_in_halls(counts: &[usize]) -> KnownGuards {
+    let mut guards = KnownGuards::new();
+    for (hall, &count) in counts.iter().enumerate() {
+        for number in 0..count {
+            let ip = Ipv4Addr::new(
+                10,
+                1 + hall as u8,
+                (number / 250) as u8,
+                (number % 250) as u8,
+            );
+            let traits = GuardTraits {
+                data_hall: Some(format!("hall-{hall}")),
+                ..guard_of(Some("send"))
+            };
+            guards.insert(SocketAddr::new(ip.into(), 7_720), traits);
+        }
+    }
+    guards
+}
+
+/// The subsets of the guards of one hall.
+fn subsets_in_hall(subsets: &EntrySubsets, guards: &KnownGuards, hall: usize) -> EntrySubsets {
+    let name = format!("hall-{hall}");
+    let is_there = |guard: &SocketAddr| guards[guard].data_hall.as_ref() == Some(&name);
+    let there = subsets.iter().filter(|(guard, _)| is_there(guard));
+    there
+        .map(|(guard, subset)| (*guard, subset.clone()))
+        .collect()
 }
 
 fn entries(count: usize) -> BTreeSet<SocketAddr> {
@@ -110,7 +149,7 @@
     let mut guards = guards(240);
     let few: Vec<SocketAddr> = guards.keys().copied().step_by(20).collect();
     for guard in &few {
-        guards.insert(*guard, Some("rare".to_owned()));
+        guards.insert(*guard, guard_of(Some("rare")));
     }
 
     let mut subsets = choose_entries(&guards, &entries(51));
@@ -124,10 +163,10 @@
 fn a_guard_whose_service_becomes_known_moves_nothing_where_all_run_the_same() {
     let known = guards(240);
     let mut partly_known = known.clone();
-    for service in partly_known.values_mut().step_by(3) {
-        *service = None;
+    for guard in partly_known.values_mut().step_by(3) {
+        guard.service = None;
     }
-    let unknown: GuardServices = known.keys().map(|guard| (*guard, None)).collect();
+    let unknown: KnownGuards = known.keys().map(|guard| (*guard, guard_of(None))).collect();
 
     let subsets = choose_entries(&known, &entries(51));
 
@@ -135,7 +174,58 @@
     assert_eq!(choose_entries(&unknown, &entries(51)), subsets);
 }
 
+#[test]
+fn without_any_one_hall_every_entry_keeps_its_equal_part_of_the_others() {
+    let (guards, entries) = (guards_in_halls(&[24, 23, 23]), entries(9));
+
+    let subsets = choose_entries(&guards, &entries);
+
+    for evacuated in 0..3 {
+        let gone = subsets_in_hall(&subsets, &guards, evacuated);
+        let mut left = subsets.clone();
+        left.retain(|guard, _| !gone.contains_key(guard));
+        let seen = guards_by_entry(&left, &entries);
+        assert!(
+            seen.iter().all(|count| (20..=22).contains(count)),
+            "{seen:?}"
+        );
+    }
+}
+
+#[test]
+fn a_guard_that_goes_from_one_of_three_halls_moves_few_links_of_others() {
+    let all = guards_in_halls(&[80, 80, 80]);
+    let before = choose_entries(&all, &entries(51));
+
+    for gone in all.keys().step_by(17) {
+        let mut left = all.clone();
+        left.remove(gone);
+        let after = choose_entries(&left, &entries(51));
+
+        let moved = count_moved(&before, &after);
+        assert!(moved <= 48, "{moved} of 960 links without {gone}");
+    }
+}
+
 proptest! {
+    #[test]
+    fn every_subset_is_balanced_in_each_hall(counts in prop::collection::vec(1_usize..90, 1..6), entry_count in 1_usize..60) {
+        let (guards, entries) = (guards_in_halls(&counts), entries(entry_count));
+
+        let subsets = choose_entries(&guards, &entries);
+
+        let size = subsets.values().next().unwrap().len();
+        prop_assert!(subsets.values().all(|subset| subset.len() == size));
+        for (hall, count) in counts.iter().enumerate() {
+            let seen = guards_by_entry(&subsets_in_hall(&subsets, &guards, hall), &entries);
+            let least = count * size / entry_count;
+            prop_assert!(seen.iter().all(|seen| (least..=least + 1).contains(seen)), "{seen:?}");
+        }
+        let seen = guards_by_entry(&subsets, &entries);
+        let (least, most) = (*seen.iter().min().unwrap(), *seen.iter().max().unwrap());
+        prop_assert!(most - least <= 1, "{seen:?}");
+    }
+
     #[test]
     fn every_subset_is_balanced(guard_count in 1_usize..260, entry_count in 1_usize..60) {
         let (guards, entries) = (guards(guard_count), entries(entry_count));
