Remember connected entries and guards on disk, and invite them after a restart

Cause: after a loss of all power entries and guards dial their seeds alone. Change: a control process writes who is connected to a file of its own in its data folder (replaced as a whole, synced, by a thread of its own). After its start it asks those that are not connected to dial it and the voters, each 100 ms for 3 s, and names guards the entries that they had. Whoever has a directory passes invitations over. Older builds close the link of the one message.

--- /dev/null
+++ b/compatibility/tests/control_peers.rs
@@ -0,0 +1,38 @@
+//! The file in which a control process remembers entries and guards, against its recorded bytes.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use cloverfold_peer::{GuardTraits, RememberedPeers};
+use support::{assert_recorded, read_or_record};
+
+const FIXTURE: &str = "control-disk/peers.bin";
+
+fn peers() -> RememberedPeers {
+    let guard = |service: Option<&str>, hall: Option<&str>| GuardTraits {
+        service: service.map(Into::into),
+        data_hall: hall.map(Into::into),
+    };
+    RememberedPeers {
+        entries: ["192.0.2.1:7400", "[2001:db8::2]:7400"]
+            .map(|address| address.parse().unwrap())
+            .into(),
+        guards: [
+            ("192.0.2.3:7400", guard(Some("send"), Some("hall-a"))),
+            ("192.0.2.4:65535", guard(None, None)),
+        ]
+        .map(|(address, guard)| (address.parse().unwrap(), guard))
+        .into(),
+    }
+}
+
+#[test]
+fn remembered_peers_are_written_as_recorded_and_read() {
+    let bytes = postcard::to_stdvec(&peers()).unwrap();
+
+    assert_recorded(FIXTURE, &bytes);
+    let recorded = read_or_record(FIXTURE, &bytes);
+    let decoded: RememberedPeers = postcard::from_bytes(&recorded).unwrap();
+    assert_eq!(decoded, peers());
+}
--- a/compatibility/tests/leased_messages.rs
+++ b/compatibility/tests/leased_messages.rs
@@ -492,6 +492,7 @@
         PeerMessage::Goodbye => one("goodbye", PeerMessage::Goodbye),
         PeerMessage::EvacuationOrder(_) => evacuation_orders(),
         PeerMessage::Evacuations(_) => evacuations(),
+        PeerMessage::DialControls(_) => one("dial-controls", PeerMessage::DialControls(vec![v4(79, 7_900), v6(80, 8_000)])),
     })
 }
 
@@ -532,7 +533,7 @@
 
 #[test]
 fn every_message_about_addresses_is_as_recorded() {
-    for word in ["directory", "invite", "goodbye"] {
+    for word in ["directory", "invite", "goodbye", "dial-controls"] {
         assert_frames(&messages_named(word));
     }
 }
--- a/crates/leased/cloverfold_control/src/lib.rs
+++ b/crates/leased/cloverfold_control/src/lib.rs
@@ -31,6 +31,7 @@
 mod evacuations;
 mod metrics;
 mod operators;
+mod peer_file;
 mod process;
 mod state;
 
--- a/crates/leased/cloverfold_control/src/process.rs
+++ b/crates/leased/cloverfold_control/src/process.rs
@@ -25,7 +25,8 @@
 use crate::error::ControlError;
 use crate::metrics::ControlMetrics;
 use crate::operators::{OperatorInterface, Operators};
-use crate::state::{Bootstrap, ControlState, format_id};
+use crate::peer_file::PeerFile;
+use crate::state::{Bootstrap, ControlState, PeerMemory, format_id};
 
 /// How often the process does the work that is due. Chosen, not measured: three times in a heartbeat of the log.
 const TICK: Duration = Duration::from_millis(25);
@@ -126,12 +127,15 @@
         Timestamp::ZERO,
     );
     let disk = Disk::start(store, disk_events).map_err(ControlError::Thread)?;
+    let (file, remembered) = PeerFile::open(&settings.data_folder).map_err(ControlError::Thread)?;
+    let memory = PeerMemory::new(file, remembered, Timestamp::ZERO);
     Ok(ControlState::new(
         own,
         replica,
         disk,
         port.dial_peers(),
         bootstrap,
+        memory,
     ))
 }
 
--- a/crates/leased/cloverfold_control/src/state/directories.rs
+++ b/crates/leased/cloverfold_control/src/state/directories.rs
@@ -101,7 +101,7 @@
 
     /// Returns the guards that count, with the services of their targets and their halls, and forgets those of guards that no longer
     /// count.
-    fn list_guards(&mut self) -> KnownGuards {
+    pub(super) fn list_guards(&mut self) -> KnownGuards {
         let guards = self.guards.addresses();
         self.services.retain(|guard, _| guards.contains(guard));
         self.halls.retain(|guard, _| guards.contains(guard));
@@ -138,7 +138,7 @@
     }
 
     /// Lists the voters first, then this process, then the other control processes that are connected.
-    fn list_controls(&self) -> Vec<SocketAddr> {
+    pub(super) fn list_controls(&self) -> Vec<SocketAddr> {
         let voters = self.replica.members().voters.iter();
         let voters = voters.map(|member| member.address);
         let own = std::iter::once(self.own.address);
--- a/crates/leased/cloverfold_control/src/state/known_peers.rs
+++ b/crates/leased/cloverfold_control/src/state/known_peers.rs
@@ -40,6 +40,17 @@
         is_new
     }
 
+    /// Counts a process as there that was remembered over a restart, until it has had no link for too long.
+    pub(super) fn recall(&mut self, address: SocketAddr, now: Timestamp) {
+        let peer = self.peers.entry(address).or_default();
+        peer.gone_at = Some(now);
+    }
+
+    /// Returns whether a process has a link.
+    pub(super) fn is_connected(&self, address: SocketAddr) -> bool {
+        self.peers.get(&address).is_some_and(|peer| peer.links > 0)
+    }
+
     /// Records that a link to a process closed.
     pub(super) fn disconnected(&mut self, address: SocketAddr, now: Timestamp) {
         let Some(peer) = self.peers.get_mut(&address) else {
--- /dev/null
+++ b/crates/leased/cloverfold_control/src/state/memory.rs
@@ -0,0 +1,96 @@
+//! What this process remembers of entries and guards, and their invitations after a restart.
+//!
+//! Owns what was written last. Relies on `cloverfold_peer` for whom to invite, and on [`PeerFile`](crate::peer_file::PeerFile) to write.
+
+use std::time::Duration;
+
+use cloverfold_base::Timestamp;
+use cloverfold_link::send_once;
+use cloverfold_peer::{Invitations, PeerMessage, RememberedPeers};
+
+use super::ControlState;
+use crate::peer_file::PeerFile;
+
+/// How often what is remembered is compared with who is there, and written if it differs. Chosen, not measured.
+const WRITE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What is remembered over a restart.
+#[derive(Debug)]
+pub(crate) struct PeerMemory {
+    file: PeerFile,
+    written: RememberedPeers,
+    checked_at: Timestamp,
+    pub(super) invitations: Invitations,
+}
+
+impl PeerMemory {
+    /// Goes on from what was remembered at the start.
+    pub(crate) fn new(file: PeerFile, remembered: RememberedPeers, now: Timestamp) -> Self {
+        Self {
+            file,
+            invitations: Invitations::new(&remembered, now),
+            written: remembered,
+            checked_at: now,
+        }
+    }
+
+    /// Returns what was remembered last.
+    pub(super) fn remembered(&self) -> &RememberedPeers {
+        &self.written
+    }
+}
+
+impl ControlState {
+    /// Counts the remembered entries and guards as there for a while: the first directories name them.
+    pub(super) fn recall_peers(&mut self, now: Timestamp) {
+        let remembered = self.memory.remembered().clone();
+        for entry in remembered.entries {
+            self.entries.recall(entry, now);
+        }
+        for (guard, traits) in remembered.guards {
+            self.guards.recall(guard, now);
+            if let Some(service) = traits.service {
+                self.services.insert(guard, service);
+            }
+            if let Some(hall) = traits.data_hall {
+                self.halls.insert(guard, hall);
+            }
+        }
+    }
+
+    /// Remembers the entries and guards that are there, if they have changed.
+    pub(super) fn remember_peers(&mut self, now: Timestamp) {
+        if now < self.memory.checked_at + WRITE_INTERVAL {
+            return;
+        }
+        self.memory.checked_at = now;
+        let peers = RememberedPeers {
+            entries: self.entries.addresses(),
+            guards: self.list_guards(),
+        };
+        if peers != self.memory.written {
+            self.memory.file.write(peers.clone());
+            self.memory.written = peers;
+        }
+    }
+
+    /// Asks remembered processes that are not connected to dial this process and the voters.
+    pub(super) fn invite_remembered(&mut self, now: Timestamp) {
+        let (entries, guards) = (&self.entries, &self.guards);
+        let is_connected = |address| entries.is_connected(address) || guards.is_connected(address);
+        let invited = self.memory.invitations.take_due(now, is_connected);
+        if invited.is_empty() {
+            return;
+        }
+        let mut controls = self.list_controls();
+        controls.retain(|address| *address != self.own.address);
+        controls.insert(0, self.own.address);
+        for address in invited {
+            let message = PeerMessage::DialControls(controls.clone());
+            tokio::spawn(async move {
+                // Harmless if it fails: the process is invited again as long as it isn't connected.
+                let _ = send_once(address, &message).await;
+            });
+        }
+    }
+}
--- a/crates/leased/cloverfold_control/src/state/mod.rs
+++ b/crates/leased/cloverfold_control/src/state/mod.rs
@@ -13,6 +13,7 @@
 //! | `peers` | links to the other processes |
 //! | `notices` | when entries and guards are told the version in force |
 //! | `directories`, `known_peers` | which addresses entries and guards are told |
+//! | `memory` | which entries and guards are remembered over a restart, and invited after it |
 //! | `pending_writes` | what waits for the disk |
 //! | `status` | what operators are shown |
 
@@ -22,6 +23,7 @@
 mod directories;
 mod evacuations;
 mod known_peers;
+mod memory;
 mod notices;
 mod peers;
 mod pending_reads;
@@ -52,6 +54,7 @@
 use crate::disk::Disk;
 
 pub(crate) use self::bootstrap::Bootstrap;
+pub(crate) use self::memory::PeerMemory;
 pub use self::replicated::{Command, ReplicatedState};
 pub(crate) use self::status::format_id;
 
@@ -79,6 +82,7 @@
     /// The data halls of guards that tell theirs, by the guard's address.
     halls: HashMap<SocketAddr, DataHall>,
     directories: SentDirectories,
+    memory: PeerMemory,
     /// `None` once the group exists or if another process begins it.
     bootstrap: Option<Bootstrap>,
     appended_versions: AppendedEntries<Version>,
@@ -103,6 +107,7 @@
         disk: Disk,
         dialed: DialedPeers,
         bootstrap: Option<Bootstrap>,
+        memory: PeerMemory,
     ) -> Self {
         Self {
             clock: ProcessClock::default(),
@@ -121,6 +126,7 @@
             services: HashMap::new(),
             halls: HashMap::new(),
             directories: SentDirectories::default(),
+            memory,
             bootstrap,
             appended_versions: AppendedEntries::default(),
             appended_orders: AppendedEntries::default(),
@@ -135,6 +141,7 @@
 
     /// Dials the seeds and applies what is known from disk to be committed.
     pub(crate) fn begin(&mut self, seeds: &[SocketAddr]) {
+        self.recall_peers(self.clock.now());
         self.dial_seeds(seeds);
         self.advance();
     }
@@ -157,6 +164,8 @@
         if has_gone {
             self.directories.mark_outdated(now);
         }
+        self.invite_remembered(now);
+        self.remember_peers(now);
         self.send_due_directories(now);
         self.send_due_notice(now);
         self.writes.log_slow(now);
--- a/crates/leased/cloverfold_control/src/state/peers.rs
+++ b/crates/leased/cloverfold_control/src/state/peers.rs
@@ -60,6 +60,7 @@
             | PeerMessage::Configuration(_)
             | PeerMessage::Directory(_)
             | PeerMessage::Invite { .. }
+            | PeerMessage::DialControls(_)
             | PeerMessage::Goodbye => {}
         }
     }
--- a/crates/leased/cloverfold_leased_entry/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/links.rs
@@ -37,6 +37,7 @@
             PeerMessage::Fetch => self.send_configuration(link),
             PeerMessage::Configuration(stored) => self.receive_configuration(stored),
             PeerMessage::Directory(directory) => self.controls.set_listed(directory.controls),
+            PeerMessage::DialControls(controls) => self.controls.accept_invitation(controls),
             PeerMessage::Evacuations(told) => self.receive_evacuations(link, told),
             PeerMessage::Goodbye => self.release_guard(link),
             // Never sent to an entry.
--- a/crates/leased/cloverfold_leased_guard/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/links.rs
@@ -40,6 +40,7 @@
             PeerMessage::Fetch => self.send_configuration(link),
             PeerMessage::Configuration(stored) => self.receive_configuration(stored),
             PeerMessage::Directory(directory) => self.receive_directory(link, directory),
+            PeerMessage::DialControls(controls) => self.controls.accept_invitation(controls),
             PeerMessage::Evacuations(told) => self.receive_evacuations(link, told),
             PeerMessage::Invite { entry } => self.receive_invitation(entry),
             // Never sent to a guard.
--- a/crates/leased/cloverfold_peer/src/addresses.rs
+++ b/crates/leased/cloverfold_peer/src/addresses.rs
@@ -108,6 +108,15 @@
         self.dial();
     }
 
+    /// Dials the control processes that one of them names after its restart, unless a directory has come since this process started:
+    /// that names them better.
+    pub fn accept_invitation(&mut self, controls: Vec<SocketAddr>) {
+        if self.listed.is_empty() {
+            log::info!(controls = controls.len(); "a control process invites");
+            self.set_listed(controls);
+        }
+    }
+
     /// Replaces the seeds and dials; links to addresses that are still wanted stay open.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         if seeds != self.seeds {
--- a/crates/leased/cloverfold_peer/src/entry_subsets.rs
+++ b/crates/leased/cloverfold_peer/src/entry_subsets.rs
@@ -22,6 +22,7 @@
 
 use cloverfold_base::hash_parts;
 use cloverfold_evacuation::DataHall;
+use serde::{Deserialize, Serialize};
 
 /// Entries that a guard works with at least. Measured with 51 entries and 240 guards on the first 14 s of a loaded day, worth of one play
 /// each: 51 entries 0.440, 8 0.680, 6 0.700, 4 0.721, 3 0.720, 2 0.698 (docs/LARGE.md, round 1).
@@ -29,8 +30,8 @@
 /// Guards of each service that an entry works with at least: the places for the tasks of a wide job. Chosen, not measured.
 const GUARDS_PER_ENTRY: usize = 16;
 
-/// What the choice of a guard's entries depends on.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+/// What the choice of a guard's entries depends on. The order of the fields is the format on disk.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GuardTraits {
     /// The service that its target runs; `None` while it is not known.
     pub service: Option<String>,
--- a/crates/leased/cloverfold_peer/src/lib.rs
+++ b/crates/leased/cloverfold_peer/src/lib.rs
@@ -3,7 +3,7 @@
 //! Entries and guards dial control processes: first the seeds of their settings, later those in the newest [`Directory`]. A control
 //! process chooses which entries each guard works with ([`choose_entries`]) and names them in the guard's directory; the guard dials
 //! those ([`ChosenEntries`]). An entry invites guards that were connected to it before, so that the two reconnect while no control
-//! process can be reached.
+//! process can be reached. A control process that has restarted invites the entries and guards that it remembers ([`Invitations`]).
 //!
 //! Owns, for each process, its open links ([`PeerLinks`]) and the addresses that it dials ([`DialedPeers`], [`ControlLinks`]). Relies
 //! on `cloverfold_link` for the connections.
@@ -15,6 +15,7 @@
 mod known_evacuations;
 mod links;
 mod messages;
+mod remembered_peers;
 mod sent_counts;
 mod trailing;
 
@@ -27,5 +28,6 @@
 pub use messages::{
     Directory, Hello, PROTOCOL_VERSION, PeerDetails, PeerMessage, PeerRole, ProtocolVersion,
 };
+pub use remembered_peers::{Invitations, RememberedPeers};
 pub use sent_counts::{SentCounts, SentKind};
 pub use trailing::Trailing;
--- a/crates/leased/cloverfold_peer/src/messages.rs
+++ b/crates/leased/cloverfold_peer/src/messages.rs
@@ -149,4 +149,7 @@
     /// The evacuated data halls as the sender knows them; a receiver that knows an older revision takes them over. Entries and guards
     /// send them to control processes too, which record that they know them.
     Evacuations(EvacuatedHalls),
+    /// From a control process that has restarted to an entry or guard that it remembers, on a link for this message alone: asks to dial
+    /// these control processes. An older build closes the link.
+    DialControls(Vec<SocketAddr>),
 }
--- a/crates/leased/cloverfold_peer/src/sent_counts.rs
+++ b/crates/leased/cloverfold_peer/src/sent_counts.rs
@@ -31,11 +31,12 @@
     Goodbye,
     EvacuationOrder,
     Evacuations,
+    DialControls,
 }
 
 impl MessageKind {
     /// All of them, in order.
-    const ALL: [Self; 20] = [
+    const ALL: [Self; 21] = [
         Self::Hello,
         Self::Echo,
         Self::Assign,
@@ -56,6 +57,7 @@
         Self::Goodbye,
         Self::EvacuationOrder,
         Self::Evacuations,
+        Self::DialControls,
     ];
 
     fn of(message: &PeerMessage) -> Self {
@@ -80,6 +82,7 @@
             PeerMessage::Goodbye => Self::Goodbye,
             PeerMessage::EvacuationOrder(_) => Self::EvacuationOrder,
             PeerMessage::Evacuations(_) => Self::Evacuations,
+            PeerMessage::DialControls(_) => Self::DialControls,
         }
     }
 
@@ -106,6 +109,7 @@
             Self::Goodbye => "goodbye",
             Self::EvacuationOrder => "evacuation_order",
             Self::Evacuations => "evacuations",
+            Self::DialControls => "dial_controls",
         }
     }
 }
