Evacuate data halls, take them back and list them from the command line

Cause: operators had the platform's call only. Measured: nothing, no decision changes. Tests: evacuations survive when all processes are killed and a disk is lost; a bad name is refused with its fault.

--- a/crates/cloverfold/src/bin/cloverfold/configuration.rs
+++ b/crates/cloverfold/src/bin/cloverfold/configuration.rs
@@ -6,20 +6,15 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
 
 use argh::FromArgs;
-use bytes::Bytes;
-use cloverfold_http::HttpClient;
-use cloverfold_programs::{RuntimeThreads, start_runtime};
-use eyre::{Result, WrapErr, bail};
-use http::{Method, Request, StatusCode};
-use http_body_util::Full;
+use eyre::{Result, WrapErr};
+use http::Method;
+
+use crate::control_calls::{ControlCalls, run_calls};
 
 /// Where a control process shows and takes the configuration.
 const CONFIGURATION_PATH: &str = "/v1/configuration";
-/// How long one control process may take to answer. Chosen, not measured.
-const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Show, save or send the configuration that the control processes keep.
 #[derive(FromArgs)]
@@ -71,82 +66,36 @@
 
 impl ConfigurationCommand {
     pub(crate) fn run(self) -> Result<()> {
-        if self.at.is_empty() {
-            bail!("--at: give the operator address of at least one control process");
-        }
-        start_runtime(RuntimeThreads::PerCore)?.block_on(self.carry_out())
+        run_calls(self.at, async |calls| self.action.carry_out(calls).await)
     }
+}
 
-    async fn carry_out(&self) -> Result<()> {
-        match &self.action {
-            Action::Audit(_) => println!("{}", self.get("/v1/audit").await?),
-            Action::Status(_) => println!("{}", self.get("/v1/status").await?),
-            Action::Backup(backup) => self.back_up(&backup.file).await?,
-            Action::Restore(restore) => self.restore(&restore.file).await?,
+impl Action {
+    async fn carry_out(&self, calls: &ControlCalls) -> Result<()> {
+        match self {
+            Self::Audit(_) => println!("{}", calls.get("/v1/audit").await?),
+            Self::Status(_) => println!("{}", calls.get("/v1/status").await?),
+            Self::Backup(backup) => back_up(calls, &backup.file).await?,
+            Self::Restore(restore) => send_saved(calls, &restore.file).await?,
         }
         Ok(())
     }
-
-    /// Writes the configuration in force to a new file.
-    async fn back_up(&self, path: &Path) -> Result<()> {
-        let text = self.get(CONFIGURATION_PATH).await?;
-        let mut file = File::create_new(path).wrap_err_with(|| path.display().to_string())?;
-        file.write_all(text.as_bytes())?;
-        file.sync_all()?;
-        println!("{}: {} bytes", path.display(), text.len());
-        Ok(())
-    }
-
-    /// Sends the configuration in a file.
-    async fn restore(&self, path: &Path) -> Result<()> {
-        let text = std::fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
-        self.call(Method::PUT, CONFIGURATION_PATH, &text).await?;
-        println!("{}: acknowledged", path.display());
-        Ok(())
-    }
-
-    async fn get(&self, path: &str) -> Result<String> {
-        self.call(Method::GET, path, "").await
-    }
-
-    /// Calls one control process after the other until one answers with success or refuses the request.
-    ///
-    /// Other answers and broken calls lead to the next process; the last one is the error if none is left.
-    async fn call(&self, method: Method, path: &str, body: &str) -> Result<String> {
-        let client = HttpClient::default();
-        let mut last = String::new();
-        for address in &self.at {
-            let request = build_request(&method, *address, path, body)?;
-            match client.call(*address, request, CALL_TIMEOUT).await {
-                Ok((StatusCode::OK, _, answer)) => {
-                    return Ok(String::from_utf8_lossy(&answer).into_owned());
-                }
-                Ok((status, _, answer)) if status.is_client_error() => {
-                    bail!("{}", describe_answer(*address, status, &answer));
-                }
-                Ok((status, _, answer)) => last = describe_answer(*address, status, &answer),
-                Err(cause) => last = format!("{address}: {cause}"),
-            }
-        }
-        bail!("no control process answered clearly; the last: {last}")
-    }
 }
 
-fn build_request(
-    method: &Method,
-    address: SocketAddr,
-    path: &str,
-    body: &str,
-) -> Result<Request<Full<Bytes>>> {
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("Host", address.to_string())
-        .header("Content-Type", "application/json")
-        .body(Full::from(body.to_owned()))?;
-    Ok(request)
+/// Writes the configuration in force to a new file.
+async fn back_up(calls: &ControlCalls, path: &Path) -> Result<()> {
+    let text = calls.get(CONFIGURATION_PATH).await?;
+    let mut file = File::create_new(path).wrap_err_with(|| path.display().to_string())?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()?;
+    println!("{}: {} bytes", path.display(), text.len());
+    Ok(())
 }
 
-fn describe_answer(address: SocketAddr, status: StatusCode, answer: &[u8]) -> String {
-    format!("{address}: {status}: {}", String::from_utf8_lossy(answer))
+/// Sends the configuration in a file.
+async fn send_saved(calls: &ControlCalls, path: &Path) -> Result<()> {
+    let text = std::fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+    calls.call(Method::PUT, CONFIGURATION_PATH, &text).await?;
+    println!("{}: acknowledged", path.display());
+    Ok(())
 }
--- /dev/null
+++ b/crates/cloverfold/src/bin/cloverfold/evacuation.rs
@@ -0,0 +1,84 @@
+//! `cloverfold evacuation`: an operator's orders for the data halls of a leased installation.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use eyre::Result;
+use http::Method;
+
+use crate::control_calls::{ControlCalls, run_calls};
+
+/// Where a control process shows the evacuations and takes orders.
+const EVACUATIONS_PATH: &str = "/v1/evacuations";
+
+/// Evacuate a data hall, take it back, or list the evacuations in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "evacuation")]
+pub(crate) struct EvacuationCommand {
+    /// operator address of a control process; give it again for further ones to try
+    #[argh(option)]
+    at: Vec<SocketAddr>,
+    #[argh(subcommand)]
+    action: Action,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Action {
+    Start(Start),
+    End(End),
+    List(List),
+}
+
+/// Start no task in a data hall any more; what runs there ends in peace.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "start")]
+struct Start {
+    /// name of the data hall
+    #[argh(positional)]
+    hall: String,
+}
+
+/// Take a data hall back: tasks start there again.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "end")]
+struct End {
+    /// name of the data hall
+    #[argh(positional)]
+    hall: String,
+}
+
+/// Print the evacuations in force: the hall, who received the order, when, and where it stands in the log.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct List {}
+
+impl EvacuationCommand {
+    pub(crate) fn run(self) -> Result<()> {
+        run_calls(self.at, async |calls| self.action.carry_out(calls).await)
+    }
+}
+
+impl Action {
+    async fn carry_out(&self, calls: &ControlCalls) -> Result<()> {
+        match self {
+            Self::Start(Start { hall }) => {
+                order(calls, Method::POST, hall).await?;
+                println!("{hall}: no task starts there any more");
+            }
+            Self::End(End { hall }) => {
+                order(calls, Method::DELETE, hall).await?;
+                println!("{hall}: tasks start there again");
+            }
+            Self::List(_) => println!("{}", calls.get(EVACUATIONS_PATH).await?),
+        }
+        Ok(())
+    }
+}
+
+/// Sends an order for a data hall until a control process has acknowledged it.
+async fn order(calls: &ControlCalls, method: Method, hall: &str) -> Result<()> {
+    let path = format!("{EVACUATIONS_PATH}/{hall}");
+    calls.call(method, &path, "").await?;
+    Ok(())
+}
--- a/crates/cloverfold/src/bin/cloverfold/main.rs
+++ b/crates/cloverfold/src/bin/cloverfold/main.rs
@@ -5,7 +5,9 @@
 mod check;
 mod configuration;
 mod control;
+mod control_calls;
 mod entry;
+mod evacuation;
 mod found;
 mod hash_key;
 mod keys;
@@ -35,6 +37,7 @@
     Configuration(configuration::ConfigurationCommand),
     Control(control::ControlCommand),
     Entry(entry::EntryCommand),
+    Evacuation(evacuation::EvacuationCommand),
     Found(found::FoundCommand),
     HashKey(hash_key::HashKeyCommand),
     Keys(keys::KeysCommand),
@@ -55,6 +58,7 @@
         Command::Configuration(command) => command.run(),
         Command::Control(command) => command.run(),
         Command::Entry(command) => command.run(),
+        Command::Evacuation(command) => command.run(),
         Command::Found(command) => command.run(),
         Command::HashKey(command) => command.run(),
         Command::Keys(command) => command.run(),
--- a/crates/cloverfold/tests/control_processes.rs
+++ b/crates/cloverfold/tests/control_processes.rs
@@ -120,6 +120,28 @@
         );
     }
 
+    /// Sends an order for a data hall to one process until it is acknowledged.
+    fn order(&self, index: usize, action: &str, hall: &str) {
+        let at = self.operator(index);
+        wait_until("an acknowledged order", || {
+            let answer = run(&["evacuation", "--at", &at, action, hall]);
+            answer.status.success().then_some(())
+        });
+    }
+
+    /// Waits until a process lists evacuations, and returns their halls.
+    fn evacuated_halls(&self, index: usize) -> Vec<String> {
+        let at = self.operator(index);
+        let listed = wait_until("a list", || {
+            let answer = run(&["evacuation", "--at", &at, "list"]);
+            serde_json::from_slice::<Value>(&answer.stdout).ok()
+        });
+        let halls = listed["halls"].as_array().unwrap().iter();
+        halls
+            .map(|hall| hall["hall"].as_str().unwrap().into())
+            .collect()
+    }
+
     fn find_leader(&self) -> usize {
         wait_until("a leader", || {
             (0..CONTROLS).find(|&index| {
@@ -227,3 +249,40 @@
     group.expect_read(leader, 4);
     group.acknowledge(leader, 5);
 }
+
+#[test]
+fn evacuations_survive_when_all_are_killed_and_one_disk_is_lost() {
+    let mut group = Group::start();
+    group.acknowledge(0, 3);
+    let leader = group.find_leader();
+    group.order(leader, "start", "hall-a");
+    group.order((leader + 1) % CONTROLS, "start", "hall-b");
+    group.order((leader + 2) % CONTROLS, "end", "hall-a");
+    for index in 0..CONTROLS {
+        group.kill(index);
+    }
+    std::fs::remove_dir_all(group.data_folder(leader)).unwrap();
+
+    for index in 0..CONTROLS {
+        group.start_control(index, false);
+    }
+
+    for index in 0..CONTROLS {
+        assert_eq!(group.evacuated_halls(index), ["hall-b"]);
+    }
+}
+
+#[test]
+fn an_order_that_names_no_hall_is_refused_with_its_fault() {
+    let group = Group::start();
+    group.acknowledge(0, 3);
+
+    let answer = run(&["evacuation", "--at", &group.operator(0), "start", "no/hall"]);
+
+    assert!(!answer.status.success());
+    let message = String::from_utf8_lossy(&answer.stderr).into_owned();
+    assert!(
+        message.contains("400") && message.contains("1 to 128 letters"),
+        "{message}"
+    );
+}
