Tests: no task starts in an evacuated hall under any fault; runs that nobody wants any more end

Cause: the bound of an evacuation and the users' word on tasks that run on after their job was cancelled had no test in the simulated world. Change: the world evacuates halls and takes them back while runners die, freeze and carry orders out late; no task starts more than 2 s after an order, though dispatchers know of nothing. A start that is carried out after its run was withdrawn, a run that a restarted guard finds and the runs of an entry that is gone: each is stopped until it is gone, and its lease not extended.

--- a/crates/leased/cloverfold_lease/tests/overlap.rs
+++ b/crates/leased/cloverfold_lease/tests/overlap.rs
@@ -24,6 +24,17 @@
     assert!(left > 100, "runners leave dispatchers: {left} times");
 }
 
+#[test]
+fn no_task_starts_in_a_data_hall_long_after_its_evacuation_under_any_fault() {
+    let mut done = 0;
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, WorldFaults::with_evacuations());
+        world.play(20_000);
+        done += world.completed;
+    }
+    assert!(done > 200, "the world does some work: {done} jobs");
+}
+
 #[test]
 fn without_faults_every_job_is_done_once() {
     let mut world = World::new(1, WorldFaults::none());
--- a/crates/leased/cloverfold_lease/tests/world/faults.rs
+++ b/crates/leased/cloverfold_lease/tests/world/faults.rs
@@ -79,6 +79,7 @@
                 node.registered_at = 0;
                 node.renewal_due_at = 0;
                 self.links.retain(|key, _| key.1 != index);
+                self.tell_restarted_runner(index);
             }
         }
         for index in 0..DISPATCHERS {
--- a/crates/leased/cloverfold_lease/tests/world/mod.rs
+++ b/crates/leased/cloverfold_lease/tests/world/mod.rs
@@ -4,6 +4,7 @@
 //! what each does in a step.
 
 mod clients;
+mod evacuations;
 mod faults;
 mod links;
 mod processes;
@@ -18,6 +19,7 @@
 use rand::{RngExt, SeedableRng};
 
 use clients::Client;
+use evacuations::Evacuations;
 use links::Link;
 use processes::new_dispatcher;
 use target::Target;
@@ -37,6 +39,8 @@
     pub is_troubled: bool,
     /// How long a session is valid after an echo, in milliseconds.
     pub session_ms: u64,
+    /// Whether operators evacuate data halls and take them back.
+    pub has_evacuations: bool,
 }
 
 impl WorldFaults {
@@ -44,6 +48,14 @@
         Self {
             is_troubled: true,
             session_ms: 500,
+            has_evacuations: false,
+        }
+    }
+
+    pub fn with_evacuations() -> Self {
+        Self {
+            has_evacuations: true,
+            ..Self::all()
         }
     }
 
@@ -51,6 +63,7 @@
         Self {
             is_troubled: false,
             session_ms: 500,
+            has_evacuations: false,
         }
     }
 
@@ -91,6 +104,7 @@
     next_job: u64,
     jobs_until: u64,
     resends: Vec<(u64, String)>,
+    evacuations: Option<Evacuations>,
     pub completed: u64,
     pub tasks_completed: u64,
     pub starts: u64,
@@ -136,6 +150,7 @@
             next_job: 1,
             jobs_until: 0,
             resends: Vec::new(),
+            evacuations: faults.has_evacuations.then(|| Evacuations::new(seed)),
             completed: 0,
             tasks_completed: 0,
             starts: 0,
@@ -152,6 +167,7 @@
                 self.trouble();
             }
             self.restart_processes();
+            self.evacuate_halls();
             self.keep_links();
             self.leave_dispatchers();
             self.submit_jobs();
--- a/crates/leased/cloverfold_lease/tests/world/processes.rs
+++ b/crates/leased/cloverfold_lease/tests/world/processes.rs
@@ -5,12 +5,14 @@
 };
 use rand::RngExt;
 
-use super::{RENEWAL_TIMEOUT_MS, World, WorldFaults, at};
+use super::{RENEWAL_TIMEOUT_MS, RUNNERS, World, WorldFaults, at};
 
 impl World {
     pub(super) fn run_targets(&mut self) {
-        for node in &mut self.runners {
-            self.starts += node.target.step(self.now);
+        for index in 0..RUNNERS {
+            let starts = self.runners[index].target.step(self.now);
+            self.starts += starts;
+            self.check_hall(index, starts);
         }
     }
 
