--- a/crates/leased/cloverfold_control/src/evacuations.rs
+++ b/crates/leased/cloverfold_control/src/evacuations.rs
@@ -2,9 +2,9 @@
 //!
 //! Decision: when an order is acknowledged. Rule: any control process checks the name and answers 400 or 404 with its fault, 400 also to
 //! a call with a body; a valid order it submits to the leader every 250 ms, and acknowledges it once the order is applied here and was
-//! taken, or the hall was as wanted already. An order that turns out to be based on an outdated state is made anew. If nothing is decided within
-//! 2.5 s the answer is 503, and the order may still be taken later. Reason: every acknowledgement stands for a place in the log, so
-//! that a process that lags behind acknowledges nothing that has been undone since (docs/design/10-evacuations.md).
+//! taken, or the hall was as wanted already. An order that turns out to be based on an outdated state is made anew. If nothing is
+//! decided within 2.5 s the answer is 503, and the order may still be taken later. Reason: every acknowledgement stands for a place in
+//! the log, so that a process that lags behind acknowledges nothing that has been undone since (docs/design/10-evacuations.md).
 
 use cloverfold_evacuation::{
     DataHall, EvacuationOrder, EvacuationRecord, HallChange, HallNameFault, OrderOutcome,
--- a/crates/leased/cloverfold_control/src/operators.rs
+++ b/crates/leased/cloverfold_control/src/operators.rs
@@ -163,11 +163,7 @@
     }
 
     async fn get_configuration(&self) -> Response {
-        // Timed out: no leader could prove that it still leads.
-        if timeout(READ_TIMEOUT, self.wait_until_newest())
-            .await
-            .is_err()
-        {
+        if !self.is_newest().await {
             return answer_unavailable("the newest configuration is not known here at present\n");
         }
         match self.state.lock().current_text() {
@@ -177,16 +173,19 @@
     }
 
     async fn get_evacuations(&self) -> Response {
-        if timeout(READ_TIMEOUT, self.wait_until_newest())
-            .await
-            .is_err()
-        {
+        if !self.is_newest().await {
             return answer_unavailable("the newest evacuations are not known here at present\n");
         }
         let body = self.state.lock().describe_evacuations().to_string();
         json_response(StatusCode::OK, body)
     }
 
+    /// Returns whether the state here is proved to be the newest in time; if not, no leader could prove that it still leads.
+    async fn is_newest(&self) -> bool {
+        let newest = timeout(READ_TIMEOUT, self.wait_until_newest());
+        newest.await.is_ok()
+    }
+
     /// Waits until the state here is proved to be as new as any when the call came.
     async fn wait_until_newest(&self) {
         loop {
--- a/crates/leased/cloverfold_control/src/process.rs
+++ b/crates/leased/cloverfold_control/src/process.rs
@@ -4,6 +4,7 @@
 //! on `cloverfold_leased_process` for what all leased processes share.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -119,16 +120,10 @@
         voters: 2 * settings.tolerated_losses + 1,
         ..ReplicaConfig::default()
     };
-    let replica = Replica::new(
-        identity.id,
-        config,
-        recovered,
-        random_u64(),
-        Timestamp::ZERO,
-    );
+    let start = Timestamp::ZERO;
+    let replica = Replica::new(identity.id, config, recovered, random_u64(), start);
     let disk = Disk::start(store, disk_events).map_err(ControlError::Thread)?;
-    let (file, remembered) = PeerFile::open(&settings.data_folder).map_err(ControlError::Thread)?;
-    let memory = PeerMemory::new(file, remembered, Timestamp::ZERO);
+    let memory = open_memory(&settings.data_folder, start)?;
     Ok(ControlState::new(
         own,
         replica,
@@ -139,6 +134,12 @@
     ))
 }
 
+/// Reads who was connected before the last restart.
+fn open_memory(folder: &Path, start: Timestamp) -> Result<PeerMemory, ControlError> {
+    let (file, remembered) = PeerFile::open(folder).map_err(ControlError::Thread)?;
+    Ok(PeerMemory::new(file, remembered, start))
+}
+
 /// Draws the identity of a new disk. It and the right to begin a group are synced before anything else, so that a process that dies
 /// while it begins a group goes on with that.
 fn create_identity(store: &mut Store, may_bootstrap: bool) -> Result<DiskIdentity, ControlError> {
--- a/crates/leased/cloverfold_control/src/state/evacuations.rs
+++ b/crates/leased/cloverfold_control/src/state/evacuations.rs
@@ -11,10 +11,8 @@
 use cloverfold_base::{random_u64, unix_now};
 use cloverfold_consensus::Role;
 use cloverfold_evacuation::{
-    DataHall, EvacuatedHalls, EvacuationOrder, EvacuationRevision, EvacuationState, HallChange,
-    OrderId, OrderOutcome,
+    DataHall, EvacuationOrder, EvacuationState, HallChange, OrderId, OrderOutcome,
 };
-use cloverfold_link::LinkId;
 use cloverfold_peer::{Hello, PeerMessage, PeerRole};
 
 use super::ControlState;
@@ -126,14 +124,4 @@
             self.tell_evacuations();
         }
     }
-
-    /// Records what an entry or guard knows of the evacuations.
-    pub(super) fn record_known_evacuations(&mut self, link: LinkId, known: &EvacuatedHalls) {
-        self.links.record_evacuations(link, known.revision);
-    }
-
-    /// Returns the revision in force here.
-    pub(crate) fn evacuation_revision(&self) -> EvacuationRevision {
-        self.evacuations().revision()
-    }
 }
--- a/crates/leased/cloverfold_control/src/state/peers.rs
+++ b/crates/leased/cloverfold_control/src/state/peers.rs
@@ -50,7 +50,9 @@
             PeerMessage::ReadReply { token, index } => self.finish_read(token, index),
             PeerMessage::VersionNotice { version, .. } => self.links.record_version(link, version),
             PeerMessage::EvacuationOrder(order) => self.receive_order(&order),
-            PeerMessage::Evacuations(known) => self.record_known_evacuations(link, &known),
+            PeerMessage::Evacuations(known) => {
+                self.links.record_evacuations(link, known.revision);
+            }
             PeerMessage::ToDispatcher(RunnerMessage::Target(Some(target))) => {
                 self.record_target(link, &target);
             }
--- a/crates/leased/cloverfold_control/src/state/status.rs
+++ b/crates/leased/cloverfold_control/src/state/status.rs
@@ -45,7 +45,7 @@
             "processes": self.describe_processes(),
         });
         // Absent before the first order, as in the status of builds that know none.
-        if self.evacuation_revision() > 0 {
+        if self.evacuations().revision() > 0 {
             described["evacuations"] = self.describe_evacuations();
         }
         described
@@ -64,7 +64,7 @@
                 })
             })
             .collect();
-        json!({ "revision": self.evacuation_revision(), "halls": halls })
+        json!({ "revision": self.evacuations().revision(), "halls": halls })
     }
 
     /// Describes the connected processes, each once, with the version in force there.
@@ -83,7 +83,7 @@
     fn describe_process(&self, link: LinkId, hello: &Hello) -> Value {
         let mut described = describe_hello(hello);
         let is_attached = matches!(hello.role, PeerRole::Entry | PeerRole::Guard);
-        if is_attached && self.evacuation_revision() > 0 {
+        if is_attached && self.evacuations().revision() > 0 {
             described["evacuations"] = json!(self.links.known_evacuations(link));
         }
         described
