Count and log what becomes of registrations and of ends under known numbers

Cause: the logs of the incident don't tell whether a guard took a report of its target or passed it over, nor why runs that are done count as lost. No decision changes: the verdict on a registration gets a name, a counter and a log line, an end that is passed over while its run is open gets a counter.

--- a/crates/leased/cloverfold_lease/src/lib.rs
+++ b/crates/leased/cloverfold_lease/src/lib.rs
@@ -61,9 +61,9 @@
 pub use request::{JobRequest, Objective, StepRequest};
 pub use resources::Resources;
 pub use runner::{
-    EndCause, EndedRun, ListedRun, ProcessorUse, RenewalAnswer, RenewalOrder, Runner, RunnerAction,
-    RunnerCounts, StartAnswer, StartOrder, StartRefusal, StopOrder, TargetRegistration,
-    UnavailableReason,
+    EndCause, EndedRun, ListedRun, ProcessorUse, RegistrationCounts, RegistrationVerdict,
+    RenewalAnswer, RenewalOrder, Runner, RunnerAction, RunnerCounts, StartAnswer, StartOrder,
+    StartRefusal, StopOrder, TargetRegistration, UnavailableReason,
 };
 pub use stall::{JOB_STALL, REQUEST_STALL};
 pub use startup::{STARTUP_SPAN, find_configuration_wait};
--- a/crates/leased/cloverfold_lease/src/runner/counts.rs
+++ b/crates/leased/cloverfold_lease/src/runner/counts.rs
@@ -24,6 +24,60 @@
     pub stuck: u64,
     /// Times the target was paused because of stuck runs.
     pub pauses: u64,
+    /// Ends listed under a number that was processed before, of runs that are still open here.
+    pub ends_passed_over: u64,
+    /// Registrations of the target, by what became of them.
+    pub registrations: RegistrationCounts,
+}
+
+/// Registrations since the start of the process, by what became of them. They only rise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RegistrationCounts {
+    /// Taken as the newest word of the target.
+    pub taken: u64,
+    /// Passed over, since a newer one of the same incarnation came before.
+    pub overtaken: u64,
+    /// Passed over, since their incarnation is over.
+    pub ended: u64,
+    /// Kept until the target's address has answered for the incarnation.
+    pub candidates: u64,
+}
+
+/// What became of a registration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RegistrationVerdict {
+    /// It is the newest word of the target.
+    Taken,
+    /// A newer one of the same incarnation came before: it changes nothing.
+    Overtaken,
+    /// Its incarnation is over: it changes nothing.
+    Ended,
+    /// Its incarnation is asked whether it is there.
+    Candidate,
+}
+
+impl RegistrationVerdict {
+    /// Returns the name by which logs and metrics call it; it is part of the outside interface.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Taken => "taken",
+            Self::Overtaken => "overtaken",
+            Self::Ended => "ended",
+            Self::Candidate => "candidate",
+        }
+    }
+}
+
+impl RegistrationCounts {
+    /// Counts one registration.
+    pub(super) fn record(&mut self, verdict: RegistrationVerdict) {
+        match verdict {
+            RegistrationVerdict::Taken => self.taken += 1,
+            RegistrationVerdict::Overtaken => self.overtaken += 1,
+            RegistrationVerdict::Ended => self.ended += 1,
+            RegistrationVerdict::Candidate => self.candidates += 1,
+        }
+    }
 }
 
 /// How the processors of the target are used, in thousandths of a core.
--- a/crates/leased/cloverfold_lease/src/runner/listing.rs
+++ b/crates/leased/cloverfold_lease/src/runner/listing.rs
@@ -29,12 +29,14 @@
         let Some(target) = &mut self.target else {
             return;
         };
+        let run = self.runs.get(&end.task);
+        let run = run.filter(|run| run.number == end.run);
         if end.number <= target.last_processed_end {
+            self.counts.ends_passed_over += u64::from(run.is_some());
             return;
         }
         target.last_processed_end = end.number;
-        let run = self.runs.get(&end.task);
-        let Some(run) = run.filter(|run| run.number == end.run) else {
+        let Some(run) = run else {
             if is_kept_run(end.run) && recorded_outcome(end.cause).is_some() {
                 target.held_ends.hold_unknown(end.number);
             }
--- a/crates/leased/cloverfold_lease/src/runner/mod.rs
+++ b/crates/leased/cloverfold_lease/src/runner/mod.rs
@@ -62,7 +62,7 @@
 pub use answers::{
     EndCause, EndedRun, ListedRun, RenewalAnswer, StartAnswer, StartRefusal, TargetRegistration,
 };
-pub use counts::{ProcessorUse, RunnerCounts};
+pub use counts::{ProcessorUse, RegistrationCounts, RegistrationVerdict, RunnerCounts};
 pub use orders::{RenewalOrder, StartOrder, StopOrder};
 pub use target_incarnation::UnavailableReason;
 
--- a/crates/leased/cloverfold_lease/src/runner/target.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target.rs
@@ -7,6 +7,7 @@
 
 use crate::messages::RunRefusal;
 use crate::runner::answers::TargetRegistration;
+use crate::runner::counts::RegistrationVerdict;
 use crate::runner::target_incarnation::TargetIncarnation;
 use crate::runner::{Runner, RunnerAction};
 
@@ -19,31 +20,54 @@
     /// Processes a registration of the target; one that comes late from an earlier incarnation changes nothing.
     ///
     /// An unknown name beside a known target is a candidate, which is asked whether it is there (`candidates`).
-    pub fn register(&mut self, registration: TargetRegistration, now: Timestamp) {
+    pub fn register(
+        &mut self,
+        registration: TargetRegistration,
+        now: Timestamp,
+    ) -> RegistrationVerdict {
         self.first_heard_at.get_or_insert(now);
+        let verdict = self.judge_registration(&registration);
+        self.counts.registrations.record(verdict);
+        match verdict {
+            RegistrationVerdict::Overtaken | RegistrationVerdict::Ended => {}
+            RegistrationVerdict::Taken if self.target.is_some() => {
+                self.update_registration(registration, now);
+            }
+            RegistrationVerdict::Taken => {
+                self.begin_target_incarnation(registration, self.first_fencing_token, now);
+            }
+            RegistrationVerdict::Candidate => {
+                let fencing_token = self.first_fencing_token;
+                self.candidates.record(registration, fencing_token, now);
+                self.actions.push(RunnerAction::RenewNow);
+            }
+        }
+        verdict
+    }
+
+    /// Decides what becomes of a registration.
+    fn judge_registration(&self, registration: &TargetRegistration) -> RegistrationVerdict {
         let name = &registration.incarnation;
         if self.ended_incarnations.contains(name) {
-            return;
+            return RegistrationVerdict::Ended;
         }
-        if self.target_of_incarnation(name).is_some() {
-            self.update_registration(registration, now);
-        } else if self.target.is_none() {
-            self.begin_target_incarnation(registration, self.first_fencing_token, now);
-        } else {
-            let fencing_token = self.first_fencing_token;
-            self.candidates.record(registration, fencing_token, now);
-            self.actions.push(RunnerAction::RenewNow);
+        match &self.target {
+            None => RegistrationVerdict::Taken,
+            Some(target) if target.registration.incarnation != *name => {
+                RegistrationVerdict::Candidate
+            }
+            Some(target) if registration.sequence < target.registration.sequence => {
+                RegistrationVerdict::Overtaken
+            }
+            Some(_) => RegistrationVerdict::Taken,
         }
     }
 
-    /// Updates the registration of the present incarnation; one that was overtaken by a newer one changes nothing.
+    /// Updates the registration of the present incarnation.
     fn update_registration(&mut self, registration: TargetRegistration, now: Timestamp) {
         let Some(target) = &mut self.target else {
             return;
         };
-        if registration.sequence < target.registration.sequence {
-            return;
-        }
         let was_draining = target.is_draining();
         target.registration = registration;
         let is_draining = target.is_draining();
--- a/crates/leased/cloverfold_leased_guard/src/event_log.rs
+++ b/crates/leased/cloverfold_leased_guard/src/event_log.rs
@@ -4,7 +4,10 @@
 //! nothing.
 
 use cloverfold_kept_jobs::{EndDecision, TaskEnd};
-use cloverfold_lease::{RunOutcome, RunnerMessage, StartAnswer, StartOrder, StopOrder};
+use cloverfold_lease::{
+    RegistrationVerdict, RunOutcome, RunnerMessage, StartAnswer, StartOrder, StopOrder,
+    TargetRegistration,
+};
 
 /// Logs the answer to a start that the target did not acknowledge.
 pub(crate) fn log_unacknowledged_start(order: &StartOrder, answer: &StartAnswer) {
@@ -62,6 +65,18 @@
     }
 }
 
+/// Logs a registration that changes nothing by itself; a target registers every few seconds at the most.
+pub(crate) fn log_registration(registration: &TargetRegistration, verdict: RegistrationVerdict) {
+    if verdict == RegistrationVerdict::Taken {
+        return;
+    }
+    log::info!(
+        target = registration.incarnation.as_str(), sequence = registration.sequence,
+        draining = registration.is_draining, verdict = verdict.as_str();
+        "a registration is not taken at once"
+    );
+}
+
 /// Logs what became of an incarnation that registered beside a known target.
 pub(crate) fn log_incarnation(incarnation: &str, is_living: bool) {
     if is_living {
--- a/crates/leased/cloverfold_leased_guard/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_guard/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Owns nothing but the gauges: the numbers are read off [`GuardState`] when they are asked for. Relies on [`ProcessMetrics`] for what every
 //! leased process counts.
 
-use cloverfold_lease::ProcessorUse;
+use cloverfold_lease::{ProcessorUse, RegistrationVerdict};
 use cloverfold_leased_process::{MetricsBuilder, ProcessMetrics};
 use cloverfold_telemetry::CauseGauges;
 use prometheus_client::metrics::gauge::Gauge;
@@ -23,6 +23,8 @@
     held_ends: Gauge,
     unrecorded_ends: Gauge,
     dropped_ends: Gauge,
+    passed_over_ends: Gauge,
+    registrations: CauseGauges,
     usual_slowness: Gauge,
     evacuation_revision: Gauge,
     evacuated_halls: Gauge,
@@ -33,6 +35,8 @@
         let mut metrics = MetricsBuilder::new("cloverfold_guard");
         let help = "Runs since the start, by what became of them";
         let runs = metrics.add_cause_gauges("runs", help);
+        let help = "Registrations of the target since the start, by what became of them";
+        let registrations = metrics.add_cause_gauges("registrations", help);
         Self {
             run_count: metrics.add_gauge("held_runs", "Runs held now, also those that wait"),
             is_target_ready: metrics.add_gauge("target_ready", "1 while the target takes work"),
@@ -49,6 +53,10 @@
                 "dropped_ends",
                 "Ends of kept runs that gave way without a decision, since the start",
             ),
+            passed_over_ends: metrics.add_gauge(
+                "passed_over_ends",
+                "Ends of open runs that came under numbers known before, since the start",
+            ),
             usual_slowness: metrics.add_gauge(
                 "usual_slowness_permille",
                 "How long runs usually take here, in thousandths of their estimates; 0 if unknown",
@@ -59,6 +67,7 @@
             ),
             evacuated_halls: metrics.add_gauge("evacuated_halls", "Data halls that get no work"),
             runs,
+            registrations,
             metrics: metrics.finish(),
         }
     }
@@ -92,6 +101,20 @@
         self.unrecorded_ends
             .set(state.unrecorded_end_count() as i64);
         self.dropped_ends.set(state.dropped_end_count() as i64);
+        self.passed_over_ends.set(counts.ends_passed_over as i64);
+        let registrations = counts.registrations;
+        self.registrations.set(&[
+            (RegistrationVerdict::Taken.as_str(), registrations.taken),
+            (
+                RegistrationVerdict::Overtaken.as_str(),
+                registrations.overtaken,
+            ),
+            (RegistrationVerdict::Ended.as_str(), registrations.ended),
+            (
+                RegistrationVerdict::Candidate.as_str(),
+                registrations.candidates,
+            ),
+        ]);
         let speed = state.usual_speed();
         self.usual_slowness.set(i64::from(speed.slowness_permille));
         let evacuated = state.evacuated_halls();
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -24,7 +24,9 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::configuration::ConfigurationCopy;
-use crate::event_log::{log_decision, log_end, log_incarnation, log_unacknowledged_start};
+use crate::event_log::{
+    log_decision, log_end, log_incarnation, log_registration, log_unacknowledged_start,
+};
 use crate::interface::RegistrationCall;
 use crate::target_orders::TargetOrder;
 
@@ -171,7 +173,10 @@
     pub(crate) fn receive_registration(&mut self, call: RegistrationCall) {
         let now = self.clock.now();
         match call {
-            RegistrationCall::Register(registration) => self.runner.register(registration, now),
+            RegistrationCall::Register(registration) => {
+                let verdict = self.runner.register(registration.clone(), now);
+                log_registration(&registration, verdict);
+            }
             RegistrationCall::Leave { incarnation } => {
                 log::info!(target = incarnation.as_str(); "the target has left");
                 self.runner.unregister(&incarnation, now);
