--- a/benches/benches/dispatch.rs
+++ b/benches/benches/dispatch.rs
@@ -9,8 +9,8 @@
 use cloverfold_base::Timestamp;
 use cloverfold_lease::{
     Assignment, Dispatcher, DispatcherAction, DispatcherMessage, EndCause, EndedRun, FreeCapacity,
-    HealthLimits, JobRequest, Objective, RenewalAnswer, Resources, RunOutcome, Runner,
-    RunnerAction, RunnerMessage, SessionId, StartAnswer, StepRequest, TargetDescription,
+    HealthLimits, IncarnationId, JobRequest, Objective, RenewalAnswer, Resources, RunOutcome,
+    Runner, RunnerAction, RunnerMessage, SessionId, StartAnswer, StepRequest, TargetDescription,
     TargetRegistration, TaskId, Timings,
 };
 
@@ -155,7 +155,10 @@
     let mut runner = Runner::new(Timings::default(), 1_000);
     runner.register(
         TargetRegistration {
-            incarnation: "target".into(),
+            incarnation: IncarnationId {
+                name: "target".into(),
+                born: None,
+            },
             service: "service".into(),
             address: "127.0.0.1:1".into(),
             capacity: CAPACITY,
@@ -180,6 +183,7 @@
 
 fn listed(ended: Vec<EndedRun>) -> RenewalAnswer {
     RenewalAnswer::Listed {
+        born: None,
         clock: 50_001,
         running: vec![],
         ended,
--- a/crates/leased/cloverfold_lease/src/lib.rs
+++ b/crates/leased/cloverfold_lease/src/lib.rs
@@ -61,13 +61,13 @@
 pub use request::{JobRequest, Objective, StepRequest};
 pub use resources::Resources;
 pub use runner::{
-    EndCause, EndedRun, ListedRun, ProcessorUse, RegistrationCounts, RegistrationVerdict,
-    RenewalAnswer, RenewalOrder, Runner, RunnerAction, RunnerCounts, StartAnswer, StartOrder,
-    StartRefusal, StopOrder, TargetRegistration, UnavailableReason,
+    BornMs, EndCause, EndedRun, IncarnationId, ListedRun, ProcessorUse, RegistrationCounts,
+    RegistrationVerdict, RenewalAnswer, RenewalOrder, Runner, RunnerAction, RunnerCounts,
+    StartAnswer, StartOrder, StartRefusal, StopOrder, TargetRegistration, UnavailableReason,
 };
 pub use stall::{JOB_STALL, REQUEST_STALL};
 pub use startup::{STARTUP_SPAN, find_configuration_wait};
 pub use timings::{
-    CLOCK_DRIFT_PERMILLE, DEFAULT_LEASE, DEFAULT_RESEND, DEFAULT_SESSION, DEFAULT_STOP, TargetTime,
-    Timings,
+    CLOCK_DRIFT_PERMILLE, DEFAULT_LEASE, DEFAULT_LONGEST_LEASE, DEFAULT_RESEND, DEFAULT_SESSION,
+    DEFAULT_STOP, TargetTime, Timings,
 };
--- a/crates/leased/cloverfold_lease/src/runner/actions.rs
+++ b/crates/leased/cloverfold_lease/src/runner/actions.rs
@@ -5,6 +5,7 @@
 use cloverfold_kept_jobs::TaskEnd;
 
 use crate::messages::{RunnerMessage, SessionId};
+use crate::runner::incarnation_id::IncarnationId;
 use crate::runner::orders::{StartOrder, StopOrder};
 
 /// One thing that the process around a runner has to do, in the order in which they are returned.
@@ -25,7 +26,7 @@
     /// Log that an incarnation beside the known target was asked for, and whether it lives.
     ReportIncarnation {
         /// Its name.
-        incarnation: String,
+        incarnation: IncarnationId,
         /// Whether it lives and is the target now; otherwise it is ignored from now on.
         is_living: bool,
     },
--- a/crates/leased/cloverfold_lease/src/runner/answers.rs
+++ b/crates/leased/cloverfold_lease/src/runner/answers.rs
@@ -6,13 +6,14 @@
 
 use crate::messages::TaskId;
 use crate::resources::Resources;
+use crate::runner::incarnation_id::{BornMs, IncarnationId};
 use crate::timings::TargetTime;
 
 /// What a target reports of itself when it registers, and again at intervals.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetRegistration {
-    /// Name of this incarnation of the target; another name is another incarnation.
-    pub incarnation: String,
+    /// The incarnation of the target that reports.
+    pub incarnation: IncarnationId,
     /// Name of the service whose tasks it runs.
     pub service: String,
     /// Host and port at which it takes orders.
@@ -147,6 +148,8 @@
 pub enum RenewalAnswer {
     /// What runs and what has ended.
     Listed {
+        /// When the incarnation started that answers; `None` if it does not tell.
+        born: Option<BornMs>,
         /// The target's clock, in milliseconds.
         clock: TargetTime,
         /// All that runs there, whoever started it.
--- a/crates/leased/cloverfold_lease/src/runner/candidates.rs
+++ b/crates/leased/cloverfold_lease/src/runner/candidates.rs
@@ -1,13 +1,16 @@
 //! Decision: which of several incarnations that have registered is the living target.
 //!
-//! A registration may be delayed on its way, also past the crash of its sender and the registration of the next incarnation. So an
-//! unknown name beside a known target is only a **candidate**. The target's address is asked for it with a renewal that extends no
-//! lease: only an incarnation that lives answers to its own name.
+//! A registration may be delayed on its way, also past the crash of its sender and the registration of the next incarnation. So an unknown
+//! incarnation beside a known target is only a **candidate**. The target's address is asked for it with a renewal that extends no lease: only a
+//! incarnation that is there answers to its name, and its list tells when it started. Starts are compared for equality alone, since the
+//! clock by which a target tells them may be put back between two incarnations.
 //!
 //! | answer | conclusion |
 //! |---|---|
-//! | a list | it lives and has replaced the target before it, whose runs are over |
-//! | another incarnation is there | it is dead; what comes from it later is ignored |
+//! | a list of this incarnation, under another name than the target's | it lives and has replaced the target before it, whose runs are over |
+//! | a list of this incarnation, under the target's name | it lives; the target is followed into it (`succession`) |
+//! | a list of another incarnation under its name | it is dead; what comes from it later is ignored |
+//! | a target of another name is there | the same |
 //! | the fencing token is too low | it is asked again with a higher one |
 //! | none | it is asked again, until [`CANDIDATE_MEMORY`] after it registered last |
 //!
@@ -22,6 +25,7 @@
 use cloverfold_base::Timestamp;
 
 use crate::runner::answers::TargetRegistration;
+use crate::runner::incarnation_id::IncarnationId;
 use crate::runner::target_incarnation::FENCING_TOKEN_STEP;
 
 /// How long a candidate is asked after it registered last. Longer than the interval at which targets register, so that a living one is
@@ -92,16 +96,16 @@
     }
 
     /// Removes a candidate.
-    pub(super) fn remove(&mut self, incarnation: &str) -> Option<Candidate> {
-        let is_meant = |known: &Candidate| known.registration.incarnation == incarnation;
+    pub(super) fn remove(&mut self, incarnation: &IncarnationId) -> Option<Candidate> {
+        let is_meant = |known: &Candidate| known.registration.incarnation == *incarnation;
         let index = self.known.iter().position(is_meant)?;
         Some(self.known.remove(index))
     }
 
     /// Raises the fencing token of a candidate above one that it has refused.
-    pub(super) fn raise_fencing_token(&mut self, incarnation: &str, refused: u64) {
+    pub(super) fn raise_fencing_token(&mut self, incarnation: &IncarnationId, refused: u64) {
         let mut known = self.known.iter_mut();
-        let meant = known.find(|known| known.registration.incarnation == incarnation);
+        let meant = known.find(|known| known.registration.incarnation == *incarnation);
         if let Some(candidate) = meant {
             candidate.fencing_token = candidate.fencing_token.max(refused + FENCING_TOKEN_STEP);
         }
--- a/crates/leased/cloverfold_lease/src/runner/counts.rs
+++ b/crates/leased/cloverfold_lease/src/runner/counts.rs
@@ -39,6 +39,8 @@
     pub overtaken: u64,
     /// Passed over, since their incarnation is over.
     pub ended: u64,
+    /// Passed over, since they leave out when their incarnation started, though the target tells.
+    pub foreign: u64,
     /// Kept until the target's address has answered for the incarnation.
     pub candidates: u64,
 }
@@ -52,6 +54,8 @@
     Overtaken,
     /// Its incarnation is over: it changes nothing.
     Ended,
+    /// It leaves out when its incarnation started, though the target tells: another writer's word, which changes nothing.
+    Foreign,
     /// Its incarnation is asked whether it is there.
     Candidate,
 }
@@ -63,6 +67,7 @@
             Self::Taken => "taken",
             Self::Overtaken => "overtaken",
             Self::Ended => "ended",
+            Self::Foreign => "foreign",
             Self::Candidate => "candidate",
         }
     }
@@ -75,6 +80,7 @@
             RegistrationVerdict::Taken => self.taken += 1,
             RegistrationVerdict::Overtaken => self.overtaken += 1,
             RegistrationVerdict::Ended => self.ended += 1,
+            RegistrationVerdict::Foreign => self.foreign += 1,
             RegistrationVerdict::Candidate => self.candidates += 1,
         }
     }
--- a/crates/leased/cloverfold_lease/src/runner/mod.rs
+++ b/crates/leased/cloverfold_lease/src/runner/mod.rs
@@ -17,6 +17,7 @@
 //! | whether the target is paused or on probation, how slow it is | `performance` |
 //! | whether the target accepts work, when its lease has lapsed, when the fencing token rises | `target_incarnation` |
 //! | which incarnation is the target | `candidates` |
+//! | what another incarnation under the same name does to runs | `succession` |
 //! | how fast the target usually is | `usual_speed` |
 //! | whether the target is unresponsive | `target` |
 //! | when a lease is extended | `renewals` |
@@ -35,6 +36,7 @@
 mod ending;
 mod evacuation;
 mod held_ends;
+mod incarnation_id;
 mod lapses;
 mod listing;
 mod orders;
@@ -49,6 +51,7 @@
 mod starts;
 mod stops;
 mod stuck_runs;
+mod succession;
 mod target;
 mod target_incarnation;
 mod unlisted;
@@ -63,6 +66,7 @@
     EndCause, EndedRun, ListedRun, RenewalAnswer, StartAnswer, StartRefusal, TargetRegistration,
 };
 pub use counts::{ProcessorUse, RegistrationCounts, RegistrationVerdict, RunnerCounts};
+pub use incarnation_id::{BornMs, IncarnationId};
 pub use orders::{RenewalOrder, StartOrder, StopOrder};
 pub use target_incarnation::UnavailableReason;
 
@@ -97,8 +101,8 @@
     target: Option<TargetIncarnation>,
     candidates: Candidates,
     usual_speeds: UsualSpeeds,
-    /// Names of earlier incarnations of the target, oldest first.
-    ended_incarnations: VecDeque<String>,
+    /// Earlier incarnations of the target, oldest first.
+    ended_incarnations: VecDeque<IncarnationId>,
     /// When a target was heard of first: an earlier process beside it has ordered nothing later.
     first_heard_at: Option<Timestamp>,
     is_leaving: bool,
--- a/crates/leased/cloverfold_lease/src/runner/orders.rs
+++ b/crates/leased/cloverfold_lease/src/runner/orders.rs
@@ -2,14 +2,15 @@
 //!
 //! Separates the decisions from the package that speaks to targets, which owns the wire format. Owns no state.
 //!
-//! Every order names the incarnation that is meant and carries a fencing token; a target refuses an order to another incarnation, or
-//! with a fencing token below the highest that it has seen.
+//! Every order names the target that is meant and carries a fencing token; a target of another name refuses it, and so does an incarnation that has
+//! seen a higher fencing token. Another incarnation under the same name carries it out (`succession`).
 
 use std::time::Duration;
 
 use cloverfold_base::Timestamp;
 
 use crate::messages::TaskId;
+use crate::runner::incarnation_id::IncarnationId;
 use crate::timings::TargetTime;
 
 /// Order to start a run, which also extends the lease.
@@ -17,8 +18,8 @@
 /// Sent again it has the same deadline, and the target acknowledges a run that it already has.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StartOrder {
-    /// The incarnation of the target that is meant.
-    pub incarnation: String,
+    /// The incarnation of the target that is meant; the target is called by its name alone.
+    pub incarnation: IncarnationId,
     /// Host and port of the target.
     pub address: String,
     /// The task.
@@ -40,8 +41,8 @@
 /// Order to stop a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StopOrder {
-    /// The incarnation of the target that is meant.
-    pub incarnation: String,
+    /// The incarnation of the target that is meant; the target is called by its name alone.
+    pub incarnation: IncarnationId,
     /// Host and port of the target.
     pub address: String,
     /// The task.
@@ -57,8 +58,8 @@
 /// Order to extend the lease, forget the ends up to a number, and list what runs and what has ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RenewalOrder {
-    /// The incarnation of the target that is meant.
-    pub incarnation: String,
+    /// The incarnation of the target that is meant; the target is called by its name alone.
+    pub incarnation: IncarnationId,
     /// Host and port of the target.
     pub address: String,
     /// New end of the lease on the target's clock, in milliseconds; none leaves it as it is.
--- a/crates/leased/cloverfold_lease/src/runner/renewals.rs
+++ b/crates/leased/cloverfold_lease/src/runner/renewals.rs
@@ -8,6 +8,7 @@
 use cloverfold_base::Timestamp;
 
 use crate::runner::answers::{EndedRun, ListedRun, RenewalAnswer};
+use crate::runner::incarnation_id::IncarnationId;
 use crate::runner::orders::RenewalOrder;
 use crate::runner::unlisted::ListTimes;
 use crate::runner::{Runner, RunnerAction};
@@ -68,8 +69,8 @@
 
     /// Processes the answer to a renewal or to a question.
     ///
-    /// An answer from another incarnation, or one that was overtaken by the answer to a later renewal, changes nothing. No answer
-    /// changes nothing here either: `check_responsiveness` notices it.
+    /// An answer from a target of another name, or one that was overtaken by the answer to a later renewal, changes nothing. No answer
+    /// changes nothing of the runs either: `check_responsiveness` notices it.
     pub fn receive_renewal_answer(
         &mut self,
         order: &RenewalOrder,
@@ -77,14 +78,9 @@
         now: Timestamp,
     ) {
         self.expire_sessions(now);
-        if self.target_of_incarnation(&order.incarnation).is_none() {
-            self.judge_candidate(order, &answer, now);
-        }
-        let Some(target) = self.target_of_incarnation(&order.incarnation) else {
-            return;
-        };
         match answer {
             RenewalAnswer::Listed {
+                born,
                 clock,
                 running,
                 ended,
@@ -94,40 +90,72 @@
                     running,
                     ended,
                 };
-                self.receive_list(order, list, now);
+                self.receive_list_of(order.incarnation.answered_by(born), order, list, now);
+            }
+            RenewalAnswer::Fenced => self.receive_fenced(order),
+            RenewalAnswer::OtherIncarnation => self.discard_candidate(&order.incarnation),
+            RenewalAnswer::Unanswered => {
+                if let Some(target) = self.target_of_incarnation(&order.incarnation) {
+                    target.is_answer_missing = true;
+                }
             }
-            RenewalAnswer::Fenced => target.raise_fencing_token(order.fencing_token),
-            RenewalAnswer::OtherIncarnation | RenewalAnswer::Unanswered => {}
         }
     }
 
-    /// Makes a candidate the target that has answered with its list, and forgets one that is not there.
-    fn judge_candidate(&mut self, order: &RenewalOrder, answer: &RenewalAnswer, now: Timestamp) {
-        let name = &order.incarnation;
-        match answer {
-            RenewalAnswer::Listed { .. } => {
-                if let Some(candidate) = self.candidates.remove(name) {
-                    let token = candidate.fencing_token;
-                    self.begin_target_incarnation(candidate.registration, token, now);
-                    self.report_incarnation(name, true);
-                }
-            }
-            RenewalAnswer::OtherIncarnation => {
-                if self.candidates.remove(name).is_some() {
-                    self.remember_as_ended(name.clone());
-                    self.report_incarnation(name, false);
-                }
-            }
-            RenewalAnswer::Fenced => {
-                let refused = order.fencing_token;
-                self.candidates.raise_fencing_token(name, refused);
+    /// Processes a list and what it shows of who lives: `incarnation` has answered, `order` may have meant another one.
+    fn receive_list_of(
+        &mut self,
+        incarnation: IncarnationId,
+        order: &RenewalOrder,
+        list: TargetList,
+        now: Timestamp,
+    ) {
+        if incarnation != order.incarnation {
+            self.discard_candidate(&order.incarnation);
+        }
+        if self.target_of_incarnation(&incarnation).is_some() {
+            if incarnation == order.incarnation {
+                self.receive_list(order, list, now);
             }
-            RenewalAnswer::Unanswered => {}
+            return;
+        }
+        let candidate = self.candidates.remove(&incarnation);
+        let target = self.target.as_ref();
+        let is_same_name =
+            target.is_some_and(|target| target.registration.incarnation.name == incarnation.name);
+        if is_same_name {
+            // What this list shows was asked for with the numbers of another incarnation: the next one counts.
+            let registration = candidate.map(|candidate| candidate.registration);
+            self.follow_target(incarnation.clone(), registration, now);
+            self.report_incarnation(incarnation, true);
+        } else if let Some(candidate) = candidate {
+            let token = candidate.fencing_token;
+            self.begin_target_incarnation(candidate.registration, token, now);
+            self.report_incarnation(incarnation, true);
+            self.receive_list(order, list, now);
+        }
+    }
+
+    /// Raises the fencing token of the target or of the candidate that has refused it.
+    fn receive_fenced(&mut self, order: &RenewalOrder) {
+        let refused = order.fencing_token;
+        match self.target_of_incarnation(&order.incarnation) {
+            Some(target) => target.raise_fencing_token(refused),
+            None => self
+                .candidates
+                .raise_fencing_token(&order.incarnation, refused),
+        }
+    }
+
+    /// Forgets a candidate that is not there.
+    fn discard_candidate(&mut self, incarnation: &IncarnationId) {
+        if self.candidates.remove(incarnation).is_some() {
+            self.remember_as_ended(incarnation.clone());
+            self.report_incarnation(incarnation.clone(), false);
         }
     }
 
-    fn report_incarnation(&mut self, incarnation: &str, is_living: bool) {
-        let incarnation = incarnation.into();
+    fn report_incarnation(&mut self, incarnation: IncarnationId, is_living: bool) {
         self.actions.push(RunnerAction::ReportIncarnation {
             incarnation,
             is_living,
@@ -146,10 +174,13 @@
         target.newest_renewal_sent_at = order.sent_at;
         target.answered_at = now;
         target.is_unresponsive = false;
+        target.is_answer_missing = false;
+        target.record_fence(order.fencing_token, now);
         target.read_clock(list.clock, now);
         let times = ListTimes {
             asked_at: order.sent_at,
             clock: list.clock,
+            fencing_token: order.fencing_token,
         };
         self.record_ends(list.ended, now);
         self.check_withheld_lease(now);
--- a/crates/leased/cloverfold_lease/src/runner/run.rs
+++ b/crates/leased/cloverfold_lease/src/runner/run.rs
@@ -44,11 +44,22 @@
     pub(super) attempts: u32,
 }
 
+/// What shows that a run whose stop was sent neither runs nor can start any more, besides its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EndProof {
+    /// It was known to run: a list leaves it out that was asked for after the stop.
+    ListedAfterStop,
+    /// A start may be under way: a list leaves it out that was made after this on the target's clock, when the target refuses that start.
+    StartExpired(TargetTime),
+    /// It was started in an earlier incarnation of the target: a list leaves it out that was asked for with this fencing token or a higher one.
+    IncarnationFenced(u64),
+}
+
 /// A stop that was sent; the run keeps its capacity until its end is certain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct PendingStop {
-    /// On the target's clock: a start of this run that is still under way is refused after this. None if the run was known to run.
-    pub(super) start_deadline: Option<TargetTime>,
+    /// What has to be seen before the run counts as over.
+    pub(super) proof: EndProof,
     /// When the first stop was sent.
     pub(super) first_sent_at: Timestamp,
     /// When the newest stop was sent.
@@ -258,18 +269,29 @@
         outcome_if_never_started: RunOutcome,
         now: Timestamp,
     ) -> StopStep {
-        let start_deadline = match self.state {
+        let proof = match self.state {
             RunState::Waiting { .. } => return StopStep::IsOver,
             RunState::Stopping(_) => return StopStep::IsStopping,
-            RunState::Starting(start) => Some(start.deadline),
-            RunState::Running { .. } => None,
+            RunState::Starting(start) => EndProof::StartExpired(start.deadline),
+            RunState::Running { .. } => EndProof::ListedAfterStop,
         };
         self.state = RunState::Stopping(PendingStop {
-            start_deadline,
+            proof,
             first_sent_at: now,
             last_sent_at: now,
             outcome_if_never_started,
         });
         StopStep::SendStop
     }
+
+    /// Any state in which it was started -> Stopping: the incarnation of the target is over in which it was, and another one may have taken its
+    /// start. `fencing_token` is above those of its orders.
+    pub(super) fn outlive_incarnation(&mut self, fencing_token: u64, now: Timestamp) {
+        self.state = RunState::Stopping(PendingStop {
+            proof: EndProof::IncarnationFenced(fencing_token),
+            first_sent_at: now,
+            last_sent_at: now,
+            outcome_if_never_started: RunOutcome::Lost,
+        });
+    }
 }
--- a/crates/leased/cloverfold_lease/src/runner/starts.rs
+++ b/crates/leased/cloverfold_lease/src/runner/starts.rs
@@ -51,8 +51,8 @@
 
     /// Processes the answer to a start.
     ///
-    /// An answer to a run that is no longer starting, or from another incarnation of the target, changes nothing but what is known of
-    /// the target's clock and fencing token.
+    /// An answer to a run that is no longer starting changes nothing but what is known of the target's clock and fencing token; one to an
+    /// order for another incarnation changes nothing at all, since it may show that incarnation's clock.
     pub fn receive_start_answer(
         &mut self,
         order: &StartOrder,
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Records what an answer shows of the target's clock and fencing token; returns whether it came from the present target.
+    /// Records what an answer shows of the target's clock and fencing token; returns whether it was for the present incarnation.
     fn learn_from_start_answer(
         &mut self,
         order: &StartOrder,
--- a/crates/leased/cloverfold_lease/src/runner/target.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target.rs
@@ -8,10 +8,11 @@
 use crate::messages::RunRefusal;
 use crate::runner::answers::TargetRegistration;
 use crate::runner::counts::RegistrationVerdict;
+use crate::runner::incarnation_id::IncarnationId;
 use crate::runner::target_incarnation::TargetIncarnation;
 use crate::runner::{Runner, RunnerAction};
 
-/// Incarnations of the target that are remembered as over, so that a registration that comes late from one is ignored.
+/// Lives of the target that are remembered as over, so that a registration that comes late from one is ignored.
 ///
 /// Chosen, not measured.
 const REMEMBERED_INCARNATIONS: usize = 16;
@@ -19,7 +20,7 @@
 impl Runner {
     /// Processes a registration of the target; one that comes late from an earlier incarnation changes nothing.
     ///
-    /// An unknown name beside a known target is a candidate, which is asked whether it is there (`candidates`).
+    /// An unknown incarnation beside a known target is a candidate, which is asked whether it is there (`candidates`).
     pub fn register(
         &mut self,
         registration: TargetRegistration,
@@ -29,7 +30,9 @@
         let verdict = self.judge_registration(&registration);
         self.counts.registrations.record(verdict);
         match verdict {
-            RegistrationVerdict::Overtaken | RegistrationVerdict::Ended => {}
+            RegistrationVerdict::Overtaken
+            | RegistrationVerdict::Ended
+            | RegistrationVerdict::Foreign => {}
             RegistrationVerdict::Taken if self.target.is_some() => {
                 self.update_registration(registration, now);
             }
@@ -37,7 +40,7 @@
                 self.begin_target_incarnation(registration, self.first_fencing_token, now);
             }
             RegistrationVerdict::Candidate => {
-                let fencing_token = self.first_fencing_token;
+                let fencing_token = self.fencing_token_for(&registration.incarnation);
                 self.candidates.record(registration, fencing_token, now);
                 self.actions.push(RunnerAction::RenewNow);
             }
@@ -46,21 +49,36 @@
     }
 
     /// Decides what becomes of a registration.
+    ///
+    /// Sequences are compared within an incarnation alone: a target that starts again counts anew, and all that it said, that it leaves too, would
+    /// pass for late words of its incarnation before.
     fn judge_registration(&self, registration: &TargetRegistration) -> RegistrationVerdict {
-        let name = &registration.incarnation;
-        if self.ended_incarnations.contains(name) {
+        let incarnation = &registration.incarnation;
+        if self.ended_incarnations.contains(incarnation) {
             return RegistrationVerdict::Ended;
         }
-        match &self.target {
-            None => RegistrationVerdict::Taken,
-            Some(target) if target.registration.incarnation != *name => {
-                RegistrationVerdict::Candidate
-            }
-            Some(target) if registration.sequence < target.registration.sequence => {
-                RegistrationVerdict::Overtaken
-            }
-            Some(_) => RegistrationVerdict::Taken,
+        let Some(target) = &self.target else {
+            return RegistrationVerdict::Taken;
+        };
+        if target.registration.incarnation.is_hidden_in(incarnation) {
+            return RegistrationVerdict::Foreign;
+        }
+        if target.registration.incarnation != *incarnation {
+            return RegistrationVerdict::Candidate;
+        }
+        if registration.sequence < target.registration.sequence {
+            return RegistrationVerdict::Overtaken;
         }
+        RegistrationVerdict::Taken
+    }
+
+    /// Returns the fencing token with which a candidate is asked first: one that the target's present incarnation, which may answer in its place,
+    /// does not refuse either.
+    fn fencing_token_for(&self, incarnation: &IncarnationId) -> u64 {
+        let target = self.target.as_ref();
+        let target =
+            target.filter(|target| target.registration.incarnation.name == incarnation.name);
+        target.map_or(self.first_fencing_token, |target| target.fencing_token)
     }
 
     /// Updates the registration of the present incarnation.
@@ -69,9 +87,14 @@
             return;
         };
         let was_draining = target.is_draining();
+        let was_registered = target.is_registered;
         target.registration = registration;
+        target.is_registered = true;
         let is_draining = target.is_draining();
-        if is_draining == was_draining {
+        if !was_registered {
+            self.usual_speeds.record_target(&target.registration);
+        }
+        if is_draining == was_draining && was_registered {
             return;
         }
         if is_draining {
@@ -81,22 +104,35 @@
     }
 
     /// Forgets the target or candidate that reports its own end, and ends its runs.
-    pub fn unregister(&mut self, incarnation: &str, now: Timestamp) {
-        if self.target_of_incarnation(incarnation).is_some() {
+    ///
+    /// A target that tells its incarnations apart drains before it ends. A word without the start of its incarnation, while the present one does not
+    /// drain, is a late one of an earlier incarnation and changes nothing: a target that is gone is noticed by its silence. Returns whether the
+    /// word was taken.
+    pub fn unregister(&mut self, incarnation: &IncarnationId, now: Timestamp) -> bool {
+        if self.candidates.remove(incarnation).is_some() {
+            self.remember_as_ended(incarnation.clone());
+            return true;
+        }
+        let Some(target) = &self.target else {
+            return false;
+        };
+        let present = &target.registration.incarnation;
+        let is_meant =
+            present == incarnation || (present.is_hidden_in(incarnation) && target.is_draining());
+        if is_meant {
             self.end_target_incarnation(now);
             self.announce_target();
-        } else if self.candidates.remove(incarnation).is_some() {
-            self.remember_as_ended(incarnation.into());
         }
+        is_meant
     }
 
-    /// Returns the present target if its incarnation has this name.
+    /// Returns the present target if this is its incarnation.
     pub(super) fn target_of_incarnation(
         &mut self,
-        incarnation: &str,
+        incarnation: &IncarnationId,
     ) -> Option<&mut TargetIncarnation> {
         let target = self.target.as_mut();
-        target.filter(|target| target.registration.incarnation == incarnation)
+        target.filter(|target| target.registration.incarnation == *incarnation)
     }
 
     /// Makes a new incarnation the target, which ends all runs of the one before, and asks for its list.
@@ -129,7 +165,7 @@
     }
 
     /// Remembers an incarnation as over: what comes from it later is ignored.
-    pub(super) fn remember_as_ended(&mut self, incarnation: String) {
+    pub(super) fn remember_as_ended(&mut self, incarnation: IncarnationId) {
         self.ended_incarnations.push_back(incarnation);
         if self.ended_incarnations.len() > REMEMBERED_INCARNATIONS {
             self.ended_incarnations.pop_front();
--- a/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
@@ -11,6 +11,7 @@
 use crate::resources::Resources;
 use crate::runner::answers::TargetRegistration;
 use crate::runner::held_ends::HeldEnds;
+use crate::runner::incarnation_id::IncarnationId;
 use crate::runner::performance::TargetPerformance;
 use crate::timings::{TargetTime, Timings};
 
@@ -68,10 +69,21 @@
     received_at: Timestamp,
 }
 
+/// The orders that were sent to the incarnation before under the same name, and may have reached this one.
+#[derive(Clone, Copy, Debug)]
+struct OrdersBefore {
+    /// The fencing token with which the target is to refuse them; `None` once it has seen it.
+    awaited_token: Option<u64>,
+    /// When it had seen it; until then, when this incarnation was found.
+    refused_at: Timestamp,
+}
+
 /// What is known of one incarnation of the target.
 #[derive(Clone, Debug)]
 pub(super) struct TargetIncarnation {
     pub(super) registration: TargetRegistration,
+    /// Whether it has registered itself; otherwise the registration is that of the incarnation before, and it gets no work.
+    pub(super) is_registered: bool,
     /// Rises with each incarnation in this process.
     number: u64,
     pub(super) fencing_token: u64,
@@ -91,6 +103,10 @@
     /// Whether its newest list contained nothing but runs of this runner.
     pub(super) has_only_own_runs: bool,
     pub(super) is_unresponsive: bool,
+    /// Whether the newest renewal was not answered: another incarnation may answer the next one.
+    pub(super) is_answer_missing: bool,
+    /// Until when orders to the incarnation before it under its name may have extended its lease; `None` for a target that had none.
+    orders_before: Option<OrdersBefore>,
     pub(super) performance: TargetPerformance,
 }
 
@@ -107,6 +123,7 @@
         });
         Self {
             registration,
+            is_registered: true,
             number,
             fencing_token,
             clock,
@@ -118,10 +135,52 @@
             answered_at: now,
             has_only_own_runs: false,
             is_unresponsive: false,
+            is_answer_missing: false,
+            orders_before: None,
             performance: TargetPerformance::new(),
         }
     }
 
+    /// Returns the next incarnation of the target under the same name, with a fencing token above that of this one.
+    pub(super) fn succeed(
+        &self,
+        incarnation: IncarnationId,
+        registration: Option<TargetRegistration>,
+        number: u64,
+        now: Timestamp,
+    ) -> Self {
+        let is_registered = registration.is_some();
+        let registration = registration.unwrap_or_else(|| TargetRegistration {
+            incarnation,
+            is_draining: false,
+            clock: None,
+            sequence: 0,
+            ..self.registration.clone()
+        });
+        let fencing_token = self.fencing_token + 1;
+        Self {
+            is_registered,
+            orders_before: Some(OrdersBefore {
+                awaited_token: Some(fencing_token),
+                refused_at: now,
+            }),
+            ..Self::new(registration, number, fencing_token, now)
+        }
+    }
+
+    /// Records that it has answered a list that was asked for with this fencing token.
+    pub(super) fn record_fence(&mut self, fencing_token: u64, now: Timestamp) {
+        let Some(before) = &mut self.orders_before else {
+            return;
+        };
+        let is_first = before
+            .awaited_token
+            .take_if(|token| fencing_token >= *token);
+        if is_first.is_some() {
+            before.refused_at = now;
+        }
+    }
+
     pub(super) fn number(&self) -> u64 {
         self.number
     }
@@ -143,7 +202,9 @@
     /// It gets work while it does not drain, answers, lets its runs make progress, runs nothing that this runner did not start, its
     /// clock is known, and its lease is extended.
     pub(super) fn find_unavailable_reason(&self) -> Option<UnavailableReason> {
-        if self.registration.is_draining {
+        if !self.is_registered {
+            Some(UnavailableReason::NoTarget)
+        } else if self.registration.is_draining {
             Some(UnavailableReason::Draining)
         } else if self.is_unresponsive {
             Some(UnavailableReason::Unresponsive)
@@ -168,7 +229,7 @@
     /// Returns what dispatchers are sent about the target.
     pub(super) fn describe(&self) -> TargetDescription {
         TargetDescription {
-            incarnation: self.registration.incarnation.clone(),
+            incarnation: self.registration.incarnation.name.clone(),
             service: self.registration.service.clone(),
             capacity: self.registration.capacity,
             labels: self.registration.labels.clone(),
@@ -183,8 +244,12 @@
         });
     }
 
-    /// Returns the number up to which the target may forget ends.
+    /// Returns the number up to which the target may forget ends: none while a renewal is unanswered. Numbers begin anew in each incarnation, and
+    /// another incarnation that answers the next renewal would forget ends that nobody has seen.
     pub(super) fn acknowledged_end(&self) -> u64 {
+        if self.is_answer_missing {
+            return 0;
+        }
         let held = self.held_ends.first();
         held.map_or(self.last_processed_end, |first| first - 1)
     }
@@ -209,8 +274,14 @@
     ///
     /// The latest deadline that was sent lies `left` after the newest reading of the target's clock. That clock may be slow, so `left` lasts
     /// up to [`Timings::longest_true_span`] of it here; then the target has [`Timings::stop`] to end its runs. A reading that is later than
-    /// that shows it at once. Without a reading no order had a deadline, so there is no lease.
+    /// that shows it at once. Without a reading no order had a deadline, so there is no lease. What orders to an earlier incarnation of the same
+    /// name have extended is cut by the target to the longest lease that it grants.
     pub(super) fn has_lease_lapsed(&self, timings: &Timings, now: Timestamp) -> bool {
+        let longest = timings.longest_true_span(timings.longest_lease) + timings.stop;
+        let before = self.orders_before;
+        if before.is_some_and(|before| now <= before.refused_at + longest) {
+            return false;
+        }
         let Some(reading) = self.clock else {
             return true;
         };
--- a/crates/leased/cloverfold_lease/src/runner/unlisted.rs
+++ b/crates/leased/cloverfold_lease/src/runner/unlisted.rs
@@ -5,7 +5,7 @@
 use cloverfold_base::Timestamp;
 
 use crate::messages::{RunOutcome, RunRefusal};
-use crate::runner::run::{PendingStop, RunState};
+use crate::runner::run::{EndProof, PendingStop, RunState};
 use crate::timings::TargetTime;
 
 /// When a list of the target's runs was made, on both clocks.
@@ -15,6 +15,8 @@
     pub(super) asked_at: Timestamp,
     /// The target's clock in its answer.
     pub(super) clock: TargetTime,
+    /// With which it was asked: since then it refuses lower ones.
+    pub(super) fencing_token: u64,
 }
 
 /// Decides whether a run that a list leaves out is certainly over, and with which outcome; none while it may run or start.
@@ -43,10 +45,18 @@
 /// Decides the same for a run whose stop was sent.
 ///
 /// If its start was not acknowledged, the start may still be carried out after the stop: only the start's deadline ends that. A run that
-/// was known to run is stopped once a list that was asked for after the stop leaves it out.
+/// was known to run is stopped once a list that was asked for after the stop leaves it out. One of an earlier incarnation of the target is over
+/// once this incarnation refuses that one's orders: their deadlines are times of another clock.
 fn outcome_of_unlisted_stop(stop: &PendingStop, list: ListTimes) -> Option<RunOutcome> {
-    match stop.start_deadline {
-        Some(deadline) => (list.clock > deadline).then_some(stop.outcome_if_never_started),
-        None => (list.asked_at > stop.first_sent_at).then_some(RunOutcome::Stopped),
+    match stop.proof {
+        EndProof::StartExpired(deadline) => {
+            (list.clock > deadline).then_some(stop.outcome_if_never_started)
+        }
+        EndProof::ListedAfterStop => {
+            (list.asked_at > stop.first_sent_at).then_some(RunOutcome::Stopped)
+        }
+        EndProof::IncarnationFenced(token) => {
+            (list.fencing_token >= token).then_some(stop.outcome_if_never_started)
+        }
     }
 }
--- a/crates/leased/cloverfold_lease/src/runner/upkeep.rs
+++ b/crates/leased/cloverfold_lease/src/runner/upkeep.rs
@@ -7,8 +7,8 @@
 //! | a start that was refused without effect | is not replaced by one with a later deadline |
 //! | runs that are there | go on; nothing is cut |
 //!
-//! A target is held from the word of a control process on for as long as that says, and never as another incarnation. Each word replaces
-//! the one before. Inputs: the incarnation that is meant, the span, the time. Reason: what runs when the box goes dies with it; a word
+//! A target is held from the word of a control process on for as long as that says, and never in another incarnation. Each word replaces
+//! the one before. Inputs: the name that is meant, the span, the time. Reason: what runs when the box goes dies with it; a word
 //! that is lost, or a control process that dies, must not keep a target from work for good.
 
 use std::time::Duration;
@@ -17,25 +17,30 @@
 
 use crate::messages::{FreeCapacity, RunRefusal};
 use crate::runner::Runner;
+use crate::runner::incarnation_id::IncarnationId;
 
 /// A target that is offered to nobody for a while.
 #[derive(Clone, Debug)]
 pub(super) struct HeldTarget {
-    incarnation: String,
+    /// The number of its incarnation in this process.
+    number: u64,
     until: Timestamp,
 }
 
 impl Runner {
-    /// Offers an incarnation of the target to nobody for a span; none ends it.
-    pub fn hold_target(&mut self, incarnation: &str, span: Duration, now: Timestamp) {
-        if self.incarnation() != Some(incarnation) {
+    /// Offers the present incarnation of the target to nobody for a span, if it has this name; none ends it.
+    pub fn hold_target(&mut self, name: &str, span: Duration, now: Timestamp) {
+        let target = self.target.as_ref();
+        let Some(target) = target.filter(|target| target.registration.incarnation.name == name)
+        else {
             return;
-        }
+        };
+        let number = target.number();
         if span.is_zero() {
             self.held = None;
         } else {
             self.held = Some(HeldTarget {
-                incarnation: incarnation.into(),
+                number,
                 until: now + span,
             });
             self.give_back_waiting(RunRefusal::Draining, now);
@@ -45,14 +50,15 @@
 
     /// Returns whether the target is held for its upkeep.
     pub fn is_held(&self) -> bool {
+        let target = self.target.as_ref();
         let held = self.held.as_ref();
-        held.is_some_and(|held| self.incarnation() == Some(&held.incarnation))
+        held.is_some_and(|held| target.is_some_and(|target| target.number() == held.number))
     }
 
-    /// Returns the incarnation of the target; `None` while there is none.
-    pub fn incarnation(&self) -> Option<&str> {
+    /// Returns the present incarnation of the target; `None` while there is none.
+    pub fn target_incarnation_id(&self) -> Option<&IncarnationId> {
         let target = self.target.as_ref();
-        target.map(|target| target.registration.incarnation.as_str())
+        target.map(|target| &target.registration.incarnation)
     }
 
     /// Returns what is free at the target after all that runs and waits there, for a control process that asks: of all that it has,
--- a/crates/leased/cloverfold_lease/src/timings.rs
+++ b/crates/leased/cloverfold_lease/src/timings.rs
@@ -32,6 +32,8 @@
 pub const DEFAULT_STOP: Duration = Duration::from_millis(50);
 /// After this a caller sends again what got no answer, unless the settings say otherwise. Given by the callers (design note 6).
 pub const DEFAULT_RESEND: Duration = Duration::from_millis(1_300);
+/// The longest lease that a target grants, whatever an order says, unless the settings say otherwise. Given by the platform.
+pub const DEFAULT_LONGEST_LEASE: Duration = Duration::from_millis(1_000);
 /// How much slower than a true clock a target's may be, in thousandths. Given by the platform (design note 6).
 pub const CLOCK_DRIFT_PERMILLE: u32 = 20;
 
@@ -57,6 +59,8 @@
     pub session: Duration,
     /// How long a target may run on after the runner last renewed its lease, on the target's clock.
     pub lease: Duration,
+    /// The longest lease that a target grants, on its clock: an order that says more is cut to this.
+    pub longest_lease: Duration,
     /// How long a target may take to end a stopped run.
     pub stop: Duration,
     /// How much slower a target's clock may be, in thousandths.
@@ -82,6 +86,7 @@
         Self {
             session: DEFAULT_SESSION,
             lease: DEFAULT_LEASE,
+            longest_lease: DEFAULT_LONGEST_LEASE,
             stop: DEFAULT_STOP,
             clock_drift_permille: CLOCK_DRIFT_PERMILLE,
             heartbeat: HEARTBEAT,
@@ -112,6 +117,15 @@
         Self { resend, ..self }
     }
 
+    /// Returns the same timings for targets that grant no lease longer than this.
+    #[must_use]
+    pub fn with_longest_lease(self, longest_lease: Duration) -> Self {
+        Self {
+            longest_lease,
+            ..self
+        }
+    }
+
     /// Returns the longest time that `span` of a target's clock can last on a true clock.
     pub fn longest_true_span(&self, span: Duration) -> Duration {
         let permille = 1_000_u32.saturating_sub(self.clock_drift_permille).max(1);
--- a/crates/leased/cloverfold_lease/tests/runner/fixture.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/fixture.rs
@@ -4,9 +4,9 @@
 
 use cloverfold_base::Timestamp;
 use cloverfold_lease::{
-    Assignment, DispatcherMessage, EndCause, EndedRun, ListedRun, RenewalAnswer, Resources,
-    RunOutcome, Runner, RunnerAction, RunnerMessage, StartAnswer, StartOrder, TargetRegistration,
-    TaskId, Timings,
+    Assignment, BornMs, DispatcherMessage, EndCause, EndedRun, IncarnationId, ListedRun,
+    RenewalAnswer, Resources, RunOutcome, Runner, RunnerAction, RunnerMessage, StartAnswer,
+    StartOrder, TargetRegistration, TaskId, Timings,
 };
 
 /// The session that [`ready`] opens.
@@ -16,6 +16,8 @@
 /// The target's clock when it registers, in milliseconds.
 pub const TARGET_CLOCK: u64 = 50_000;
 const FIRST_FENCING_TOKEN: u64 = 1_000;
+/// When the first life of each target began.
+pub const FIRST_BORN: BornMs = 1_767_225_600_000;
 
 pub fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
@@ -35,10 +37,17 @@
     }
 }
 
+pub fn incarnation_id(name: &str, born: Option<BornMs>) -> IncarnationId {
+    IncarnationId {
+        name: name.into(),
+        born,
+    }
+}
+
 /// A target with capacity for two runs of [`assignment`].
 pub fn registration(incarnation: u32) -> TargetRegistration {
     TargetRegistration {
-        incarnation: format!("incarnation-{incarnation}"),
+        incarnation: incarnation_id(&format!("incarnation-{incarnation}"), Some(FIRST_BORN)),
         service: "service".into(),
         address: "127.0.0.1:1".into(),
         capacity: Resources {
@@ -95,6 +104,7 @@
         cause,
     });
     RenewalAnswer::Listed {
+        born: None,
         clock,
         running,
         ended: ended.collect(),
@@ -117,6 +127,14 @@
     runner
 }
 
+/// The same answer, from the life that began at `born`.
+pub fn told_by(born: BornMs, mut answer: RenewalAnswer) -> RenewalAnswer {
+    if let RenewalAnswer::Listed { born: told, .. } = &mut answer {
+        *told = Some(born);
+    }
+    answer
+}
+
 /// Renews the lease at `now`; the answer comes 1 ms later.
 pub fn renew(runner: &mut Runner, now: Timestamp, answer: RenewalAnswer) {
     let order = runner.plan_renewal(now).unwrap();
--- a/crates/leased/cloverfold_lease/tests/runner/kept_runs.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/kept_runs.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::fixture::{
-    RUN, SESSION, assign, assignment, at, echo, ends, list, ms, ready, registered, registration,
-    renew, row, started, take_ends, take_starts, task,
+    FIRST_BORN, RUN, SESSION, assign, assignment, at, echo, ends, incarnation_id, list, ms, ready,
+    registered, registration, renew, row, started, take_ends, take_starts, task,
 };
 
 const EPOCH: u64 = 3;
@@ -230,6 +230,7 @@
         cause: EndCause::Stopped,
     };
     let unknown = RenewalAnswer::Listed {
+        born: None,
         clock: 50_005,
         running: vec![],
         ended: vec![done, stopped],
@@ -285,6 +286,7 @@
         cause: EndCause::Stopped,
     }));
     let answer = RenewalAnswer::Listed {
+        born: None,
         clock: 50_060,
         running: vec![],
         ended: listed,
@@ -301,7 +303,7 @@
 #[test]
 fn a_new_incarnation_holds_no_end_of_the_one_before() {
     let mut runner = both_done();
-    runner.unregister("incarnation-1", at(160));
+    runner.unregister(&incarnation_id("incarnation-1", Some(FIRST_BORN)), at(160));
     runner.register(registration(2), at(170));
 
     let end = task_end(1, EndOutcome::Done);
--- a/crates/leased/cloverfold_lease/tests/runner/main.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/main.rs
@@ -5,6 +5,7 @@
 mod assignments;
 mod evacuation;
 mod fixture;
+mod incarnations;
 mod kept_runs;
 mod leftover_runs;
 mod sessions;
--- a/crates/leased/cloverfold_lease/tests/runner/target.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/target.rs
@@ -44,7 +44,7 @@
 
     assert_eq!(take_ends(&mut runner), []);
     assert_eq!(
-        runner.plan_renewal(at(131)).unwrap().incarnation,
+        runner.plan_renewal(at(131)).unwrap().incarnation.name,
         "incarnation-2"
     );
 }
@@ -83,12 +83,12 @@
     runner.receive_renewal_answer(&asked, RenewalAnswer::OtherIncarnation, at(122));
     runner.register(registration(1), at(130));
 
-    assert_eq!(asked.incarnation, "incarnation-1");
+    assert_eq!(asked.incarnation.name, "incarnation-1");
     assert_eq!(asked.deadline, None, "a question extends no lease");
     assert_eq!(take_ends(&mut runner), [], "the run goes on");
     assert!(runner.has_ready_target());
     let next = runner.plan_renewal(at(131)).unwrap();
-    assert_eq!(next.incarnation, "incarnation-2");
+    assert_eq!(next.incarnation.name, "incarnation-2");
 }
 
 #[test]
@@ -120,10 +120,13 @@
     let again = runner.plan_renewal(at(330)).unwrap();
     let much_later = runner.plan_renewal(at(20_000)).unwrap();
 
-    assert_eq!(first.incarnation, "incarnation-1");
-    assert_eq!(between.incarnation, "incarnation-2", "its lease is kept");
-    assert_eq!(again.incarnation, "incarnation-1");
-    assert_eq!(much_later.incarnation, "incarnation-2");
+    assert_eq!(first.incarnation.name, "incarnation-1");
+    assert_eq!(
+        between.incarnation.name, "incarnation-2",
+        "its lease is kept"
+    );
+    assert_eq!(again.incarnation.name, "incarnation-1");
+    assert_eq!(much_later.incarnation.name, "incarnation-2");
     assert_eq!(take_ends(&mut runner), []);
 }
 
@@ -139,7 +142,7 @@
 
     assert!(runner.has_ready_target());
     let next = runner.plan_renewal(at(111)).unwrap();
-    assert_eq!(next.incarnation, "incarnation-2");
+    assert_eq!(next.incarnation.name, "incarnation-2");
 }
 
 #[test]
@@ -154,7 +157,7 @@
 
     assert!(again.fencing_token > refused.fencing_token);
     let next = runner.plan_renewal(at(232)).unwrap();
-    assert_eq!(next.incarnation, "incarnation-2");
+    assert_eq!(next.incarnation.name, "incarnation-2");
     assert_eq!(next.fencing_token, again.fencing_token);
 }
 
--- a/crates/leased/cloverfold_lease/tests/runner/upkeep.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/upkeep.rs
@@ -24,8 +24,8 @@
 }
 
 fn hold(runner: &mut Runner, span: Duration) {
-    let incarnation = runner.incarnation().unwrap().to_owned();
-    runner.hold_target(&incarnation, span, at(110));
+    let name = runner.target_incarnation_id().unwrap().name.clone();
+    runner.hold_target(&name, span, at(110));
 }
 
 #[test]
@@ -73,8 +73,8 @@
 
     runner.tick(at(159));
     assert!(runner.is_held());
-    let incarnation = runner.incarnation().unwrap().to_owned();
-    runner.hold_target(&incarnation, SPAN, at(159));
+    let name = runner.target_incarnation_id().unwrap().name.clone();
+    runner.hold_target(&name, SPAN, at(159));
     runner.tick(at(208));
     assert!(runner.is_held());
     runner.tick(at(209));
--- a/crates/leased/cloverfold_lease/tests/runner/usual_speed.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/usual_speed.rs
@@ -7,7 +7,8 @@
 };
 
 use crate::fixture::{
-    SESSION, assignment, echo, ms, ready, registration, renew, take_starts, task,
+    FIRST_BORN, SESSION, assignment, echo, incarnation_id, ms, ready, registration, renew,
+    take_starts, task,
 };
 
 /// A runner whose target runs one task after the other.
@@ -53,6 +54,7 @@
             cause: EndCause::Done,
         };
         let answer = RenewalAnswer::Listed {
+            born: None,
             clock: self.target_clock(),
             running: vec![],
             ended: vec![ended],
@@ -80,7 +82,8 @@
 
     /// The target restarts and registers like this.
     fn restart(&mut self, registration: TargetRegistration) {
-        self.runner.unregister("incarnation-1", self.now);
+        self.runner
+            .unregister(&incarnation_id("incarnation-1", Some(FIRST_BORN)), self.now);
         self.runner.register(registration, self.now);
         self.runner.tick(self.now);
         self.record_told();
--- a/crates/leased/cloverfold_lease/tests/world/faults.rs
+++ b/crates/leased/cloverfold_lease/tests/world/faults.rs
@@ -20,11 +20,12 @@
             }
             if self.draw(0.0003) {
                 let gap = self.rng.random_range(100..1_500);
+                let keeps_name = self.rng.random_bool(0.5);
                 let arrives_at = self.now + gap + self.rng.random_range(0..3_000);
                 let node = &mut self.runners[index];
                 let last = node.target.register(self.now);
                 node.late_registrations.push((arrives_at, last));
-                node.target.crash(self.now, gap);
+                node.target.crash(self.now, gap, keeps_name);
             }
             if self.draw(0.0003) {
                 self.runners[index].target.cut_until = self.now + self.rng.random_range(200..3_000);
--- a/crates/leased/cloverfold_lease/tests/world/target.rs
+++ b/crates/leased/cloverfold_lease/tests/world/target.rs
@@ -3,14 +3,16 @@
 use std::collections::BTreeMap;
 
 use cloverfold_lease::{
-    EndCause, EndedRun, ListedRun, RenewalAnswer, RenewalOrder, Resources, StartAnswer, StartOrder,
-    StartRefusal, StopOrder, TargetRegistration, TaskId,
+    EndCause, EndedRun, IncarnationId, ListedRun, RenewalAnswer, RenewalOrder, Resources,
+    StartAnswer, StartOrder, StartRefusal, StopOrder, TargetRegistration, TaskId,
 };
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
 const CAPACITY: i64 = 16_000;
 const DEMAND: i64 = 1_600;
+/// Longest lease that it grants, in milliseconds of its clock.
+const LONGEST_LEASE: u64 = 1_000;
 
 enum Late {
     Start(StartOrder),
@@ -20,7 +22,10 @@
 pub struct Target {
     index: usize,
     rate: f64,
-    incarnation: u64,
+    /// Numbers the names that it has had; several lives may have the same one.
+    name_number: u64,
+    /// Numbers its lives.
+    life: u64,
     life_began: u64,
     pub cut_until: u64,
     lease: u64,
@@ -30,7 +35,7 @@
     ended: Vec<EndedRun>,
     last_end: u64,
     highest_run: BTreeMap<TaskId, u64>,
-    late: Vec<(u64, u64, Late)>,
+    late: Vec<(u64, Late)>,
     started: u64,
     done: BTreeMap<String, u64>,
     /// How often the lease has lapsed.
@@ -49,7 +54,8 @@
         Self {
             index,
             rate,
-            incarnation: 1,
+            name_number: 1,
+            life: 1,
             life_began: 0,
             cut_until: 0,
             lease: 0,
@@ -71,7 +77,7 @@
     }
 
     fn clock(&self, now: u64) -> u64 {
-        1_000 + (now as f64 * self.rate) as u64
+        1_000 + (now.saturating_sub(self.life_began) as f64 * self.rate) as u64
     }
 
     pub fn is_up(&self, now: u64) -> bool {
@@ -86,9 +92,13 @@
         self.done.get(job).copied().unwrap_or(0)
     }
 
-    pub fn crash(&mut self, now: u64, gap: u64) {
-        self.incarnation += 1;
+    /// Ends this life; the next one begins after a gap, under the same name or another.
+    pub fn crash(&mut self, now: u64, gap: u64, keeps_name: bool) {
+        self.name_number += u64::from(!keeps_name);
+        self.life += 1;
         self.life_began = now + gap;
+        self.sequence = 0;
+        self.has_lapsed = false;
         self.running.clear();
         self.ended.clear();
         self.late.clear();
@@ -99,14 +109,17 @@
         self.fencing_token = 0;
     }
 
-    fn incarnation(&self) -> String {
-        format!("target-{}-{}", self.index, self.incarnation)
+    fn name(&self) -> String {
+        format!("target-{}-{}", self.index, self.name_number)
     }
 
     pub fn register(&mut self, now: u64) -> TargetRegistration {
         self.sequence += 1;
         TargetRegistration {
-            incarnation: self.incarnation(),
+            incarnation: IncarnationId {
+                name: self.name(),
+                born: Some(self.life),
+            },
             service: "service".into(),
             address: "127.0.0.1:1".into(),
             capacity: Resources {
@@ -136,12 +149,9 @@
     /// Ends what is done or has lapsed and carries out late orders; returns how many runs began since the last call.
     pub fn step(&mut self, now: u64) -> u64 {
         let late = std::mem::take(&mut self.late);
-        for (at, incarnation, order) in late {
-            if incarnation != self.incarnation {
-                continue;
-            }
+        for (at, order) in late {
             if at > now {
-                self.late.push((at, incarnation, order));
+                self.late.push((at, order));
                 continue;
             }
             match order {
@@ -178,8 +188,8 @@
         )
     }
 
-    fn is_reached(&self, incarnation: &str, now: u64) -> bool {
-        self.is_up(now) && incarnation == self.incarnation()
+    fn is_reached(&self, life: &IncarnationId, now: u64) -> bool {
+        self.is_up(now) && life.name == self.name()
     }
 
     pub fn start(
@@ -194,8 +204,7 @@
         }
         if is_late {
             let at = now + rng.random_range(200..12_000);
-            self.late
-                .push((at, self.incarnation, Late::Start(order.clone())));
+            self.late.push((at, Late::Start(order.clone())));
             return StartAnswer::Unanswered;
         }
         self.do_start(order, now)
@@ -211,7 +220,7 @@
         if order.deadline <= clock {
             return refused(StartRefusal::Late);
         }
-        self.lease = self.lease.max(order.deadline);
+        self.lease = self.lease.max(order.deadline.min(clock + LONGEST_LEASE));
         if self
             .running
             .get(&order.task)
@@ -244,8 +253,7 @@
         }
         if is_late {
             let at = now + rng.random_range(200..12_000);
-            self.late
-                .push((at, self.incarnation, Late::Stop(order.clone())));
+            self.late.push((at, Late::Stop(order.clone())));
             return;
         }
         self.do_stop(order);
@@ -268,7 +276,7 @@
         if !self.is_up(now) || is_late {
             return RenewalAnswer::Unanswered;
         }
-        if order.incarnation != self.incarnation() {
+        if order.incarnation.name != self.name() {
             return RenewalAnswer::OtherIncarnation;
         }
         if order.fencing_token < self.fencing_token {
@@ -286,10 +294,13 @@
         self.ended
             .retain(|end| end.number > order.last_acknowledged_end);
         if let Some(deadline) = order.deadline {
-            self.lease = self.lease.max(deadline);
+            self.lease = self
+                .lease
+                .max(deadline.min(self.clock(now) + LONGEST_LEASE));
         }
         let running = self.running.iter();
         RenewalAnswer::Listed {
+            born: Some(self.life),
             clock: self.clock(now),
             running: running
                 .map(|(task, (run, _))| ListedRun {
--- a/crates/leased/cloverfold_leased_guard/src/event_log.rs
+++ b/crates/leased/cloverfold_leased_guard/src/event_log.rs
@@ -5,8 +5,8 @@
 
 use cloverfold_kept_jobs::{EndDecision, TaskEnd};
 use cloverfold_lease::{
-    RegistrationVerdict, RunOutcome, RunnerMessage, StartAnswer, StartOrder, StopOrder,
-    TargetRegistration,
+    IncarnationId, RegistrationVerdict, RunOutcome, RunnerMessage, StartAnswer, StartOrder,
+    StopOrder, TargetRegistration,
 };
 
 /// Logs the answer to a start that the target did not acknowledge.
@@ -17,7 +17,7 @@
     let answer = answer.to_string();
     log::info!(
         job = order.task.job.as_str(), index = order.task.index, run = order.run,
-        attempt = order.attempt, target = order.incarnation.as_str(), answer = answer.as_str();
+        attempt = order.attempt, target = order.incarnation.name.as_str(), answer = answer.as_str();
         "a start is not acknowledged"
     );
 }
@@ -71,17 +71,35 @@
         return;
     }
     log::info!(
-        target = registration.incarnation.as_str(), sequence = registration.sequence,
+        target = registration.incarnation.name.as_str(), born = registration.incarnation.born.unwrap_or_default(),
+        sequence = registration.sequence,
         draining = registration.is_draining, verdict = verdict.as_str();
         "a registration is not taken at once"
     );
 }
 
-/// Logs what became of an incarnation that registered beside a known target.
-pub(crate) fn log_incarnation(incarnation: &str, is_living: bool) {
+/// Logs that a target reports its end, and whether that is believed; a start that it leaves out is written as 0.
+pub(crate) fn log_departure(incarnation: &IncarnationId, is_taken: bool) {
+    let (target, born) = (
+        incarnation.name.as_str(),
+        incarnation.born.unwrap_or_default(),
+    );
+    if is_taken {
+        log::info!(target, born; "the target has left");
+    } else {
+        log::info!(target, born; "the end of another incarnation of the target changes nothing");
+    }
+}
+
+/// Logs what became of an incarnation that was not the target's known one; a start that it leaves out is written as 0.
+pub(crate) fn log_incarnation(incarnation: &IncarnationId, is_living: bool) {
+    let (target, born) = (
+        incarnation.name.as_str(),
+        incarnation.born.unwrap_or_default(),
+    );
     if is_living {
-        log::info!(target = incarnation; "a new incarnation has replaced the target");
+        log::info!(target, born; "a new incarnation has replaced the target");
     } else {
-        log::info!(target = incarnation; "a late registration of a dead incarnation is ignored");
+        log::info!(target, born; "a late registration of a dead incarnation is ignored");
     }
 }
--- a/crates/leased/cloverfold_leased_guard/src/interface.rs
+++ b/crates/leased/cloverfold_leased_guard/src/interface.rs
@@ -7,7 +7,8 @@
 
 use cloverfold_http::Request;
 use cloverfold_lease::{
-    RenewalAnswer, RenewalOrder, StartAnswer, StartOrder, StopOrder, TargetRegistration,
+    IncarnationId, RenewalAnswer, RenewalOrder, StartAnswer, StartOrder, StopOrder,
+    TargetRegistration,
 };
 
 /// The answer to a call that was sent.
@@ -20,8 +21,8 @@
     Register(TargetRegistration),
     /// This incarnation of the target has ended.
     Leave {
-        /// The target's name for the incarnation.
-        incarnation: String,
+        /// The incarnation; the word may leave out when it started.
+        incarnation: IncarnationId,
     },
 }
 
--- a/crates/leased/cloverfold_leased_guard/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_guard/src/metrics.rs
@@ -110,6 +110,7 @@
                 registrations.overtaken,
             ),
             (RegistrationVerdict::Ended.as_str(), registrations.ended),
+            (RegistrationVerdict::Foreign.as_str(), registrations.foreign),
             (
                 RegistrationVerdict::Candidate.as_str(),
                 registrations.candidates,
--- a/crates/leased/cloverfold_leased_guard/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/links.rs
@@ -68,7 +68,8 @@
     fn receive_hold(&mut self, link: LinkId, held: &HeldTarget, now: Timestamp) {
         let span = Duration::from_millis(held.for_ms.into());
         self.runner.hold_target(&held.incarnation, span, now);
-        let is_meant = self.runner.incarnation() == Some(&held.incarnation);
+        let incarnation = self.runner.target_incarnation_id();
+        let is_meant = incarnation.is_some_and(|incarnation| incarnation.name == held.incarnation);
         if let Some(free) = self.runner.report_load(now).filter(|_| is_meant) {
             let message = PeerMessage::ToDispatcher(RunnerMessage::FreeCapacity(free));
             self.links.send(link, &message);
@@ -97,17 +98,17 @@
         }
     }
 
-    /// Tells all control processes of the target when it is another incarnation than they know, or of another service.
+    /// Tells all control processes of the target when it is in another incarnation than they know, or of another service.
     pub(super) fn tell_new_target(&mut self) {
         let service = self.runner.service();
-        let incarnation = self.runner.incarnation();
+        let incarnation = self.runner.target_incarnation_id();
         let is_known = service == self.told_service.as_deref()
-            && incarnation == self.told_incarnation.as_deref();
+            && incarnation == self.told_incarnation.as_ref();
         if service.is_none() || is_known {
             return;
         }
         self.told_service = service.map(Into::into);
-        self.told_incarnation = incarnation.map(Into::into);
+        self.told_incarnation = incarnation.cloned();
         if let Some(target) = self.runner.describe_target() {
             let is_control = |role| matches!(role, PeerRole::Control { .. });
             self.links
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -12,8 +12,8 @@
 use cloverfold_evacuation::EvacuatedHalls;
 use cloverfold_kept_jobs::{Recorder, RecorderAction};
 use cloverfold_lease::{
-    ProcessorUse, RenewalAnswer, RenewalOrder, Runner, RunnerAction, RunnerCounts, RunnerMessage,
-    SessionId, StartAnswer, StartOrder, UnavailableReason, UsualSpeed,
+    IncarnationId, ProcessorUse, RenewalAnswer, RenewalOrder, Runner, RunnerAction, RunnerCounts,
+    RunnerMessage, SessionId, StartAnswer, StartOrder, UnavailableReason, UsualSpeed,
 };
 use cloverfold_leased_process::LeasedState;
 use cloverfold_link::LinkEvent;
@@ -25,7 +25,8 @@
 
 use crate::configuration::ConfigurationCopy;
 use crate::event_log::{
-    log_decision, log_end, log_incarnation, log_registration, log_unacknowledged_start,
+    log_decision, log_departure, log_end, log_incarnation, log_registration,
+    log_unacknowledged_start,
 };
 use crate::interface::RegistrationCall;
 use crate::target_orders::TargetOrder;
@@ -48,8 +49,8 @@
     renew_now: Arc<Notify>,
     /// The service of the target, as control processes were told last.
     told_service: Option<String>,
-    /// The incarnation of the target that control processes were told last: they hold it by this name before its upkeep.
-    told_incarnation: Option<String>,
+    /// The incarnation of the target that control processes were told last: they hold it by its name before its upkeep.
+    told_incarnation: Option<IncarnationId>,
     /// Why the target accepts no work, as logged last.
     logged_reason: Option<UnavailableReason>,
 }
@@ -178,8 +179,8 @@
                 log_registration(&registration, verdict);
             }
             RegistrationCall::Leave { incarnation } => {
-                log::info!(target = incarnation.as_str(); "the target has left");
-                self.runner.unregister(&incarnation, now);
+                let is_taken = self.runner.unregister(&incarnation, now);
+                log_departure(&incarnation, is_taken);
             }
         }
         self.advance();
--- a/crates/leased/cloverfold_leased_settings/src/lease.rs
+++ b/crates/leased/cloverfold_leased_settings/src/lease.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use cloverfold_lease::{DEFAULT_LEASE, DEFAULT_RESEND, DEFAULT_SESSION, DEFAULT_STOP, Timings};
+use cloverfold_lease::{
+    DEFAULT_LEASE, DEFAULT_LONGEST_LEASE, DEFAULT_RESEND, DEFAULT_SESSION, DEFAULT_STOP, Timings,
+};
 use cloverfold_settings::FaultList;
 use serde::Deserialize;
 
@@ -17,6 +19,8 @@
 pub struct LeaseSettings {
     /// How long a target may run on when its guard is silent, in milliseconds.
     pub lease_ms: u64,
+    /// The longest lease that a target grants, whatever it is told, in milliseconds.
+    pub longest_lease_ms: u64,
     /// How long a guard works on for an entry that is silent, in milliseconds.
     pub session_ms: u64,
     /// How long a target may take to end a stopped run, in milliseconds.
@@ -29,6 +33,7 @@
     fn default() -> Self {
         Self {
             lease_ms: DEFAULT_LEASE.as_millis() as u64,
+            longest_lease_ms: DEFAULT_LONGEST_LEASE.as_millis() as u64,
             session_ms: DEFAULT_SESSION.as_millis() as u64,
             stop_ms: DEFAULT_STOP.as_millis() as u64,
             resend_ms: DEFAULT_RESEND.as_millis() as u64,
@@ -44,6 +49,7 @@
             Duration::from_millis(self.lease_ms),
             Duration::from_millis(self.stop_ms),
         )
+        .with_longest_lease(Duration::from_millis(self.longest_lease_ms))
         .with_resend(Duration::from_millis(self.resend_ms))
     }
 
@@ -54,6 +60,11 @@
             "lease.session_ms",
             "with lease_ms and stop_ms it must be over before resend_ms; make one of them shorter",
         );
+        faults.add_if(
+            self.longest_lease_ms < self.lease_ms,
+            "lease.longest_lease_ms",
+            "must be at least lease_ms: targets cut longer leases to it",
+        );
         faults.add_if(
             self.lease_ms < MIN_LEASE_MS,
             "lease.lease_ms",
--- a/crates/tools/cloverfold_leased_solo/src/local_target.rs
+++ b/crates/tools/cloverfold_leased_solo/src/local_target.rs
@@ -4,13 +4,13 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use cloverfold_http::{HttpClient, Request};
 use cloverfold_lease::{
-    RenewalAnswer, RenewalOrder, Resources, StartAnswer, StartOrder, StopOrder, TargetRegistration,
-    TargetTime,
+    BornMs, IncarnationId, RenewalAnswer, RenewalOrder, Resources, StartAnswer, StartOrder,
+    StopOrder, TargetRegistration, TargetTime,
 };
 use cloverfold_leased_guard::{Answer, RegistrationCall, RegistrationRefusal, TargetInterface};
 use http::Method;
@@ -30,6 +30,7 @@
     service: String,
     capacity: Resources,
     started_at: Instant,
+    born: BornMs,
     state: Mutex<TargetState>,
     /// Notified when a run was started or stopped.
     changed: Notify,
@@ -43,6 +44,7 @@
             service: service.into(),
             capacity,
             started_at: Instant::now(),
+            born: read_time_of_day(),
             state: Mutex::default(),
             changed: Notify::new(),
         })
@@ -83,7 +85,10 @@
     fn describe(&self) -> TargetRegistration {
         let now = self.now();
         TargetRegistration {
-            incarnation: self.name.clone(),
+            incarnation: IncarnationId {
+                name: self.name.clone(),
+                born: Some(self.born),
+            },
             service: self.service.clone(),
             address: self.name.clone(),
             capacity: self.capacity,
@@ -129,10 +134,16 @@
             return RenewalAnswer::Fenced;
         }
         self.wait_for_end(order.wait).await;
-        self.lock().list(self.now())
+        self.lock().list(self.born, self.now())
     }
 }
 
+/// Returns the time of day in milliseconds since 1970; 0 for a clock before that.
+fn read_time_of_day() -> BornMs {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as BornMs
+}
+
 /// How a guard calls the target beside it.
 #[derive(Clone, Debug)]
 pub struct LocalCalls(pub Arc<LocalTarget>);
--- a/crates/tools/cloverfold_leased_solo/src/target_state.rs
+++ b/crates/tools/cloverfold_leased_solo/src/target_state.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cloverfold_lease::{
-    EndCause, EndedRun, ListedRun, RenewalAnswer, RenewalOrder, StartAnswer, StartOrder,
+    BornMs, EndCause, EndedRun, ListedRun, RenewalAnswer, RenewalOrder, StartAnswer, StartOrder,
     StartRefusal, StopOrder, TargetTime, TaskId,
 };
 
@@ -129,11 +129,12 @@
         ends.min().map(|end| end.min(lapse))
     }
 
-    /// Lists what runs and what has ended.
-    pub fn list(&mut self, now: TargetTime) -> RenewalAnswer {
+    /// Lists what runs and what has ended in the incarnation that began at `born`.
+    pub fn list(&mut self, born: BornMs, now: TargetTime) -> RenewalAnswer {
         self.advance(now);
         let running = self.running.iter();
         RenewalAnswer::Listed {
+            born: Some(born),
             clock: now,
             running: running.map(|(id, task)| list_run(id, *task, now)).collect(),
             ended: self.ended.iter().cloned().collect(),
--- a/crates/tools/cloverfold_leased_solo/tests/local_target.rs
+++ b/crates/tools/cloverfold_leased_solo/tests/local_target.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use cloverfold_base::Timestamp;
-use cloverfold_lease::{EndCause, RenewalAnswer, RenewalOrder, Resources, StartOrder, TaskId};
+use cloverfold_lease::{
+    EndCause, IncarnationId, RenewalAnswer, RenewalOrder, Resources, StartOrder, TaskId,
+};
 use cloverfold_leased_guard::TargetInterface;
 use cloverfold_leased_solo::{LocalCalls, LocalTarget};
 use tokio::time::timeout;
@@ -26,7 +28,10 @@
 
 fn start() -> StartOrder {
     StartOrder {
-        incarnation: "target-0".to_owned(),
+        incarnation: IncarnationId {
+            name: "target-0".to_owned(),
+            born: None,
+        },
         address: "target-0".to_owned(),
         task: TaskId {
             job: "00000000000000a1".to_owned(),
@@ -45,7 +50,10 @@
 
 fn renewal() -> RenewalOrder {
     RenewalOrder {
-        incarnation: "target-0".to_owned(),
+        incarnation: IncarnationId {
+            name: "target-0".to_owned(),
+            born: None,
+        },
         address: "target-0".to_owned(),
         deadline: None,
         fencing_token: 7,
--- a/crates/tools/cloverfold_leased_solo/tests/target_state.rs
+++ b/crates/tools/cloverfold_leased_solo/tests/target_state.rs
@@ -6,8 +6,8 @@
 
 use cloverfold_base::Timestamp;
 use cloverfold_lease::{
-    EndCause, EndedRun, RenewalAnswer, RenewalOrder, StartAnswer, StartOrder, StartRefusal,
-    StopOrder, TaskId,
+    EndCause, EndedRun, IncarnationId, RenewalAnswer, RenewalOrder, StartAnswer, StartOrder,
+    StartRefusal, StopOrder, TaskId,
 };
 use cloverfold_leased_solo::TargetState;
 
@@ -23,7 +23,10 @@
 /// A start of a task of 100 ms, whose deadline extends the lease to 500.
 fn start(run: u64) -> StartOrder {
     StartOrder {
-        incarnation: "target-0".to_owned(),
+        incarnation: IncarnationId {
+            name: "target-0".to_owned(),
+            born: None,
+        },
         address: "target-0".to_owned(),
         task: task(),
         run,
@@ -37,7 +40,10 @@
 
 fn renewal(deadline: Option<u64>, last_acknowledged_end: u64) -> RenewalOrder {
     RenewalOrder {
-        incarnation: "target-0".to_owned(),
+        incarnation: IncarnationId {
+            name: "target-0".to_owned(),
+            born: None,
+        },
         address: "target-0".to_owned(),
         deadline,
         fencing_token: 7,
@@ -49,7 +55,7 @@
 }
 
 fn list_ends(target: &mut TargetState, now: u64) -> Vec<EndedRun> {
-    match target.list(now) {
+    match target.list(1_767_225_600_000, now) {
         RenewalAnswer::Listed { ended, .. } => ended,
         other => panic!("{other:?}"),
     }
@@ -121,7 +127,10 @@
 
 fn stop(run: u64) -> StopOrder {
     StopOrder {
-        incarnation: "target-0".to_owned(),
+        incarnation: IncarnationId {
+            name: "target-0".to_owned(),
+            born: None,
+        },
         address: "target-0".to_owned(),
         task: task(),
         run,
