Wait out the longest lease after a restart of the guard beside a target that tells its start

Cause: the guard's process before may have given a lease by the clock of an earlier incarnation of the same name; the new one grants it up to the longest lease, not the guard's. Change: 1,070 ms instead of 713 in that one case. The tests of targets that don't tell keep their bounds.

--- a/crates/leased/cloverfold_lease/src/runner/lapses.rs
+++ b/crates/leased/cloverfold_lease/src/runner/lapses.rs
@@ -72,8 +72,19 @@
     }
 
     /// Returns whether every lease that an earlier process beside the target can have given it is over.
+    ///
+    /// To a target that tells its start that process may have given it by the clock of an earlier incarnation of the same name, so that
+    /// only the target has bounded it.
     fn has_earlier_lease_lapsed(&self, now: Timestamp) -> bool {
-        let longest = self.timings.longest_true_span(self.timings.lease) + self.timings.stop;
+        let target = self.target.as_ref();
+        let may_have_restarted =
+            target.is_some_and(|target| target.registration.incarnation.born.is_some());
+        let lease = if may_have_restarted {
+            self.timings.longest_lease
+        } else {
+            self.timings.lease
+        };
+        let longest = self.timings.longest_true_span(lease) + self.timings.stop;
         let first_heard_at = self.first_heard_at.unwrap_or(now);
         now > first_heard_at + longest
     }
--- a/crates/leased/cloverfold_lease/tests/runner/fixture.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/fixture.rs
@@ -16,8 +16,6 @@
 /// The target's clock when it registers, in milliseconds.
 pub const TARGET_CLOCK: u64 = 50_000;
 const FIRST_FENCING_TOKEN: u64 = 1_000;
-/// When the first life of each target began.
-pub const FIRST_BORN: BornMs = 1_767_225_600_000;
 
 pub fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
@@ -44,10 +42,10 @@
     }
 }
 
-/// A target with capacity for two runs of [`assignment`].
+/// A target with capacity for two runs of [`assignment`], which does not tell when it started.
 pub fn registration(incarnation: u32) -> TargetRegistration {
     TargetRegistration {
-        incarnation: incarnation_id(&format!("incarnation-{incarnation}"), Some(FIRST_BORN)),
+        incarnation: incarnation_id(&format!("incarnation-{incarnation}"), None),
         service: "service".into(),
         address: "127.0.0.1:1".into(),
         capacity: Resources {
@@ -120,7 +118,12 @@
 
 /// A runner with a target that accepts work and one session, at 100 ms.
 pub fn ready() -> Runner {
-    let mut runner = registered(registration(1), at(90));
+    ready_with(registration(1))
+}
+
+/// The same with a target that registers so.
+pub fn ready_with(registration: TargetRegistration) -> Runner {
+    let mut runner = registered(registration, at(90));
     renew(&mut runner, at(95), list(50_005, vec![], &[]));
     runner.open_session(SESSION, at(100));
     runner.take_actions();
--- a/crates/leased/cloverfold_lease/tests/runner/incarnations.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/incarnations.rs
@@ -1,28 +1,39 @@
 //! A target that starts again under the name that it had: what its next life says counts, and what its life before said does not.
 
 use cloverfold_base::Timestamp;
+use cloverfold_kept_jobs::first_run_of;
 use cloverfold_lease::{
-    EndCause, IncarnationId, ListedRun, RegistrationVerdict, RenewalAnswer, RunOutcome, Runner,
-    RunnerAction, StartAnswer, TargetRegistration, UnavailableReason,
+    BornMs, EndCause, EndedRun, IncarnationId, ListedRun, RegistrationVerdict, RenewalAnswer,
+    RunOutcome, Runner, RunnerAction, StartAnswer, TargetRegistration, UnavailableReason,
 };
 
 use crate::fixture::{
-    FIRST_BORN, SESSION, assign, at, echo, incarnation_id, list, ms, ready, registered,
-    registration, renew, row, started, stops, take_ends, take_starts, told_by,
+    SESSION, assign, at, echo, incarnation_id, list, ms, ready_with, registered, registration,
+    renew, row, started, stops, take_ends, take_starts, task, told_by,
 };
 
+/// When the first life began.
+const FIRST_BORN: BornMs = 1_767_225_600_000;
 /// When the second life began.
-const SECOND_BORN: u64 = FIRST_BORN + 5_000;
+const SECOND_BORN: BornMs = FIRST_BORN + 5_000;
 /// Far above what the second life has reached.
 const MANY: u64 = 1_000;
 
+/// A registration of the first incarnation.
+fn first_life() -> TargetRegistration {
+    TargetRegistration {
+        incarnation: incarnation_id("incarnation-1", Some(FIRST_BORN)),
+        ..registration(1)
+    }
+}
+
 /// A registration of the second incarnation, the first that it sends.
 fn second_life() -> TargetRegistration {
     TargetRegistration {
         incarnation: incarnation_id("incarnation-1", Some(SECOND_BORN)),
         clock: Some(10),
         sequence: 1,
-        ..registration(1)
+        ..first_life()
     }
 }
 
@@ -30,13 +41,13 @@
 fn aged() -> TargetRegistration {
     TargetRegistration {
         sequence: MANY,
-        ..registration(1)
+        ..first_life()
     }
 }
 
 /// A runner whose target has registered often in its first life.
 fn aged_target() -> Runner {
-    let mut runner = ready();
+    let mut runner = ready_with(first_life());
     runner.register(aged(), at(101));
     runner
 }
@@ -134,7 +145,7 @@
     let late = TargetRegistration {
         is_draining: true,
         sequence: MANY + 1,
-        ..registration(1)
+        ..first_life()
     };
 
     let begins = runner.register(late.clone(), at(120));
@@ -197,7 +208,7 @@
 
 #[test]
 fn a_list_shows_a_next_life_that_has_not_registered_and_it_gets_no_work_until_it_has() {
-    let mut runner = ready();
+    let mut runner = ready_with(first_life());
     renew(&mut runner, at(110), listed(5, vec![], &[]));
     renew(&mut runner, at(115), listed(10, vec![], &[]));
     let before = runner.find_unavailable_reason();
@@ -210,7 +221,7 @@
 
 #[test]
 fn ends_of_the_next_life_count_although_their_numbers_begin_anew() {
-    let mut runner = ready();
+    let mut runner = ready_with(first_life());
     started(&mut runner, 1, at(110));
     let many_ends = list(50_060, vec![], &[(MANY, 1, EndCause::Done)]);
     renew(&mut runner, at(130), many_ends);
@@ -234,7 +245,7 @@
 
 #[test]
 fn no_end_is_acknowledged_to_a_target_that_has_left_a_renewal_unanswered() {
-    let mut runner = ready();
+    let mut runner = ready_with(first_life());
     started(&mut runner, 1, at(110));
     renew(
         &mut runner,
@@ -259,7 +270,7 @@
 /// A runner with a run under way at the first incarnation, whose start may have reached the second: the list that shows the second comes at
 /// 130 ms.
 fn found_with_run() -> Runner {
-    let mut runner = ready();
+    let mut runner = ready_with(first_life());
     started(&mut runner, 1, at(110));
     runner.register(second_life(), at(125));
     renew(&mut runner, at(130), listed(20, vec![row(1, None)], &[]));
@@ -300,7 +311,7 @@
 
 #[test]
 fn a_list_that_was_asked_for_with_the_old_token_proves_nothing() {
-    let mut runner = ready();
+    let mut runner = ready_with(first_life());
     started(&mut runner, 1, at(110));
     let old = runner.plan_renewal(at(120)).unwrap();
     runner.receive_renewal_answer(&old, listed(20, vec![], &[]), at(130));
@@ -326,7 +337,7 @@
 
 #[test]
 fn a_late_answer_to_a_start_of_the_life_before_tells_nothing_of_the_next_ones_clock() {
-    let mut runner = ready();
+    let mut runner = ready_with(first_life());
     runner.receive(SESSION, assign(1, at(510)), at(110));
     let start = take_starts(&mut runner).remove(0);
     runner.register(second_life(), at(125));
@@ -341,7 +352,7 @@
 
 #[test]
 fn waiting_runs_are_given_back_and_nothing_is_started_before_the_fence() {
-    let mut runner = ready();
+    let mut runner = ready_with(first_life());
     started(&mut runner, 1, at(110));
     started(&mut runner, 2, at(111));
     runner.receive(SESSION, assign(3, at(510)), at(112));
@@ -413,7 +424,7 @@
         incarnation: incarnation_id("incarnation-1", None),
         is_draining: true,
         sequence: MANY,
-        ..registration(1)
+        ..first_life()
     };
 
     let verdict = runner.register(foreign, at(120));
@@ -427,7 +438,7 @@
     let silent = |sequence| TargetRegistration {
         incarnation: incarnation_id("incarnation-1", None),
         sequence,
-        ..registration(1)
+        ..first_life()
     };
     let mut runner = registered(silent(5), at(90));
     renew(&mut runner, at(95), list(50_005, vec![], &[]));
@@ -442,7 +453,7 @@
 
 #[test]
 fn a_hold_for_upkeep_ends_with_the_life_that_is_held() {
-    let mut runner = ready();
+    let mut runner = ready_with(first_life());
     runner.hold_target("incarnation-1", ms(5_000), at(101));
     assert!(runner.is_held());
 
@@ -516,3 +527,30 @@
     };
     assert_eq!(actions.iter().filter(is_report).count(), 1);
 }
+
+#[test]
+fn a_restarted_runner_waits_out_the_lease_that_an_order_by_another_incarnations_clock_may_have_given()
+ {
+    let mut runner = registered(first_life(), at(90));
+    let done = EndedRun {
+        number: 4,
+        task: task(1),
+        run: first_run_of(1),
+        cause: EndCause::Done,
+    };
+    let unknown = RenewalAnswer::Listed {
+        born: Some(FIRST_BORN),
+        clock: 50_005,
+        running: vec![],
+        ended: vec![done],
+    };
+
+    renew(&mut runner, at(95), unknown);
+    runner.tick(at(90 + 714));
+    let held = runner.plan_renewal(at(90 + 714)).unwrap();
+    runner.tick(at(90 + 1_071));
+    let free = runner.plan_renewal(at(90 + 1_071)).unwrap();
+
+    assert_eq!((held.deadline, held.last_acknowledged_end), (None, 3));
+    assert_eq!(free.last_acknowledged_end, 4);
+}
--- a/crates/leased/cloverfold_lease/tests/runner/kept_runs.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/kept_runs.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::fixture::{
-    FIRST_BORN, RUN, SESSION, assign, assignment, at, echo, ends, incarnation_id, list, ms, ready,
-    registered, registration, renew, row, started, take_ends, take_starts, task,
+    RUN, SESSION, assign, assignment, at, echo, ends, incarnation_id, list, ms, ready, registered,
+    registration, renew, row, started, take_ends, take_starts, task,
 };
 
 const EPOCH: u64 = 3;
@@ -303,7 +303,7 @@
 #[test]
 fn a_new_incarnation_holds_no_end_of_the_one_before() {
     let mut runner = both_done();
-    runner.unregister(&incarnation_id("incarnation-1", Some(FIRST_BORN)), at(160));
+    runner.unregister(&incarnation_id("incarnation-1", None), at(160));
     runner.register(registration(2), at(170));
 
     let end = task_end(1, EndOutcome::Done);
--- a/crates/leased/cloverfold_lease/tests/runner/usual_speed.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/usual_speed.rs
@@ -7,8 +7,7 @@
 };
 
 use crate::fixture::{
-    FIRST_BORN, SESSION, assignment, echo, incarnation_id, ms, ready, registration, renew,
-    take_starts, task,
+    SESSION, assignment, echo, incarnation_id, ms, ready, registration, renew, take_starts, task,
 };
 
 /// A runner whose target runs one task after the other.
@@ -83,7 +82,7 @@
     /// The target restarts and registers like this.
     fn restart(&mut self, registration: TargetRegistration) {
         self.runner
-            .unregister(&incarnation_id("incarnation-1", Some(FIRST_BORN)), self.now);
+            .unregister(&incarnation_id("incarnation-1", None), self.now);
         self.runner.register(registration, self.now);
         self.runner.tick(self.now);
         self.record_told();
