--- a/crates/leased/cloverfold_leased_guard/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_guard/src/metrics.rs
@@ -119,6 +119,7 @@
                 RegistrationVerdict::Candidate.as_str(),
                 registrations.candidates,
             ),
+            ("unreadable", state.unreadable_registration_count()),
         ]);
         let calls = counts.calls;
         self.target_calls.set(&[
--- a/crates/leased/cloverfold_leased_guard/src/process.rs
+++ b/crates/leased/cloverfold_leased_guard/src/process.rs
@@ -166,6 +166,7 @@
             plain_response(StatusCode::NOT_FOUND, "no such call\n")
         }
         Err(RegistrationRefusal::Malformed(fault)) => {
+            state.lock().count_unreadable_registration();
             log::warn!("a registration cannot be read: {fault}");
             plain_response(StatusCode::BAD_REQUEST, format!("{fault}\n"))
         }
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -51,6 +51,8 @@
     told_service: Option<String>,
     /// The incarnation of the target that control processes were told last: they hold it by its name before its upkeep.
     told_incarnation: Option<IncarnationId>,
+    /// Registrations that could not be read.
+    unreadable_registrations: u64,
     /// Why the target accepts no work, as logged last.
     logged_reason: Option<UnavailableReason>,
 }
@@ -102,6 +104,7 @@
             renew_now,
             told_service: None,
             told_incarnation: None,
+            unreadable_registrations: 0,
             logged_reason: Some(UnavailableReason::NoTarget),
         }
     }
@@ -186,6 +189,16 @@
         self.advance();
     }
 
+    /// Counts a registration that another writer has sent, or that is broken: it changes nothing.
+    pub(crate) fn count_unreadable_registration(&mut self) {
+        self.unreadable_registrations += 1;
+    }
+
+    /// Returns how many registrations could not be read.
+    pub(crate) fn unreadable_registration_count(&self) -> u64 {
+        self.unreadable_registrations
+    }
+
     /// Returns the next renewal; `None` while there is no target to renew the lease of.
     pub(crate) fn plan_renewal(&mut self) -> Option<RenewalOrder> {
         let now = self.clock.now();
