--- a/crates/leased/cloverfold_lease/src/runner/candidates.rs
+++ b/crates/leased/cloverfold_lease/src/runner/candidates.rs
@@ -1,9 +1,9 @@
 //! Decision: which of several incarnations that have registered is the living target.
 //!
 //! A registration may be delayed on its way, also past the crash of its sender and the registration of the next incarnation. So an unknown
-//! incarnation beside a known target is only a **candidate**. The target's address is asked for it with a renewal that extends no lease: only a
-//! incarnation that is there answers to its name, and its list tells when it started. Starts are compared for equality alone, since the
-//! clock by which a target tells them may be put back between two incarnations.
+//! incarnation beside a known target is only a **candidate**. The target's address is asked for it with a renewal that extends no
+//! lease: only an incarnation that is there answers to its name, and its list tells when it started. Starts are compared for equality
+//! alone, since the clock by which a target tells them may be put back between two incarnations.
 //!
 //! | answer | conclusion |
 //! |---|---|
--- a/crates/leased/cloverfold_lease/src/runner/succession.rs
+++ b/crates/leased/cloverfold_lease/src/runner/succession.rs
@@ -1,7 +1,7 @@
 //! Decision: what becomes of the runs when the target is found to have started again under the name that it had.
 //!
-//! An order names the target and not its incarnation, so the new incarnation may have carried out, or may yet carry out, what was sent to the incarnation
-//! before. The clock of the new incarnation begins anew, so the deadlines of those orders bind nothing there.
+//! An order names the target and not its incarnation, so the new one may have carried out, or may yet carry out, what was sent to the one
+//! before. Its clock begins anew, so the deadlines of those orders bind nothing there.
 //!
 //! | of the incarnation before | rule |
 //! |---|---|
@@ -12,9 +12,9 @@
 //!
 //! Inputs: the runs and the fencing token of the incarnation before. No constant.
 //!
-//! Owns no state besides the runner's. Relies on a target that refuses fencing tokens below the highest that its incarnation has seen, and on
-//! `renewals` to acknowledge no end to a target that has left a renewal unanswered: it may be a new incarnation, in which that number means
-//! another end.
+//! Owns no state besides the runner's. Relies on a target that refuses fencing tokens below the highest that its incarnation has seen, and
+//! on no end being acknowledged to a target that has left a renewal unanswered (`TargetIncarnation::acknowledged_end`): it may be a new
+//! incarnation, in which that number means another end.
 
 use cloverfold_base::Timestamp;
 
@@ -24,7 +24,7 @@
 use crate::runner::{Runner, RunnerAction};
 
 impl Runner {
-    /// Follows the target into another incarnation under the same name, of which `registration` tells if that incarnation has registered.
+    /// Follows the target into another incarnation under the same name; `registration` is that one's, if it has registered.
     pub(super) fn follow_target(
         &mut self,
         incarnation: IncarnationId,
--- a/crates/leased/cloverfold_lease/src/runner/target.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target.rs
@@ -12,7 +12,7 @@
 use crate::runner::target_incarnation::TargetIncarnation;
 use crate::runner::{Runner, RunnerAction};
 
-/// Lives of the target that are remembered as over, so that a registration that comes late from one is ignored.
+/// Incarnations of the target that are remembered as over, so that a registration that comes late from one is ignored.
 ///
 /// Chosen, not measured.
 const REMEMBERED_INCARNATIONS: usize = 16;
@@ -50,8 +50,8 @@
 
     /// Decides what becomes of a registration.
     ///
-    /// Sequences are compared within an incarnation alone: a target that starts again counts anew, and all that it said, that it leaves too, would
-    /// pass for late words of its incarnation before.
+    /// Sequences are compared within an incarnation alone: a target that starts again counts anew, and all that it says, also that it leaves,
+    /// would pass for late words of the incarnation before.
     fn judge_registration(&self, registration: &TargetRegistration) -> RegistrationVerdict {
         let incarnation = &registration.incarnation;
         if self.ended_incarnations.contains(incarnation) {
@@ -72,8 +72,8 @@
         RegistrationVerdict::Taken
     }
 
-    /// Returns the fencing token with which a candidate is asked first: one that the target's present incarnation, which may answer in its place,
-    /// does not refuse either.
+    /// Returns the fencing token with which a candidate is asked first: one that the target's present incarnation does not refuse either,
+    /// which may answer in its place.
     fn fencing_token_for(&self, incarnation: &IncarnationId) -> u64 {
         let target = self.target.as_ref();
         let target =
@@ -105,9 +105,9 @@
 
     /// Forgets the target or candidate that reports its own end, and ends its runs.
     ///
-    /// A target that tells its incarnations apart drains before it ends. A word without the start of its incarnation, while the present one does not
-    /// drain, is a late one of an earlier incarnation and changes nothing: a target that is gone is noticed by its silence. Returns whether the
-    /// word was taken.
+    /// A target that tells its incarnations apart drains before it ends. A word without a start, while the present incarnation does not
+    /// drain, is a late one of an earlier incarnation and changes nothing: a target that is gone is noticed by its silence. Returns whether
+    /// the word was taken.
     pub fn unregister(&mut self, incarnation: &IncarnationId, now: Timestamp) -> bool {
         if self.candidates.remove(incarnation).is_some() {
             self.remember_as_ended(incarnation.clone());
--- a/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
@@ -244,8 +244,8 @@
         });
     }
 
-    /// Returns the number up to which the target may forget ends: none while a renewal is unanswered. Numbers begin anew in each incarnation, and
-    /// another incarnation that answers the next renewal would forget ends that nobody has seen.
+    /// Returns the number up to which the target may forget ends: none while a renewal is unanswered. Numbers begin anew in each
+    /// incarnation, and another one that answers the next renewal would forget ends that nobody has seen.
     pub(super) fn acknowledged_end(&self) -> u64 {
         if self.is_answer_missing {
             return 0;
--- a/crates/leased/cloverfold_leased_guard/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_guard/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Owns nothing but the gauges: the numbers are read off [`GuardState`] when they are asked for. Relies on [`ProcessMetrics`] for what every
 //! leased process counts.
 
-use cloverfold_lease::{ProcessorUse, RegistrationVerdict};
+use cloverfold_lease::{ProcessorUse, RegistrationVerdict, RunnerCounts};
 use cloverfold_leased_process::{MetricsBuilder, ProcessMetrics};
 use cloverfold_telemetry::CauseGauges;
 use prometheus_client::metrics::gauge::Gauge;
@@ -83,6 +83,33 @@
         self.waiting.set(processors.waiting);
     }
 
+    /// Sets what was heard of the target and what it was asked.
+    fn set_target_counts(&self, counts: RunnerCounts, unreadable: u64) {
+        let registrations = counts.registrations;
+        self.registrations.set(&[
+            (RegistrationVerdict::Taken.as_str(), registrations.taken),
+            (
+                RegistrationVerdict::Overtaken.as_str(),
+                registrations.overtaken,
+            ),
+            (RegistrationVerdict::Ended.as_str(), registrations.ended),
+            (RegistrationVerdict::Foreign.as_str(), registrations.foreign),
+            (
+                RegistrationVerdict::Candidate.as_str(),
+                registrations.candidates,
+            ),
+            ("unreadable", unreadable),
+        ]);
+        let calls = counts.calls;
+        self.target_calls.set(&[
+            ("renewals", calls.renewals),
+            ("answered_early", calls.answered_early),
+            ("questions", calls.questions),
+            ("starts", calls.starts),
+            ("stops", calls.stops),
+        ]);
+    }
+
     /// Writes the metrics as text.
     pub(crate) fn write(&self, state: &GuardState) -> String {
         let counts = state.counts();
@@ -106,29 +133,7 @@
             .set(state.unrecorded_end_count() as i64);
         self.dropped_ends.set(state.dropped_end_count() as i64);
         self.passed_over_ends.set(counts.ends_passed_over as i64);
-        let registrations = counts.registrations;
-        self.registrations.set(&[
-            (RegistrationVerdict::Taken.as_str(), registrations.taken),
-            (
-                RegistrationVerdict::Overtaken.as_str(),
-                registrations.overtaken,
-            ),
-            (RegistrationVerdict::Ended.as_str(), registrations.ended),
-            (RegistrationVerdict::Foreign.as_str(), registrations.foreign),
-            (
-                RegistrationVerdict::Candidate.as_str(),
-                registrations.candidates,
-            ),
-            ("unreadable", state.unreadable_registration_count()),
-        ]);
-        let calls = counts.calls;
-        self.target_calls.set(&[
-            ("renewals", calls.renewals),
-            ("answered_early", calls.answered_early),
-            ("questions", calls.questions),
-            ("starts", calls.starts),
-            ("stops", calls.stops),
-        ]);
+        self.set_target_counts(counts, state.unreadable_registration_count());
         let speed = state.usual_speed();
         self.usual_slowness.set(i64::from(speed.slowness_permille));
         let evacuated = state.evacuated_halls();
