--- a/crates/leased/cloverfold_lease/tests/runner/main.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod any_order;
 mod assignments;
 mod evacuation;
 mod fixture;
