One place for how long after a lease all its runs are over; two comments

Cause: the sum of a lease on a slow clock and a stop stood four times, two of them written with the incarnations. Timings::over_after_lease has it now; behaviour is the same.

--- a/crates/leased/cloverfold_lease/src/runner/actions.rs
+++ b/crates/leased/cloverfold_lease/src/runner/actions.rs
@@ -25,7 +25,7 @@
     RenewNow,
     /// Log that an incarnation beside the known target was asked for, and whether it lives.
     ReportIncarnation {
-        /// Its name.
+        /// Which one.
         incarnation: IncarnationId,
         /// Whether it lives and is the target now; otherwise it is ignored from now on.
         is_living: bool,
--- a/crates/leased/cloverfold_lease/src/runner/incarnation_id.rs
+++ b/crates/leased/cloverfold_lease/src/runner/incarnation_id.rs
@@ -1,7 +1,7 @@
 //! The identity of one incarnation of a target.
 //!
-//! Owns [`IncarnationId`]. What hangs on a target, above all its counts and its clock, hangs on an incarnation: a target may start again under the name
-//! that it had; then it knows nothing of before and counts anew.
+//! Owns [`IncarnationId`]. What hangs on a target, above all its counts and its clock, hangs on an incarnation: a target may start again
+//! under the name that it had; then it knows nothing of before and counts anew.
 
 /// When a target started, in milliseconds since 1970 by its own time of day. Only compared for equality: that clock may be put back
 /// between two incarnations.
--- a/crates/leased/cloverfold_lease/src/runner/lapses.rs
+++ b/crates/leased/cloverfold_lease/src/runner/lapses.rs
@@ -89,9 +89,8 @@
         } else {
             self.timings.lease
         };
-        let longest = self.timings.longest_true_span(lease) + self.timings.stop;
         let first_heard_at = self.first_heard_at.unwrap_or(now);
-        now > first_heard_at + longest
+        now > first_heard_at + self.timings.over_after_lease(lease)
     }
 
     /// Ends all runs as lost, and holds no end any more: every lease of the target has lapsed.
--- a/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
@@ -277,7 +277,7 @@
     /// that shows it at once. Without a reading no order had a deadline, so there is no lease. What orders to an earlier incarnation of the same
     /// name have extended is cut by the target to the longest lease that it grants.
     pub(super) fn has_lease_lapsed(&self, timings: &Timings, now: Timestamp) -> bool {
-        let longest = timings.longest_true_span(timings.longest_lease) + timings.stop;
+        let longest = timings.over_after_lease(timings.longest_lease);
         let before = self.orders_before;
         if before.is_some_and(|before| now <= before.refused_at + longest) {
             return false;
@@ -289,8 +289,7 @@
             return true;
         }
         let left = self.latest_deadline.saturating_sub(reading.clock);
-        let longest = timings.longest_true_span(Duration::from_millis(left));
-        now > reading.received_at + longest + timings.stop
+        now > reading.received_at + timings.over_after_lease(Duration::from_millis(left))
     }
 
     /// Raises the fencing token above one that the target has refused; an answer to an older, lower one changes nothing.
--- a/crates/leased/cloverfold_lease/src/timings.rs
+++ b/crates/leased/cloverfold_lease/src/timings.rs
@@ -132,11 +132,16 @@
         span * 1_000 / permille
     }
 
+    /// Returns how long after a lease of this length was given, on the target's clock, all that runs under it is over.
+    pub fn over_after_lease(&self, lease: Duration) -> Duration {
+        self.longest_true_span(lease) + self.stop
+    }
+
     /// Returns how long after its last echo a dispatcher must wait until all that the session started is over.
     ///
     /// The runner may be frozen just before the session ends; then the lease that it renewed last must lapse.
     pub fn runs_over_after(&self) -> Duration {
-        self.session + self.longest_true_span(self.lease) + self.stop
+        self.session + self.over_after_lease(self.lease)
     }
 
     /// Returns whether the safety inequality holds: all runs of a session are over before a caller sends its job again.
