Count suspended time in the clock of every process

Cause: the clock by which leases, sessions, leads and holds are held was the steady clock, which stands still while a box is suspended: a guard that slept for 3 s believed its sessions, an entry its open jobs, a control process its lead and the proofs of its reads.

A watch compares both clocks; what it notices is logged and counted. A guard takes its target's clock to have stood still: leases are not lengthened by the suspension and do not count as lapsed by it alone. The age of a proof before a call for upkeep and that of counts of kept jobs move to this clock; clippy forbids Instant::now in the leased and common packages and in platform/.

No test suspends a machine.

--- a/crates/common/cloverfold_base/src/clock.rs
+++ b/crates/common/cloverfold_base/src/clock.rs
@@ -1,13 +1,15 @@
-//! The steady clock of a process and the wall clock.
+//! The clock of a process and the wall clock.
 //!
-//! [`ProcessClock`] owns the instant at which the process started; it relies on the system's steady clock. Code that decides
+//! [`ProcessClock`] owns the point in time at which the process started; it relies on the system's boot clock. Code that decides
 //! without I/O gets a [`Timestamp`] as an argument and reads no clock.
 
 use std::ops::{Add, AddAssign, Sub};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 
+use crate::system_clocks::read_boot_clock;
+
 /// Wall-clock time as the span since the Unix epoch.
 pub type UnixTime = Duration;
 
@@ -18,7 +20,7 @@
         .unwrap_or_default()
 }
 
-/// A point in time on one process's steady clock, as the span since that clock started.
+/// A point in time on one process's clock, as the span since that clock started.
 ///
 /// Timestamps of different processes can't be compared. On the wire a timestamp is the span alone.
 #[derive(
@@ -72,16 +74,20 @@
     }
 }
 
-/// A steady clock that measures from its creation, usually the start of the process.
+/// A clock that measures from its creation, usually the start of the process, and never goes back.
+///
+/// It counts the time for which the box is suspended: a right that is held until some point in time, such as a lease or a session, must
+/// not outlive that time because its holder was suspended.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessClock {
-    started_at: Instant,
+    /// On the boot clock.
+    started_at: Duration,
 }
 
 impl Default for ProcessClock {
     fn default() -> Self {
         Self {
-            started_at: Instant::now(),
+            started_at: read_boot_clock(),
         }
     }
 }
@@ -89,6 +95,6 @@
 impl ProcessClock {
     /// Returns the present point in time.
     pub fn now(&self) -> Timestamp {
-        Timestamp::from_start(self.started_at.elapsed())
+        Timestamp::from_start(read_boot_clock().saturating_sub(self.started_at))
     }
 }
--- a/crates/common/cloverfold_http/src/lib.rs
+++ b/crates/common/cloverfold_http/src/lib.rs
@@ -5,6 +5,8 @@
 //! The library underneath is `hyper` rather than `volo-http`, which is built on it: the server here needs limits on header
 //! time, a planned stop for each connection, and to drop a handler whose client has left.
 
+#![warn(clippy::disallowed_methods)]
+
 mod client;
 mod operations;
 mod server;
--- a/crates/common/cloverfold_link/src/lib.rs
+++ b/crates/common/cloverfold_link/src/lib.rs
@@ -7,6 +7,8 @@
 //!
 //! Owns the connections and the queues of messages that wait to be sent. Relies on the system's TCP and on `postcard` for the encoding.
 
+#![warn(clippy::disallowed_methods)]
+
 mod dial;
 mod frame;
 mod link;
--- a/crates/common/cloverfold_settings/src/lib.rs
+++ b/crates/common/cloverfold_settings/src/lib.rs
@@ -4,6 +4,8 @@
 //! of each process are in `cloverfold_leased_settings` and `cloverfold_claims_settings`; here is what they share: keys, logs, paths and
 //! times. Owns no state. Relies on `jsonc-parser` for comments and lines.
 
+#![warn(clippy::disallowed_methods)]
+
 mod common;
 mod document;
 
--- a/crates/common/cloverfold_telemetry/src/bounded_log.rs
+++ b/crates/common/cloverfold_telemetry/src/bounded_log.rs
@@ -51,6 +51,19 @@
     lines: u32,
 }
 
+impl Window {
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "bounds log lines; no right hangs on it"
+    )]
+    fn begin() -> Self {
+        Self {
+            since: Instant::now(),
+            lines: 0,
+        }
+    }
+}
+
 impl BoundedAppender {
     /// Starts the writing thread; `limit` is in lines per second.
     pub(crate) fn start(stream: LogStream, limit: u32) -> std::io::Result<Self> {
@@ -60,10 +73,7 @@
         Ok(Self {
             encoder: JsonEncoder::new(),
             tx,
-            window: Mutex::new(Window {
-                since: Instant::now(),
-                lines: 0,
-            }),
+            window: Mutex::new(Window::begin()),
             limit,
         })
     }
@@ -72,8 +82,7 @@
     fn may_write(&self, record: &Record<'_>) -> bool {
         let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
         if window.since.elapsed() > LIMIT_WINDOW {
-            window.since = Instant::now();
-            window.lines = 0;
+            *window = Window::begin();
         }
         window.lines = window.lines.saturating_add(1);
         let is_problem = record.level() <= log::Level::Warn;
--- a/crates/common/cloverfold_telemetry/src/lib.rs
+++ b/crates/common/cloverfold_telemetry/src/lib.rs
@@ -3,6 +3,8 @@
 //! Owns the queue of log lines that wait to be written and the count of those that were dropped. Relies on `log4rs` for the format
 //! and on `prometheus-client` for the exposition.
 
+#![warn(clippy::disallowed_methods)]
+
 mod bounded_log;
 mod cause_gauges;
 mod logging;
--- a/crates/leased/cloverfold_configuration/src/lib.rs
+++ b/crates/leased/cloverfold_configuration/src/lib.rs
@@ -4,6 +4,8 @@
 //! [`ConfigurationState`] owns what the control processes replicate: the highest version and the audit trail. Nothing here does I/O; the
 //! log that orders the proposals is `cloverfold_consensus`, the process around both `cloverfold_control`.
 
+#![warn(clippy::disallowed_methods)]
+
 mod configuration;
 mod faults;
 mod format;
--- a/crates/leased/cloverfold_consensus/src/lib.rs
+++ b/crates/leased/cloverfold_consensus/src/lib.rs
@@ -10,6 +10,8 @@
 //! - messages marked [`Outgoing::after_sync`] wait for the records of their batch;
 //! - a replica that starts with an empty disk gets a new identity ([`ReplicaId`]) and votes only after the group has added it.
 
+#![warn(clippy::disallowed_methods)]
+
 mod log_entries;
 mod members;
 mod messages;
--- a/crates/leased/cloverfold_control/src/lib.rs
+++ b/crates/leased/cloverfold_control/src/lib.rs
@@ -35,6 +35,8 @@
 //! and a disk thread of its own (`job_groups`, `replica_host`, `disk`); calls of entries and guards go through `state::job_calls` to the
 //! group's leader, those of operators through `job_operators`. What becomes of a job is decided by `cloverfold_kept_jobs`.
 
+#![warn(clippy::disallowed_methods)]
+
 mod disk;
 mod error;
 mod evacuations;
--- a/crates/leased/cloverfold_control/src/metrics.rs
+++ b/crates/leased/cloverfold_control/src/metrics.rs
@@ -65,7 +65,7 @@
             .set(evacuations.in_force().len() as i64);
         self.jobs.set(state);
         self.set_upkeep(state);
-        self.process.write(state.sent())
+        self.process.write(state.sent(), state.suspensions())
     }
 
     fn set_upkeep(&self, state: &ControlState) {
--- a/crates/leased/cloverfold_control/src/state/mod.rs
+++ b/crates/leased/cloverfold_control/src/state/mod.rs
@@ -50,6 +50,7 @@
 use cloverfold_configuration::{AuditRecord, Version};
 use cloverfold_consensus::{LogIndex, ReplicaId};
 use cloverfold_evacuation::{DataHall, EvacuationRevision, OrderId};
+use cloverfold_leased_process::Suspensions;
 use cloverfold_link::LinkId;
 use cloverfold_peer::{DialedPeers, Hello, PeerLinks, SentCounts};
 use tokio::sync::watch;
@@ -72,6 +73,7 @@
 /// The state of a control process.
 pub(crate) struct ControlState {
     clock: ProcessClock,
+    suspensions: Suspensions,
     /// How this process introduces itself.
     own: Hello,
     replica_id: ReplicaId,
@@ -123,6 +125,7 @@
     ) -> Self {
         Self {
             clock: ProcessClock::default(),
+            suspensions: Suspensions::default(),
             own,
             replica_id: host.replica.status().id,
             host,
@@ -168,6 +171,8 @@
 
     /// Does the work that is due by now.
     pub(crate) fn tick(&mut self) {
+        // Logged and counted here; what follows from it, follows from the gap in time.
+        self.suspensions.look();
         let now = self.clock.now();
         self.host.replica.tick(now);
         self.try_bootstrap();
@@ -218,6 +223,11 @@
         self.links.sent()
     }
 
+    /// Returns the suspensions of the box that were noticed.
+    pub(crate) fn suspensions(&self) -> &Suspensions {
+        &self.suspensions
+    }
+
     /// Returns the term of the log.
     pub(crate) fn term(&self) -> u64 {
         self.host.replica.status().term
--- a/crates/leased/cloverfold_control/src/upkeep_caller.rs
+++ b/crates/leased/cloverfold_control/src/upkeep_caller.rs
@@ -1,14 +1,14 @@
 //! The calls to the platform while this process holds the upkeep.
 //!
 //! Decision: whether a call may go out. Rule: this process has proved just before, and not longer than [`MAX_PROOF_AGE`] ago, that it
-//! leads in the term whose holder wants the call. Inputs: a read proof of the log, the term, the steady clock. Reason: a leader that
+//! leads in the term whose holder wants the call. Inputs: a read proof of the log, the term, the clock of the process. Reason: a leader that
 //! was deposed, cut off or frozen must not call while its successor does; together with [`CALL_LIMIT`] the age bounds how long after an
 //! election the last call of an earlier leader can go out, and a new holder waits that long ([`find_timings`]).
 //!
 //! Without an open wave nothing here wakes up but for entries of the log, and nothing is called or read. Owns no state.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cloverfold_consensus::Term;
 use cloverfold_leased_process::Shared;
@@ -102,7 +102,7 @@
 
     /// Returns whether this process has just proved that it leads in a term, with all before it applied.
     async fn proves(&self, term: Term) -> bool {
-        let began = Instant::now();
+        let began = self.state.lock().now();
         let proof = self.state.lock().begin_read();
         let Ok(Ok(Some(index))) = timeout(MAX_PROOF_AGE, proof).await else {
             return false;
@@ -112,7 +112,9 @@
         if !matches!(timeout(MAX_PROOF_AGE, is_applied).await, Ok(Ok(_))) {
             return false;
         }
-        self.state.lock().leading_term() == Some(term) && began.elapsed() <= MAX_PROOF_AGE
+        let state = self.state.lock();
+        let age = state.now().saturating_duration_since(began);
+        state.leading_term() == Some(term) && age <= MAX_PROOF_AGE
     }
 
     async fn call(&self, term: Term, key: &BoxOfWave) {
--- a/crates/leased/cloverfold_evacuation/src/lib.rs
+++ b/crates/leased/cloverfold_evacuation/src/lib.rs
@@ -5,6 +5,8 @@
 //! trail. [`EvacuatedHalls`] is what every other process is told. Nothing here does I/O; the log that orders the orders is
 //! `cloverfold_consensus`, the process around both `cloverfold_control`.
 
+#![warn(clippy::disallowed_methods)]
+
 mod evacuated_halls;
 mod hall_names;
 mod order;
--- a/crates/leased/cloverfold_kept_jobs/src/lib.rs
+++ b/crates/leased/cloverfold_kept_jobs/src/lib.rs
@@ -20,6 +20,8 @@
 //! | `recorder` | the side of a guard: records ends |
 //! | `timings` | the bounds in time that handing on a job rests on |
 
+#![warn(clippy::disallowed_methods)]
+
 mod calls;
 mod commands;
 mod driver;
--- a/crates/leased/cloverfold_lease/src/lib.rs
+++ b/crates/leased/cloverfold_lease/src/lib.rs
@@ -39,6 +39,8 @@
 //! Log lines write the names that `as_str` or `Display` return, which can differ from the variant: `NoRoom` is
 //! [`JobRefusal::NoCapacity`]. To find a variant, search for the written name in quotes.
 
+#![warn(clippy::disallowed_methods)]
+
 mod dispatcher;
 mod health;
 mod messages;
--- a/crates/leased/cloverfold_lease/src/runner/mod.rs
+++ b/crates/leased/cloverfold_lease/src/runner/mod.rs
@@ -28,6 +28,7 @@
 //! | when the lease is left to lapse | `lapses` |
 //! | what an evacuation of the data hall changes | `evacuation` |
 //! | what the coming upkeep of the box changes | `upkeep` |
+//! | what a suspension of the box changes | `suspension` |
 
 mod actions;
 mod answers;
@@ -54,6 +55,7 @@
 mod stops;
 mod stuck_runs;
 mod succession;
+mod suspension;
 mod target;
 mod target_incarnation;
 mod unlisted;
--- a/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
@@ -292,6 +292,16 @@
         now > reading.received_at + timings.over_after_lease(Duration::from_millis(left))
     }
 
+    /// Takes the target's clock to have stood still for so long since it was read last.
+    pub(super) fn allow_for_suspension(&mut self, span: Duration) {
+        if let Some(reading) = &mut self.clock {
+            reading.received_at += span;
+        }
+        if let Some(before) = &mut self.orders_before {
+            before.refused_at += span;
+        }
+    }
+
     /// Raises the fencing token above one that the target has refused; an answer to an older, lower one changes nothing.
     ///
     /// The target refuses fencing tokens below the highest that it has seen: one of an earlier process whose clock was ahead.
--- a/crates/leased/cloverfold_lease/tests/overlap.rs
+++ b/crates/leased/cloverfold_lease/tests/overlap.rs
@@ -5,7 +5,7 @@
 
 mod world;
 
-use world::{KeptFaults, World, WorldFaults};
+use world::{KeptFaults, SuspendedClock, SuspendedClocks, World, WorldFaults};
 
 const SEEDS: u64 = 60;
 /// Overlaps of the mutated rule are rare: a dispatcher must die while a long run is under way whose job comes again.
@@ -114,3 +114,53 @@
     };
     assert!(is_noticed(forgetful, &[]));
 }
+
+/// Clocks that go on while their box is suspended, as all processes have them.
+const CLOCKS_GO_ON: SuspendedClocks = SuspendedClocks {
+    of_runners: SuspendedClock::GoesOn,
+    of_dispatchers: SuspendedClock::GoesOn,
+};
+
+#[test]
+fn no_two_runs_of_a_task_overlap_while_boxes_are_suspended() {
+    let (mut done, mut suspensions) = (0, 0);
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, WorldFaults::with_suspensions(CLOCKS_GO_ON));
+        world.play(20_000);
+        done += world.completed;
+        suspensions += world.suspensions;
+    }
+    assert!(done > 500, "the world does some work: {done} jobs");
+    assert!(
+        suspensions > 100,
+        "boxes are suspended: {suspensions} times"
+    );
+}
+
+/// Returns whether a world in which some clocks stand still while their box is suspended ends with a broken rule, in any seed.
+fn is_noticed_with(clocks: SuspendedClocks) -> bool {
+    let outcome = std::panic::catch_unwind(|| {
+        for seed in 0..MUTATION_SEEDS {
+            World::new(seed, WorldFaults::with_suspensions(clocks)).play(20_000);
+        }
+    });
+    outcome.is_err()
+}
+
+#[test]
+fn the_checker_notices_runners_whose_clock_stands_still_while_they_are_suspended() {
+    let clocks = SuspendedClocks {
+        of_runners: SuspendedClock::StandsStill,
+        ..CLOCKS_GO_ON
+    };
+    assert!(is_noticed_with(clocks));
+}
+
+#[test]
+fn the_checker_notices_dispatchers_whose_clock_stands_still_while_they_are_suspended() {
+    let clocks = SuspendedClocks {
+        of_dispatchers: SuspendedClock::StandsStill,
+        ..CLOCKS_GO_ON
+    };
+    assert!(is_noticed_with(clocks));
+}
--- a/crates/leased/cloverfold_lease/tests/runner/main.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/main.rs
@@ -14,6 +14,7 @@
 mod starts;
 mod stops;
 mod stuck_runs;
+mod suspension;
 mod target;
 mod upkeep;
 mod usual_speed;
--- a/crates/leased/cloverfold_lease/tests/world/clients.rs
+++ b/crates/leased/cloverfold_lease/tests/world/clients.rs
@@ -5,7 +5,7 @@
 use cloverfold_lease::{JobAnswer, JobNumber, JobRequest, Objective, Resources, StepRequest};
 use rand::RngExt;
 
-use super::{CLIENT_PATIENCE_MS, DISPATCHERS, RESEND_MS, World, at};
+use super::{CLIENT_PATIENCE_MS, DISPATCHERS, RESEND_MS, World};
 
 /// Who waits for the answer to a job.
 #[derive(Clone)]
@@ -45,7 +45,7 @@
             return;
         };
         dispatcher.set_first_run(now / 100 + 1);
-        let number = dispatcher.submit(job(&id, count, work), at(now));
+        let number = dispatcher.submit(job(&id, count, work), node.clock.read(now));
         node.clients.insert(number, Client { id, sent_at: now });
     }
 
--- a/crates/leased/cloverfold_lease/tests/world/links.rs
+++ b/crates/leased/cloverfold_lease/tests/world/links.rs
@@ -5,7 +5,7 @@
 use cloverfold_lease::{DispatcherMessage, RunnerMessage};
 use rand::RngExt;
 
-use super::{DISPATCHERS, RUNNERS, World, at};
+use super::{DISPATCHERS, RUNNERS, World};
 
 /// How long a retired session stays open at least.
 const RETIRED_SPAN_MS: u64 = 500;
@@ -25,7 +25,7 @@
 
 impl World {
     pub(super) fn close_links(&mut self, matches: impl Fn(&(usize, usize)) -> bool) {
-        let now = at(self.now);
+        let now = self.now;
         let keys: Vec<_> = self
             .links
             .keys()
@@ -45,20 +45,23 @@
                 );
                 continue;
             }
-            if let Some(runner) = &mut self.runners[key.1].runner {
-                runner.close_session(link.id, now);
+            let node = &mut self.runners[key.1];
+            if let Some(runner) = &mut node.runner {
+                runner.close_session(link.id, node.clock.read(now));
             }
-            if let Some(dispatcher) = &mut self.dispatchers[key.0].dispatcher {
-                dispatcher.close_session(link.id, now);
+            let node = &mut self.dispatchers[key.0];
+            if let Some(dispatcher) = &mut node.dispatcher {
+                dispatcher.close_session(link.id, node.clock.read(now));
             }
         }
     }
 
     /// Runners dial dispatchers; a link that one side has closed ends at the other when it is not cut.
     pub(super) fn keep_links(&mut self) {
-        let now = at(self.now);
         for dispatcher in 0..DISPATCHERS {
             for runner in 0..RUNNERS {
+                let runner_now = self.runners[runner].clock.read(self.now);
+                let dispatcher_now = self.dispatchers[dispatcher].clock.read(self.now);
                 let key = (dispatcher, runner);
                 let is_alive = self.runners[runner].runner.is_some()
                     && self.dispatchers[dispatcher].dispatcher.is_some()
@@ -72,9 +75,9 @@
                 }
                 if let Some(link) = self.links.remove(&key) {
                     let runner = self.runners[runner].runner.as_mut().unwrap();
-                    runner.close_session(link.id, now);
+                    runner.close_session(link.id, runner_now);
                     let dispatcher = self.dispatchers[dispatcher].dispatcher.as_mut().unwrap();
-                    dispatcher.close_session(link.id, now);
+                    dispatcher.close_session(link.id, dispatcher_now);
                 }
                 let id = self.next_link;
                 self.next_link += 1;
@@ -86,10 +89,10 @@
                 };
                 self.links.insert(key, open);
                 let node = self.runners[runner].runner.as_mut().unwrap();
-                node.open_session(id, now);
+                node.open_session(id, runner_now);
                 let name = format!("runner-{runner}");
                 let node = self.dispatchers[dispatcher].dispatcher.as_mut().unwrap();
-                node.open_session(id, &name, now);
+                node.open_session(id, &name, dispatcher_now);
                 node.set_knows_kept_jobs(id);
             }
         }
@@ -144,7 +147,7 @@
                 let (_, message) = link.to_dispatcher.pop_front().unwrap();
                 let id = link.id;
                 if let Some(dispatcher) = &mut node.dispatcher {
-                    dispatcher.receive(id, message, at(now));
+                    dispatcher.receive(id, message, node.clock.read(now));
                 }
                 self.act_dispatcher(dispatcher);
             }
@@ -157,7 +160,7 @@
                 let (_, message) = link.to_runner.pop_front().unwrap();
                 let id = link.id;
                 if let Some(runner) = &mut node.runner {
-                    runner.receive(id, message, at(now));
+                    runner.receive(id, message, node.clock.read(now));
                 }
                 self.act_runner(runner);
             }
--- a/crates/leased/cloverfold_lease/tests/world/mod.rs
+++ b/crates/leased/cloverfold_lease/tests/world/mod.rs
@@ -1,6 +1,6 @@
 //! The simulated world: runners with targets, dispatchers and clients, in steps of a few milliseconds.
 //!
-//! This file holds its state and the check for overlaps; `faults` has what fails, `links` what is under way, `processes` and `clients`
+//! This file holds its state and the check for overlaps; `faults` and `suspensions` have what fails, `links` what is under way, `processes` and `clients`
 //! what each does in a step.
 
 mod clients;
@@ -9,6 +9,7 @@
 mod kept;
 mod links;
 mod processes;
+mod suspensions;
 mod target;
 
 use std::collections::BTreeMap;
@@ -25,6 +26,8 @@
 use kept::KeptWorld;
 use links::Link;
 use processes::new_dispatcher;
+use suspensions::BoxClock;
+pub use suspensions::{SuspendedClock, SuspendedClocks};
 use target::Target;
 
 const STEP_MS: u64 = 5;
@@ -46,6 +49,8 @@
     pub has_evacuations: bool,
     /// How kept jobs are treated; `None` in a world without them.
     pub kept: Option<KeptFaults>,
+    /// What the clocks of processes show while their box is suspended; `None` in a world in which none is.
+    pub suspended: Option<SuspendedClocks>,
 }
 
 impl WorldFaults {
@@ -55,6 +60,7 @@
             session_ms: 500,
             has_evacuations: false,
             kept: None,
+            suspended: None,
         }
     }
 
@@ -65,6 +71,13 @@
         }
     }
 
+    pub fn with_suspensions(clocks: SuspendedClocks) -> Self {
+        Self {
+            suspended: Some(clocks),
+            ..Self::all()
+        }
+    }
+
     pub fn with_evacuations() -> Self {
         Self {
             has_evacuations: true,
@@ -78,6 +91,7 @@
             session_ms: 500,
             has_evacuations: false,
             kept: None,
+            suspended: None,
         }
     }
 
@@ -92,6 +106,7 @@
 struct RunnerNode {
     runner: Option<Runner>,
     frozen_until: u64,
+    clock: BoxClock,
     starts_at: u64,
     target: Target,
     renewal_due_at: u64,
@@ -103,6 +118,7 @@
 struct DispatcherNode {
     dispatcher: Option<Dispatcher>,
     frozen_until: u64,
+    clock: BoxClock,
     starts_at: u64,
     clients: BTreeMap<JobNumber, Client>,
 }
@@ -125,6 +141,8 @@
     pub starts: u64,
     /// How often a runner has left a dispatcher.
     pub left: u64,
+    /// How often a box was suspended.
+    pub suspensions: u64,
 }
 
 /// The point in time `value` milliseconds after the start of the clock.
@@ -139,6 +157,7 @@
             .map(|index| RunnerNode {
                 runner: Some(Runner::new(faults.timings(), 1_000)),
                 frozen_until: 0,
+                clock: BoxClock::default(),
                 starts_at: 0,
                 target: Target::new(index, rng.random_range(0.98..=1.0)),
                 renewal_due_at: 0,
@@ -150,6 +169,7 @@
             .map(|index| DispatcherNode {
                 dispatcher: Some(new_dispatcher(faults, seed + index as u64)),
                 frozen_until: 0,
+                clock: BoxClock::default(),
                 starts_at: 0,
                 clients: BTreeMap::new(),
             })
@@ -171,6 +191,7 @@
             tasks_completed: 0,
             starts: 0,
             left: 0,
+            suspensions: 0,
         }
     }
 
@@ -182,6 +203,7 @@
             if self.faults.is_troubled {
                 self.trouble();
             }
+            self.suspend_boxes();
             self.restart_processes();
             self.evacuate_halls();
             self.keep_links();
--- a/crates/leased/cloverfold_lease/tests/world/processes.rs
+++ b/crates/leased/cloverfold_lease/tests/world/processes.rs
@@ -5,7 +5,7 @@
 };
 use rand::RngExt;
 
-use super::{RENEWAL_TIMEOUT_MS, RUNNERS, World, WorldFaults, at};
+use super::{RENEWAL_TIMEOUT_MS, RUNNERS, World, WorldFaults};
 
 impl World {
     pub(super) fn run_targets(&mut self) {
@@ -22,32 +22,33 @@
         if now < node.frozen_until {
             return;
         }
+        let clock = node.clock;
         let Some(runner) = &mut node.runner else {
             return;
         };
         for (arrives_at, registration) in std::mem::take(&mut node.late_registrations) {
             if arrives_at <= now {
-                runner.register(registration, at(now));
+                runner.register(registration, clock.read(now));
             } else {
                 node.late_registrations.push((arrives_at, registration));
             }
         }
         if node.target.is_up(now) && now >= node.registered_at {
-            runner.register(node.target.register(now), at(now));
+            runner.register(node.target.register(now), clock.read(now));
             node.registered_at = now + 1_500;
         }
         if now >= node.renewal_due_at {
             node.renewal_due_at = now + 15;
-            if let Some(order) = runner.plan_renewal(at(now)) {
+            if let Some(order) = runner.plan_renewal(clock.read(now)) {
                 let is_late = self.faults.is_troubled && self.rng.random_bool(0.03);
                 let answer = node.target.renew(&order, now, is_late);
                 if answer == RenewalAnswer::Unanswered {
                     node.renewal_due_at = now + RENEWAL_TIMEOUT_MS;
                 }
-                runner.receive_renewal_answer(&order, answer, at(now));
+                runner.receive_renewal_answer(&order, answer, clock.read(now));
             }
         }
-        runner.tick(at(now));
+        runner.tick(clock.read(now));
         self.act_runner(index);
     }
 
@@ -71,7 +72,7 @@
                         let answer = node.target.start(&order, now, is_late, &mut self.rng);
                         if answer != StartAnswer::Unanswered {
                             let runner = node.runner.as_mut().unwrap();
-                            runner.receive_start_answer(&order, answer, at(now));
+                            runner.receive_start_answer(&order, answer, node.clock.read(now));
                         }
                     }
                     RunnerAction::Stop(order) => {
@@ -95,7 +96,7 @@
         self.expire_kept(index);
         let node = &mut self.dispatchers[index];
         if let Some(dispatcher) = &mut node.dispatcher {
-            dispatcher.tick(at(self.now));
+            dispatcher.tick(node.clock.read(self.now));
         }
         self.act_dispatcher(index);
     }
--- a/crates/leased/cloverfold_leased_entry/src/callers.rs
+++ b/crates/leased/cloverfold_leased_entry/src/callers.rs
@@ -5,6 +5,7 @@
 
 use std::sync::{Arc, MutexGuard};
 
+use cloverfold_base::Timestamp;
 use cloverfold_configuration::{Configuration, Route};
 use cloverfold_http::{Request, Response, json_response, plain_response};
 use cloverfold_lease::{JobRequest, RETRY_AFTER};
@@ -40,6 +41,11 @@
         self.state.lock()
     }
 
+    /// Returns the present point in time on the clock of the process.
+    pub(crate) fn now(&self) -> Timestamp {
+        self.lock().now()
+    }
+
     /// Answers one request.
     pub(crate) async fn answer(&self, request: Request) -> Response {
         match self.find_configuration().await {
--- a/crates/leased/cloverfold_leased_entry/src/kept_callers.rs
+++ b/crates/leased/cloverfold_leased_entry/src/kept_callers.rs
@@ -18,7 +18,7 @@
 //!
 //! Owns the counts of queues that were asked for of late.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cloverfold_base::hash_parts;
 use cloverfold_configuration::Route;
@@ -53,7 +53,7 @@
         request: &Request,
         job: &JobRequest,
     ) -> Response {
-        let began = Instant::now();
+        let began = self.now();
         let limit = self.limit(request, SUBMIT_LIMIT);
         let refusal = self.lock().find_kept_refusal(job);
         if let Some(cause) = refusal
@@ -67,7 +67,8 @@
         if is_refused_in_touch(answer) && self.is_known(id, limit).await {
             answer = CallAnswer::Unknown;
         }
-        self.answer_submission(id, route, answer, began.elapsed())
+        let took = self.now().saturating_duration_since(began);
+        self.answer_submission(id, route, answer, took)
     }
 
     /// Returns whether a group knows a job: one that is sent again must not be told that it never runs.
@@ -149,16 +150,16 @@
 
     /// Counts the kept jobs of a queue that have not begun; `None` while that is not known.
     pub(crate) async fn count_kept(&self, queue: &str, request: &Request) -> Option<usize> {
-        if let Some(count) = self.pending.find_fresh(queue, Instant::now()) {
+        if let Some(count) = self.pending.find_fresh(queue, self.now()) {
             return Some(count);
         }
-        let asked_at = Instant::now();
+        let asked_at = self.now();
         let limit = self.limit(request, SHOW_LIMIT);
         let answers = self.lock().count_kept(queue, limit);
         let mut count = 0;
         for answer in answers {
             let CallAnswer::Pending(pending) = receive(answer).await else {
-                return self.pending.find_usable(queue, Instant::now());
+                return self.pending.find_usable(queue, self.now());
             };
             count += pending as usize;
         }
--- a/crates/leased/cloverfold_leased_entry/src/lib.rs
+++ b/crates/leased/cloverfold_leased_entry/src/lib.rs
@@ -8,6 +8,8 @@
 //! `cloverfold_lease` for where and when tasks run (the dispatcher), on `cloverfold_kept_jobs` for what it drives, on `cloverfold_leased_process` to start and run, and on `cloverfold_peer` for
 //! guards and control processes.
 
+#![warn(clippy::disallowed_methods)]
+
 mod callers;
 mod configuration;
 mod driven_jobs;
--- a/crates/leased/cloverfold_leased_entry/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_entry/src/metrics.rs
@@ -136,6 +136,6 @@
         let evacuated = state.evacuated_halls();
         self.evacuation_revision.set(evacuated.revision as i64);
         self.evacuated_halls.set(evacuated.halls.len() as i64);
-        self.metrics.write(state.sent())
+        self.metrics.write(state.sent(), state.suspensions())
     }
 }
--- a/crates/leased/cloverfold_leased_entry/src/pending_counts.rs
+++ b/crates/leased/cloverfold_leased_entry/src/pending_counts.rs
@@ -8,7 +8,9 @@
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cloverfold_base::Timestamp;
 
 /// A count of this age is given without asking. Chosen, not measured.
 const FRESH: Duration = Duration::from_millis(800);
@@ -20,7 +22,7 @@
 #[derive(Clone, Copy, Debug)]
 struct PendingCount {
     count: usize,
-    asked_at: Instant,
+    asked_at: Timestamp,
 }
 
 /// The counts of queues that were asked for of late.
@@ -31,17 +33,17 @@
 
 impl PendingCounts {
     /// Returns a count that need not be asked for.
-    pub(crate) fn find_fresh(&self, queue: &str, now: Instant) -> Option<usize> {
+    pub(crate) fn find_fresh(&self, queue: &str, now: Timestamp) -> Option<usize> {
         self.find(queue, FRESH, now)
     }
 
     /// Returns a count that may be given if the groups do not answer.
-    pub(crate) fn find_usable(&self, queue: &str, now: Instant) -> Option<usize> {
+    pub(crate) fn find_usable(&self, queue: &str, now: Timestamp) -> Option<usize> {
         self.find(queue, USABLE, now)
     }
 
     /// Records a count.
-    pub(crate) fn record(&self, queue: &str, count: usize, asked_at: Instant) {
+    pub(crate) fn record(&self, queue: &str, count: usize, asked_at: Timestamp) {
         let mut by_queue = self.lock();
         if by_queue.len() >= MAX_QUEUES {
             by_queue.clear();
@@ -49,7 +51,7 @@
         by_queue.insert(queue.into(), PendingCount { count, asked_at });
     }
 
-    fn find(&self, queue: &str, oldest: Duration, now: Instant) -> Option<usize> {
+    fn find(&self, queue: &str, oldest: Duration, now: Timestamp) -> Option<usize> {
         let known = self.lock().get(queue).copied()?;
         let age = now.saturating_duration_since(known.asked_at);
         (age <= oldest).then_some(known.count)
--- a/crates/leased/cloverfold_leased_entry/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/mod.rs
@@ -20,7 +20,7 @@
     Dispatcher, DispatcherAction, DispatcherCounts, JobAnswer, JobNumber, JobRefusal, JobRequest,
     REQUEST_STALL, find_configuration_wait,
 };
-use cloverfold_leased_process::LeasedState;
+use cloverfold_leased_process::{LeasedState, Suspensions};
 use cloverfold_link::LinkEvent;
 use cloverfold_peer::{ControlLinks, Hello, KnownEvacuations, PeerLinks, PeerMessage, SentCounts};
 use tokio::sync::{oneshot, watch};
@@ -36,6 +36,7 @@
 /// The state of an entry.
 pub(crate) struct EntryState {
     clock: ProcessClock,
+    suspensions: Suspensions,
     own: Hello,
     protocol: Arc<dyn JobProtocol>,
     dispatcher: Dispatcher,
@@ -72,6 +73,8 @@
     }
 
     fn tick(&mut self) {
+        // Logged and counted here; what follows from it, follows from the gap in time.
+        self.suspensions.look();
         let now = self.clock.now();
         let gap = now.saturating_duration_since(self.ticked_at);
         if gap > REQUEST_STALL {
@@ -97,6 +100,7 @@
         let driver = Driver::new(&own.name, KeptTimings::default(), random_u64());
         Self {
             clock: ProcessClock::default(),
+            suspensions: Suspensions::default(),
             own,
             protocol,
             dispatcher,
@@ -151,6 +155,16 @@
         self.links.sent()
     }
 
+    /// Returns the suspensions of the box that were noticed.
+    pub(crate) fn suspensions(&self) -> &Suspensions {
+        &self.suspensions
+    }
+
+    /// Returns the present point in time.
+    pub(crate) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
     pub(crate) fn ready_targets(&self) -> usize {
         self.dispatcher.ready_targets(self.clock.now())
     }
--- a/crates/leased/cloverfold_leased_entry/src/submission.rs
+++ b/crates/leased/cloverfold_leased_entry/src/submission.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns nothing beyond the request. Relies on the entry's state to accept the job and to answer it through a channel.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cloverfold_configuration::Route;
 use cloverfold_http::{Request, Response, plain_response};
@@ -58,9 +58,9 @@
             return conflict_response();
         }
         let objective = job.estimate_objective();
-        let submitted_at = Instant::now();
+        let submitted_at = self.now();
         let answer = self.run_job(id, job).await;
-        let took = submitted_at.elapsed();
+        let took = self.now().saturating_duration_since(submitted_at);
         self.record_answer(id, route, answer, took);
         let outcome = JobOutcome::new(answer, took, objective);
         self.metrics.count_job(&route.name, outcome);
--- a/crates/leased/cloverfold_leased_guard/src/lib.rs
+++ b/crates/leased/cloverfold_leased_guard/src/lib.rs
@@ -7,6 +7,8 @@
 //! Keeps nothing on disk. Relies on `cloverfold_lease` for every decision (the runner), on `cloverfold_leased_process` to start and run,
 //! and on `cloverfold_peer` for entries and control processes.
 
+#![warn(clippy::disallowed_methods)]
+
 mod configuration;
 mod event_log;
 mod interface;
--- a/crates/leased/cloverfold_leased_guard/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/links.rs
@@ -34,7 +34,7 @@
     }
 
     fn receive(&mut self, link: LinkId, message: PeerMessage) {
-        let now = self.clock.now();
+        let now = self.now();
         match message {
             PeerMessage::Hello(hello) => self.receive_hello(link, hello),
             PeerMessage::ToRunner(message) => self.runner.receive(link, message, now),
@@ -77,7 +77,7 @@
     }
 
     fn receive_hello(&mut self, link: LinkId, hello: Hello) {
-        let now = self.clock.now();
+        let now = self.now();
         let version = hello.version;
         log::info!(peer = hello.name.as_str(), link, version; "peer connected");
         let role = hello.role;
@@ -118,7 +118,7 @@
 
     /// Removes a link that has closed or is to be closed, and with it an entry's session.
     pub(super) fn close_link(&mut self, link: LinkId) {
-        let now = self.clock.now();
+        let now = self.now();
         self.departures.forget(link);
         let Some(hello) = self.links.close(link) else {
             return;
@@ -131,7 +131,7 @@
     }
 
     fn plan_fetch(&mut self, link: LinkId, version: Version) {
-        let now = self.clock.now();
+        let now = self.now();
         self.configuration.plan_fetch(link, version, now);
     }
 
@@ -154,7 +154,8 @@
         }
         let own_hall = self.own.data_hall();
         let is_evacuated = own_hall.is_some_and(|hall| self.evacuations.halls().contains(hall));
-        self.runner.set_evacuated(is_evacuated, self.clock.now());
+        let now = self.now();
+        self.runner.set_evacuated(is_evacuated, now);
     }
 
     fn announce_version(&self) {
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -8,14 +8,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cloverfold_base::ProcessClock;
+use cloverfold_base::{ProcessClock, Timestamp};
 use cloverfold_evacuation::EvacuatedHalls;
 use cloverfold_kept_jobs::{Recorder, RecorderAction};
 use cloverfold_lease::{
     IncarnationId, ProcessorUse, RenewalAnswer, RenewalOrder, RenewalPause, Runner, RunnerAction,
     RunnerCounts, RunnerMessage, SessionId, StartAnswer, StartOrder, UnavailableReason, UsualSpeed,
 };
-use cloverfold_leased_process::LeasedState;
+use cloverfold_leased_process::{LeasedState, Suspensions};
 use cloverfold_link::LinkEvent;
 use cloverfold_peer::{
     ChosenEntries, ControlLinks, Departures, DialedPeers, Hello, KnownEvacuations, PeerLinks,
@@ -34,6 +34,7 @@
 /// The state of a guard.
 pub(crate) struct GuardState {
     clock: ProcessClock,
+    suspensions: Suspensions,
     own: Hello,
     runner: Runner,
     configuration: ConfigurationCopy,
@@ -68,7 +69,7 @@
     }
 
     fn tick(&mut self) {
-        let now = self.clock.now();
+        let now = self.now();
         self.runner.tick(now);
         self.recorder.tick(now);
         if let Some(link) = self.configuration.take_due_fetch(now) {
@@ -90,6 +91,7 @@
     ) -> Self {
         Self {
             clock: ProcessClock::default(),
+            suspensions: Suspensions::default(),
             own,
             runner,
             configuration: ConfigurationCopy::default(),
@@ -123,6 +125,19 @@
         self.links.sent()
     }
 
+    /// Returns the suspensions of the box that were noticed.
+    pub(crate) fn suspensions(&self) -> &Suspensions {
+        &self.suspensions
+    }
+
+    /// Returns the present point in time, after the runner has heard of a suspension of the box: its target may have been suspended too.
+    fn now(&mut self) -> Timestamp {
+        if let Some(span) = self.suspensions.look() {
+            self.runner.allow_for_suspension(span);
+        }
+        self.clock.now()
+    }
+
     /// Returns how many runs the guard has, also those that wait to be started.
     pub(crate) fn run_count(&self) -> usize {
         self.runner.run_count()
@@ -169,13 +184,14 @@
 
     /// Begins the planned stop: no further run is accepted, and those that it already has may finish.
     pub(crate) fn begin_draining(&mut self) {
-        self.runner.leave(self.clock.now());
+        let now = self.now();
+        self.runner.leave(now);
         self.advance();
     }
 
     /// Handles a call of the target; it is acknowledged afterwards.
     pub(crate) fn receive_registration(&mut self, call: RegistrationCall) {
-        let now = self.clock.now();
+        let now = self.now();
         match call {
             RegistrationCall::Register(registration) => {
                 let verdict = self.runner.register(registration.clone(), now);
@@ -201,7 +217,7 @@
 
     /// Returns the next renewal; `None` while there is no target to renew the lease of.
     pub(crate) fn plan_renewal(&mut self) -> Option<RenewalOrder> {
-        let now = self.clock.now();
+        let now = self.now();
         self.runner.plan_renewal(now)
     }
 
@@ -211,7 +227,7 @@
         order: &RenewalOrder,
         answer: RenewalAnswer,
     ) -> RenewalPause {
-        let now = self.clock.now();
+        let now = self.now();
         let pause = self.runner.receive_renewal_answer(order, answer, now);
         self.advance();
         pause
@@ -219,7 +235,7 @@
 
     /// Handles the answer to a start, which is logged if the target did not acknowledge it.
     pub(crate) fn receive_start_answer(&mut self, order: &StartOrder, answer: StartAnswer) {
-        let now = self.clock.now();
+        let now = self.now();
         log_unacknowledged_start(order, &answer);
         self.runner.receive_start_answer(order, answer, now);
         self.advance();
@@ -253,7 +269,7 @@
             }
             RecorderAction::Decided(end, decision) => {
                 log_decision(&end, decision);
-                let now = self.clock.now();
+                let now = self.now();
                 self.runner.receive_end_decision(&end, decision, now);
             }
         }
@@ -278,7 +294,10 @@
             }
             RunnerAction::Start(order) => self.order(TargetOrder::Start(order)),
             RunnerAction::Stop(order) => self.order(TargetOrder::Stop(order)),
-            RunnerAction::RecordEnd(end) => self.recorder.record(end, self.clock.now()),
+            RunnerAction::RecordEnd(end) => {
+                let now = self.now();
+                self.recorder.record(end, now);
+            }
             RunnerAction::RenewNow => self.renew_now.notify_one(),
             RunnerAction::ReportIncarnation {
                 incarnation,
--- a/crates/leased/cloverfold_leased_process/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_process/src/metrics.rs
@@ -8,6 +8,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Metric, Registry};
 
+use crate::suspensions::Suspensions;
+
 /// Metrics that are being declared; they are written in the order of their declaration.
 #[derive(Debug)]
 pub struct MetricsBuilder {
@@ -42,6 +44,8 @@
     pub fn finish(mut self) -> ProcessMetrics {
         let help = "Log lines dropped since the start";
         let dropped_lines = self.add_gauge("dropped_log_lines", help);
+        let help = "Suspensions of the box noticed since the start";
+        let box_suspensions = self.add_gauge("box_suspensions", help);
         let help = "Messages sent to other processes since the start, by kind";
         let sent_messages = self.add_cause_gauges("sent_messages", help);
         let help = "Bytes of these messages";
@@ -49,6 +53,7 @@
         ProcessMetrics {
             registry: self.registry,
             dropped_lines,
+            box_suspensions,
             sent_messages,
             sent_bytes,
         }
@@ -60,13 +65,15 @@
 pub struct ProcessMetrics {
     registry: Registry,
     dropped_lines: Gauge,
+    box_suspensions: Gauge,
     sent_messages: CauseGauges,
     sent_bytes: CauseGauges,
 }
 
 impl ProcessMetrics {
     /// Writes all metrics as text, in the format of Prometheus; `sent` is what the process has sent to others.
-    pub fn write(&self, sent: &SentCounts) -> String {
+    pub fn write(&self, sent: &SentCounts, suspensions: &Suspensions) -> String {
+        self.box_suspensions.set(suspensions.noticed() as i64);
         self.dropped_lines.set(count_dropped_lines() as i64);
         for sent in sent.iter() {
             self.sent_messages.set(&[(sent.kind, sent.messages)]);
--- a/crates/leased/cloverfold_leased_settings/src/lib.rs
+++ b/crates/leased/cloverfold_leased_settings/src/lib.rs
@@ -4,6 +4,8 @@
 //! [`LeaseSettings`] stand in several of them. Owns the checks of single values and of values against each other. Relies on
 //! `cloverfold_settings` for reading files and placing faults.
 
+#![warn(clippy::disallowed_methods)]
+
 mod control;
 mod entry;
 mod guard;
--- a/crates/leased/cloverfold_peer/src/lib.rs
+++ b/crates/leased/cloverfold_peer/src/lib.rs
@@ -8,6 +8,8 @@
 //! Owns, for each process, its open links ([`PeerLinks`]) and the addresses that it dials ([`DialedPeers`], [`ControlLinks`]). Relies
 //! on `cloverfold_link` for the connections.
 
+#![warn(clippy::disallowed_methods)]
+
 mod addresses;
 mod chosen_entries;
 mod departures;
--- a/crates/leased/cloverfold_upkeep/src/lib.rs
+++ b/crates/leased/cloverfold_upkeep/src/lib.rs
@@ -5,6 +5,8 @@
 //! when it is back. [`BoxInterface`] and [`WaveFormat`] are what the platform's adapter implements. Nothing here does I/O or reads a
 //! clock; the log that orders the orders is `cloverfold_consensus`, the process around all of it `cloverfold_control`.
 
+#![warn(clippy::disallowed_methods)]
+
 mod box_list;
 mod boxes;
 mod calls;
