Extend no lease of a target that answers nothing

Cause: a guard asks a silent target for a renewal every 40 ms, and each one carried a new deadline. The runner's own test passed since it planned no renewals meanwhile.

Change: while the target is unresponsive (225 ms), renewals ask without a deadline. Its runs are lost some 0.9 s after its last answer.

Failing tests first: runs_of_a_dark_target_are_lost_although_it_is_asked_again_and_again (left [], right [(1, Lost)]), the_lease_of_a_target_that_answers_again_in_time_is_extended_again. Two tests of kept runs left their target silent for 300 ms without meaning it; it now answers, their assertions are unchanged.

--- a/crates/leased/cloverfold_lease/src/runner/renewals.rs
+++ b/crates/leased/cloverfold_lease/src/runner/renewals.rs
@@ -29,16 +29,24 @@
     /// The lease is not extended while the target may run something that this runner did not start: that must be able to lapse, since
     /// nothing else ends it for certain; nor while it is withheld (`lapses`). Such a renewal is answered at once instead of waiting for an
     /// end.
+    ///
+    /// Nor is the lease of a target extended that answers nothing: it may be gone, and its runs count as lost once the lease has lapsed.
     pub fn plan_renewal(&mut self, now: Timestamp) -> Option<RenewalOrder> {
         if let Some(question) = self.plan_question(now) {
             return Some(question);
         }
         let lease = self.timings.lease;
         let target = self.target.as_mut()?;
-        let (deadline, wait) = if target.has_only_own_runs && !target.is_lease_withheld {
-            (target.extend_lease(now, lease), self.timings.renewal_wait)
+        let may_extend = target.has_only_own_runs && !target.is_lease_withheld;
+        let wait = if may_extend {
+            self.timings.renewal_wait
+        } else {
+            Duration::ZERO
+        };
+        let deadline = if may_extend && !target.is_unresponsive {
+            target.extend_lease(now, lease)
         } else {
-            (None, Duration::ZERO)
+            None
         };
         self.counts.calls.renewals += 1;
         Some(RenewalOrder {
--- a/crates/leased/cloverfold_lease/tests/runner/kept_runs.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/kept_runs.rs
@@ -182,6 +182,7 @@
         run: RUN,
     };
     runner.receive(SESSION, withdraw, at(150));
+    renew(&mut runner, at(380), list(50_290, vec![row(1, None)], &[]));
 
     runner.tick(at(399));
     let before = runner.plan_renewal(at(399)).unwrap();
@@ -208,6 +209,7 @@
         run: RUN,
     };
     runner.receive(SESSION, withdraw, at(150));
+    renew(&mut runner, at(430), list(50_340, vec![row(1, None)], &[]));
 
     runner.tick(at(450));
 
--- a/crates/leased/cloverfold_lease/tests/runner/target.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/target.rs
@@ -217,6 +217,42 @@
     assert_eq!(take_ends(&mut runner), [(1, RunOutcome::Lost)]);
 }
 
+/// Asks the target for a renewal every 40 ms, which it does not answer.
+fn renew_in_vain(runner: &mut Runner, from_ms: u64, until_ms: u64) {
+    for now in (from_ms..until_ms).step_by(40) {
+        runner.receive(SESSION, echo(at(now)), at(now));
+        let order = runner.plan_renewal(at(now)).unwrap();
+        runner.receive_renewal_answer(&order, RenewalAnswer::Unanswered, at(now + 40));
+        runner.tick(at(now + 40));
+    }
+}
+
+#[test]
+fn runs_of_a_dark_target_are_lost_although_it_is_asked_again_and_again() {
+    let mut runner = ready();
+    started(&mut runner, 1, at(110));
+
+    renew_in_vain(&mut runner, 120, 1_200);
+
+    assert_eq!(take_ends(&mut runner), [(1, RunOutcome::Lost)]);
+}
+
+#[test]
+fn the_lease_of_a_target_that_answers_again_in_time_is_extended_again() {
+    let mut runner = ready();
+    started(&mut runner, 1, at(110));
+    renew_in_vain(&mut runner, 120, 500);
+    let while_silent = runner.plan_renewal(at(500)).unwrap();
+
+    renew(&mut runner, at(510), list(50_420, vec![row(1, None)], &[]));
+    runner.tick(at(515));
+
+    let next = runner.plan_renewal(at(520)).unwrap();
+    assert_eq!(while_silent.deadline, None);
+    assert_eq!(next.deadline, Some(50_420 + 9 + 650));
+    assert_eq!(take_ends(&mut runner), []);
+}
+
 #[test]
 fn a_target_that_misses_three_renewals_gets_no_work_and_no_further_starts() {
     let mut runner = ready();
