Send what has changed in a configuration instead of its whole text

Their bytes go by routes times boxes times changes.

Change: a process that has a configuration asks for the change since its version; a control process keeps the newest eight texts and answers with pieces that are kept from the older one or new, checked by the hash of the newer text. Whatever does not fit is sent whole, as before; builds before are asked and answered as before (protocol version 3, new recorded bytes, none changed).

--- a/compatibility/tests/leased_messages.rs
+++ b/compatibility/tests/leased_messages.rs
@@ -13,7 +13,7 @@
 
 use bytes::BytesMut;
 use cloverfold_base::Timestamp;
-use cloverfold_configuration::{Proposal, StoredConfiguration};
+use cloverfold_configuration::{ConfigurationChange, Proposal, StoredConfiguration, TextPiece};
 use cloverfold_consensus::{
     Append, AppendReply, Entry, InstallSnapshot, Member, Members, Message, Payload, Snapshot,
     SnapshotPart, Vote, VoteReply,
@@ -523,9 +523,26 @@
         PeerMessage::UpkeepCommand(_) => upkeep_commands(),
         PeerMessage::HoldTarget(_) => one("hold-target", PeerMessage::HoldTarget(HeldTarget { incarnation: "target-85".into(), for_ms: 86_000 })),
         PeerMessage::RememberedSpeed(_) => one("remembered-speed", PeerMessage::RememberedSpeed(UsualSpeed { slowness_permille: 87_000, runs: 88 })),
+        PeerMessage::FetchSince { .. } => one("fetch-since", PeerMessage::FetchSince { known: 98 }),
+        PeerMessage::ConfigurationChange(_) => one("configuration-change", PeerMessage::ConfigurationChange(configuration_change())),
     })
 }
 
+fn configuration_change() -> ConfigurationChange {
+    ConfigurationChange {
+        base: 98,
+        version: 99,
+        pieces: vec![
+            TextPiece::Kept {
+                start: 100,
+                len: 101,
+            },
+            TextPiece::New(b"a new route".to_vec()),
+        ],
+        digest: [102; 16],
+    }
+}
+
 fn submission() -> JobSubmission {
     JobSubmission {
         id: "job-91".to_owned(),
--- a/crates/leased/cloverfold_control/src/state/applying.rs
+++ b/crates/leased/cloverfold_control/src/state/applying.rs
@@ -128,6 +128,9 @@
         let version = self.current_version();
         if version != *self.version.borrow() {
             self.version.send_replace(version);
+            if let Some(current) = self.state.configuration.current() {
+                self.recent_configurations.record(current);
+            }
             self.send_notice();
         }
     }
--- a/crates/leased/cloverfold_control/src/state/mod.rs
+++ b/crates/leased/cloverfold_control/src/state/mod.rs
@@ -47,7 +47,7 @@
 use std::net::SocketAddr;
 
 use cloverfold_base::ProcessClock;
-use cloverfold_configuration::{AuditRecord, Version};
+use cloverfold_configuration::{AuditRecord, RecentConfigurations, Version};
 use cloverfold_consensus::{LogIndex, ReplicaId};
 use cloverfold_evacuation::{DataHall, EvacuationRevision, OrderId};
 use cloverfold_leased_process::Suspensions;
@@ -108,6 +108,7 @@
     applied: watch::Sender<LogIndex>,
     /// The version in force.
     version: watch::Sender<Version>,
+    recent_configurations: RecentConfigurations,
     last_notice: LastNotice,
     /// What was last logged about the group.
     logged_view: GroupView,
@@ -149,6 +150,7 @@
             reads: PendingReads::default(),
             applied: watch::Sender::new(0),
             version: watch::Sender::new(0),
+            recent_configurations: RecentConfigurations::default(),
             last_notice: LastNotice::default(),
             logged_view: GroupView::default(),
         }
--- a/crates/leased/cloverfold_control/src/state/peers.rs
+++ b/crates/leased/cloverfold_control/src/state/peers.rs
@@ -2,6 +2,7 @@
 //!
 //! Relies on `PeerLinks` for who is at the other end of each link.
 
+use cloverfold_configuration::Version;
 use cloverfold_consensus::{Member, ReplicaId};
 use cloverfold_lease::RunnerMessage;
 use cloverfold_link::{LinkEvent, LinkId};
@@ -40,6 +41,7 @@
         match message {
             PeerMessage::Hello(hello) => self.peer_connected(link, hello),
             PeerMessage::Fetch => self.send_configuration(link),
+            PeerMessage::FetchSince { known } => self.send_change(link, known),
             PeerMessage::Consensus(message) => {
                 if let Some(from) = self.replica_at(link) {
                     self.host.replica.receive(from, message, self.clock.now());
@@ -69,6 +71,7 @@
             PeerMessage::ToRunner(_)
             | PeerMessage::ToDispatcher(_)
             | PeerMessage::Configuration(_)
+            | PeerMessage::ConfigurationChange(_)
             | PeerMessage::Directory(_)
             | PeerMessage::Invite { .. }
             | PeerMessage::DialControls(_)
@@ -86,6 +89,17 @@
         }
     }
 
+    /// Sends what has changed since the version that a process has, or the whole configuration.
+    fn send_change(&mut self, link: LinkId, known: Version) {
+        match self.recent_configurations.change_since(known) {
+            Some(change) => {
+                let message = PeerMessage::ConfigurationChange(change.clone());
+                self.links.send(link, &message);
+            }
+            None => self.send_configuration(link),
+        }
+    }
+
     pub(super) fn replica_at(&self, link: LinkId) -> Option<ReplicaId> {
         match self.links.hello(link)?.role {
             PeerRole::Control { replica, .. } => Some(replica),
--- a/crates/leased/cloverfold_leased_entry/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/links.rs
@@ -4,7 +4,7 @@
 //! configuration of [`EntryState`] and owns no state besides. Relies on `cloverfold_link` for links, on `known_guards` for when to invite.
 
 use cloverfold_base::Timestamp;
-use cloverfold_configuration::{StoredConfiguration, Version};
+use cloverfold_configuration::{ConfigurationChange, StoredConfiguration, Version};
 use cloverfold_evacuation::EvacuatedHalls;
 use cloverfold_link::{LinkEvent, LinkId, send_once};
 use cloverfold_peer::{Hello, PeerMessage, PeerRole};
@@ -34,8 +34,9 @@
             PeerMessage::Hello(hello) => self.receive_hello(link, hello),
             PeerMessage::ToDispatcher(message) => self.dispatcher.receive(link, message, now),
             PeerMessage::VersionNotice { version, .. } => self.fetch_if_newer(link, version),
-            PeerMessage::Fetch => self.send_configuration(link),
+            PeerMessage::Fetch | PeerMessage::FetchSince { .. } => self.send_configuration(link),
             PeerMessage::Configuration(stored) => self.receive_configuration(stored),
+            PeerMessage::ConfigurationChange(change) => self.receive_change(link, &change),
             PeerMessage::Directory(directory) => self.controls.set_listed(directory.controls),
             PeerMessage::DialControls(controls) => self.controls.accept_invitation(controls),
             PeerMessage::Evacuations(told) => self.receive_evacuations(link, told),
@@ -102,7 +103,7 @@
     fn fetch_if_newer(&mut self, link: LinkId, version: Version) {
         let now = self.clock.now();
         if self.fetches.try_begin(version, self.version(), now) {
-            self.links.send(link, &PeerMessage::Fetch);
+            self.links.fetch_configuration(link, self.version());
         }
     }
 
@@ -120,6 +121,14 @@
         }
     }
 
+    /// Puts a configuration in force that was sent as a change.
+    fn receive_change(&mut self, link: LinkId, change: &ConfigurationChange) {
+        let base = self.configuration.stored();
+        if let Some(stored) = self.links.read_change(link, change, base) {
+            self.receive_configuration(stored);
+        }
+    }
+
     /// Assigns nothing in the evacuated halls that a peer tells of, if it knows more than this entry.
     fn receive_evacuations(&mut self, link: LinkId, told: EvacuatedHalls) {
         if self.evacuations.receive(told, link, &mut self.links) {
--- a/crates/leased/cloverfold_leased_guard/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/links.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cloverfold_base::Timestamp;
-use cloverfold_configuration::{StoredConfiguration, Version};
+use cloverfold_configuration::{ConfigurationChange, StoredConfiguration, Version};
 use cloverfold_evacuation::EvacuatedHalls;
 use cloverfold_lease::{RunnerMessage, TargetDescription};
 use cloverfold_link::{LinkEvent, LinkId};
@@ -39,8 +39,9 @@
             PeerMessage::Hello(hello) => self.receive_hello(link, hello),
             PeerMessage::ToRunner(message) => self.runner.receive(link, message, now),
             PeerMessage::VersionNotice { version, .. } => self.plan_fetch(link, version),
-            PeerMessage::Fetch => self.send_configuration(link),
+            PeerMessage::Fetch | PeerMessage::FetchSince { .. } => self.send_configuration(link),
             PeerMessage::Configuration(stored) => self.receive_configuration(stored),
+            PeerMessage::ConfigurationChange(change) => self.receive_change(link, &change),
             PeerMessage::Directory(directory) => self.receive_directory(link, directory),
             PeerMessage::DialControls(controls) => self.controls.accept_invitation(controls),
             PeerMessage::Evacuations(told) => self.receive_evacuations(link, told),
@@ -141,6 +142,14 @@
         }
     }
 
+    /// Keeps a configuration that was sent as a change.
+    fn receive_change(&mut self, link: LinkId, change: &ConfigurationChange) {
+        let base = self.configuration.stored();
+        if let Some(stored) = self.links.read_change(link, change, base) {
+            self.receive_configuration(stored);
+        }
+    }
+
     fn receive_configuration(&mut self, stored: StoredConfiguration) {
         if self.configuration.replace(stored) {
             self.announce_version();
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -73,7 +73,8 @@
         self.runner.tick(now);
         self.recorder.tick(now);
         if let Some(link) = self.configuration.take_due_fetch(now) {
-            self.links.send(link, &PeerMessage::Fetch);
+            let known = self.configuration.version();
+            self.links.fetch_configuration(link, known);
         }
         self.leave_unnamed_entries(now);
         self.advance();
--- a/crates/leased/cloverfold_peer/src/links.rs
+++ b/crates/leased/cloverfold_peer/src/links.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use cloverfold_configuration::Version;
+use cloverfold_configuration::{ConfigurationChange, StoredConfiguration, Version};
 use cloverfold_evacuation::{EvacuatedHalls, EvacuationRevision};
 use cloverfold_link::{LinkId, LinkSender};
 
@@ -152,6 +152,40 @@
             .is_some_and(|open| self.queue(&open.sender, message))
     }
 
+    /// Asks a peer for its configuration; `known` is the version in force here, 0 before the first. A closed link is not noticed: whoever
+    /// asks, asks again.
+    pub fn fetch_configuration(&self, link: LinkId, known: Version) {
+        let tells_changes = self
+            .hello(link)
+            .is_some_and(Hello::knows_configuration_changes);
+        let message = if known > 0 && tells_changes {
+            PeerMessage::FetchSince { known }
+        } else {
+            PeerMessage::Fetch
+        };
+        self.send(link, &message);
+    }
+
+    /// Returns the configuration that a peer has sent as a change; `base` is the one in force here. One that is not newer is left out. Where
+    /// the change does not fit, the peer is asked for the whole configuration.
+    pub fn read_change(
+        &self,
+        link: LinkId,
+        change: &ConfigurationChange,
+        base: Option<&StoredConfiguration>,
+    ) -> Option<StoredConfiguration> {
+        let in_force = base.map_or(0, |base| base.version);
+        if change.version <= in_force {
+            return None;
+        }
+        let changed = base.and_then(|base| change.apply(base));
+        if changed.is_none() {
+            log::info!(version = change.version, base = change.base, in_force, link; "a change of the configuration does not fit");
+            self.send(link, &PeerMessage::Fetch);
+        }
+        changed
+    }
+
     /// Queues a message to each peer whose role is selected. A link whose queue is full misses it: what is sent this way is sent again
     /// at regular intervals or asked for.
     pub fn send_to_roles(&self, is_selected: impl Fn(PeerRole) -> bool, message: &PeerMessage) {
--- a/crates/leased/cloverfold_peer/src/messages.rs
+++ b/crates/leased/cloverfold_peer/src/messages.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 
-use cloverfold_configuration::{Proposal, StoredConfiguration, Version};
+use cloverfold_configuration::{ConfigurationChange, Proposal, StoredConfiguration, Version};
 use cloverfold_consensus::{LogIndex, Message, ReplicaId};
 use cloverfold_evacuation::{DataHall, EvacuatedHalls, EvacuationOrder};
 use cloverfold_kept_jobs::{GroupId, JobCallMessage, JobGroups, JobReplyMessage};
@@ -19,15 +19,18 @@
 
 /// What a build can read. Builds that name none read neither [`PeerMessage::Evacuations`], [`PeerMessage::EvacuationOrder`] nor
 /// [`RunRefusal::Evacuated`](cloverfold_lease::RunRefusal::Evacuated); builds of version 1 none of the messages from
-/// [`PeerMessage::JobGroups`] on, nor [`DispatcherMessage::AssignKept`] and [`RunnerMessage::UsualSpeed`].
+/// [`PeerMessage::JobGroups`] on, nor [`DispatcherMessage::AssignKept`] and [`RunnerMessage::UsualSpeed`]; builds of version 2 neither
+/// [`PeerMessage::FetchSince`] nor [`PeerMessage::ConfigurationChange`].
 pub type ProtocolVersion = u32;
 
 /// The version of this build.
-pub const PROTOCOL_VERSION: ProtocolVersion = 2;
+pub const PROTOCOL_VERSION: ProtocolVersion = 3;
 /// The first version that reads everything about evacuations.
 const EVACUATIONS_SINCE: ProtocolVersion = 1;
 /// The first version that reads everything about kept jobs, planned upkeep and usual speeds.
 const KEPT_JOBS_SINCE: ProtocolVersion = 2;
+/// The first version that reads changes of configurations.
+const CONFIGURATION_CHANGES_SINCE: ProtocolVersion = 3;
 
 /// The role of a process in its installation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -96,6 +99,11 @@
         self.reads(KEPT_JOBS_SINCE)
     }
 
+    /// Returns whether the process can read what is sent about changes of configurations.
+    pub fn knows_configuration_changes(&self) -> bool {
+        self.reads(CONFIGURATION_CHANGES_SINCE)
+    }
+
     fn reads(&self, version: ProtocolVersion) -> bool {
         let details = self.details.0.as_ref();
         details.is_some_and(|details| details.protocol >= version)
@@ -185,4 +193,11 @@
     HoldTarget(HeldTarget),
     /// From a control process to a guard that has just connected: what it told of its target's usual speed before it restarted.
     RememberedSpeed(UsualSpeed),
+    /// As [`Self::Fetch`], from a process that has an older configuration: the answer may be the change since that one.
+    FetchSince {
+        /// The version in force at the sender.
+        known: Version,
+    },
+    /// How to make the configuration in force at the sender from the one that the receiver has.
+    ConfigurationChange(ConfigurationChange),
 }
--- a/crates/leased/cloverfold_peer/src/sent_counts.rs
+++ b/crates/leased/cloverfold_peer/src/sent_counts.rs
@@ -41,11 +41,13 @@
     UpkeepCommand,
     HoldTarget,
     RememberedSpeed,
+    FetchSince,
+    ConfigurationChange,
 }
 
 impl MessageKind {
     /// All of them, in order.
-    const ALL: [Self; 30] = [
+    const ALL: [Self; 32] = [
         Self::Hello,
         Self::Echo,
         Self::Assign,
@@ -76,6 +78,8 @@
         Self::UpkeepCommand,
         Self::HoldTarget,
         Self::RememberedSpeed,
+        Self::FetchSince,
+        Self::ConfigurationChange,
     ];
 
     fn of(message: &PeerMessage) -> Self {
@@ -110,6 +114,8 @@
             PeerMessage::UpkeepCommand(_) => Self::UpkeepCommand,
             PeerMessage::HoldTarget(_) => Self::HoldTarget,
             PeerMessage::RememberedSpeed(_) => Self::RememberedSpeed,
+            PeerMessage::FetchSince { .. } => Self::FetchSince,
+            PeerMessage::ConfigurationChange(_) => Self::ConfigurationChange,
         }
     }
 
@@ -146,6 +152,8 @@
             Self::UpkeepCommand => "upkeep_command",
             Self::HoldTarget => "hold_target",
             Self::RememberedSpeed => "remembered_speed",
+            Self::FetchSince => "fetch_since",
+            Self::ConfigurationChange => "configuration_change",
         }
     }
 }
