Operators' calls in a folder of their own

operators, evacuations, upkeep and job_operators of control imported one another. Now: which call a request is (calls), what calls have in common (replies), the proof that a state is the newest (newest), the audit trail (audit), and one file for the calls about each thing. Nothing else changes; clippy and the tests of the package pass.

--- a/crates/leased/cloverfold_control/src/lib.rs
+++ b/crates/leased/cloverfold_control/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! # From an operator's call to a configuration in force at an entry
 //!
-//! 1. `operators`: a control process decodes and checks the body. An invalid one is answered 400; a valid one becomes a proposal.
+//! 1. `operators::configurations`: a control process decodes and checks the body. An invalid one is answered 400; a valid one becomes a proposal.
 //! 2. `state::proposals`: the proposal goes to the leader, which appends it to the log. This is repeated every 250 ms
 //!    until a version as high is in force here.
 //! 3. `cloverfold_consensus`: the leader commits the entry once a majority has synced it.
@@ -22,7 +22,7 @@
 //! An order to evacuate a data hall goes the same way through `state::evacuations`. It is answered once it is applied here, and entries
 //! and guards get the evacuated halls themselves instead of a notice.
 //!
-//! An order of a wave of upkeep goes the same way through `upkeep` and `state::upkeep`. The leader of the log then holds the upkeep:
+//! An order of a wave of upkeep goes the same way through `operators::upkeep` and `state::upkeep`. The leader of the log then holds the upkeep:
 //! `cloverfold_upkeep` decides which box is next, `upkeep_caller` calls the platform.
 //!
 //! The answer 200 therefore says that the configuration is committed, not that entries have it yet. To look for a version that does not
@@ -33,17 +33,15 @@
 //!
 //! The control processes agree in this log on the groups that keep jobs (`state::founding`). Each hosts a replica of each group, with a log
 //! and a disk thread of its own (`job_groups`, `replica_host`, `disk`); calls of entries and guards go through `state::job_calls` to the
-//! group's leader, those of operators through `job_operators`. What becomes of a job is decided by `cloverfold_kept_jobs`.
+//! group's leader, those of operators through `operators::jobs`. What becomes of a job is decided by `cloverfold_kept_jobs`.
 
 #![warn(clippy::disallowed_methods)]
 
 mod disk;
 mod error;
-mod evacuations;
 mod job_counts;
 mod job_groups;
 mod job_metrics;
-mod job_operators;
 mod metrics;
 mod operators;
 mod peer_file;
@@ -51,12 +49,9 @@
 mod process;
 mod replica_host;
 mod state;
-mod upkeep;
 mod upkeep_caller;
 
 pub use error::ControlError;
-pub use job_operators::JobsCall;
-pub use operators::{OperatorCall, OperatorInterface};
+pub use operators::{CallFormat, JobsCall, OperatorCall, OperatorInterface};
 pub use process::{ControlProcess, start_control};
 pub use state::{Command, ReplicatedState};
-pub use upkeep::CallFormat;
--- a/crates/leased/cloverfold_control/src/evacuations.rs
+++ b/crates/leased/cloverfold_control/src/operators/evacuations.rs
@@ -1,4 +1,4 @@
-//! Operators' calls to evacuate a data hall and to take it back.
+//! Operators' calls to evacuate a data hall, to take it back, and to show what is evacuated.
 //!
 //! Decision: when an order is acknowledged. Rule: any control process checks the name and answers 400 or 404 with its fault, 400 also to
 //! a call with a body; a valid order it submits to the leader every 250 ms, and acknowledges it once the order is applied here and was
@@ -6,19 +6,18 @@
 //! decided within 2.5 s the answer is 503, and the order may still be taken later. Reason: every acknowledgement stands for a place in
 //! the log, so that a process that lags behind acknowledges nothing that has been undone since (docs/design/10-evacuations.md).
 
-use cloverfold_evacuation::{
-    DataHall, EvacuationOrder, EvacuationRecord, HallChange, HallNameFault, OrderOutcome,
-};
+use cloverfold_evacuation::{DataHall, EvacuationOrder, HallChange, HallNameFault, OrderOutcome};
 use cloverfold_http::{Request, Response, json_response};
 use http::StatusCode;
-use serde_json::{Value, json};
+use serde_json::json;
 use tokio::time::timeout;
 
-use crate::operators::{Operators, PROPOSAL_RESEND_INTERVAL, PROPOSAL_TIMEOUT, answer_unavailable};
+use super::Operators;
+use super::replies::{PROPOSAL_RESEND_INTERVAL, PROPOSAL_TIMEOUT, answer_unavailable};
 
 impl Operators {
     /// Evacuates a data hall or takes it back, and answers once that is decided.
-    pub(crate) async fn change_hall(
+    pub(super) async fn change_hall(
         &self,
         hall: &DataHall,
         change: HallChange,
@@ -41,6 +40,15 @@
         }
     }
 
+    /// Shows the evacuations in force.
+    pub(super) async fn get_evacuations(&self) -> Response {
+        if !self.is_newest().await {
+            return answer_unavailable("the newest evacuations are not known here at present\n");
+        }
+        let body = self.state.lock().describe_evacuations().to_string();
+        json_response(StatusCode::OK, body)
+    }
+
     /// Submits an order until it is decided, and makes it anew while it is outdated.
     async fn decide_order(&self, hall: &DataHall, change: HallChange) {
         loop {
@@ -75,19 +83,6 @@
     }
 }
 
-/// Describes a decision on an order as the audit trail shows it.
-pub(crate) fn describe_order(record: &EvacuationRecord) -> Value {
-    json!({
-        "hall": record.hall,
-        "change": record.change.as_str(),
-        "outcome": record.outcome.as_str().to_lowercase(),
-        "revision": record.revision,
-        "index": record.index,
-        "source": record.source,
-        "unix_ms": record.received_at.as_millis() as u64,
-    })
-}
-
 fn find_status(fault: &HallNameFault) -> StatusCode {
     match fault {
         HallNameFault::Malformed => StatusCode::BAD_REQUEST,
--- a/crates/leased/cloverfold_control/src/job_operators.rs
+++ b/crates/leased/cloverfold_control/src/operators/jobs.rs
@@ -6,49 +6,24 @@
 //! groups must also be had where a group has no majority.
 
 use cloverfold_http::{Response, json_response, plain_response};
-use cloverfold_kept_jobs::{CancelOutcome, HowEnded, JobCall, JobId, JobPhase, JobReply, group_of};
-use http::{Method, StatusCode};
+use cloverfold_kept_jobs::{CancelOutcome, HowEnded, JobCall, JobPhase, JobReply, group_of};
+use http::StatusCode;
 use serde_json::{Value, json};
 use tokio::time::{sleep, timeout};
 
+use super::Operators;
+use super::calls::JobsCall;
+use super::replies::{PROPOSAL_RESEND_INTERVAL, PROPOSAL_TIMEOUT, answer_unavailable};
 use crate::job_groups::GroupHost;
-use crate::operators::{Operators, PROPOSAL_RESEND_INTERVAL, PROPOSAL_TIMEOUT, answer_unavailable};
+
 use crate::state::format_id;
 
 /// Open jobs of a group that a list names, at most. Chosen, not measured: some 100 kB.
 const MAX_LISTED: usize = 1_000;
 
-/// A call about kept jobs.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum JobsCall {
-    /// List the groups and their open jobs.
-    List,
-    /// Show one job.
-    Show(JobId),
-    /// Cancel one job.
-    Cancel(JobId),
-}
-
-impl JobsCall {
-    /// Returns which call a request is; `None` if it is about no kept jobs.
-    pub(crate) fn classify(method: &Method, path: &str) -> Option<Self> {
-        if path == "/v1/jobs" {
-            return (method == Method::GET).then_some(Self::List);
-        }
-        let job = path
-            .strip_prefix("/v1/jobs/")
-            .filter(|job| !job.is_empty())?;
-        match *method {
-            Method::GET => Some(Self::Show(job.into())),
-            Method::DELETE => Some(Self::Cancel(job.into())),
-            _ => None,
-        }
-    }
-}
-
 impl Operators {
     /// Answers a call about kept jobs.
-    pub(crate) async fn answer_jobs(&self, call: JobsCall) -> Response {
+    pub(super) async fn answer_jobs(&self, call: JobsCall) -> Response {
         match call {
             JobsCall::List => self.list_jobs(),
             JobsCall::Show(job) => self.ask_group(&job, JobCall::Show(job.clone())).await,
--- /dev/null
+++ b/crates/leased/cloverfold_control/src/operators/mod.rs
@@ -0,0 +1,87 @@
+//! Operators' calls over HTTP.
+//!
+//! | file | duty |
+//! |---|---|
+//! | `calls` | which call a request is |
+//! | `configurations`, `evacuations`, `upkeep`, `jobs` | the calls about each of these, and when they are acknowledged |
+//! | `audit` | the decisions that operators are shown |
+//! | `newest` | the proof that what is shown is the newest |
+//! | `replies` | what the calls have in common |
+//!
+//! Owns no state; relies on [`ControlState`] for the answers.
+
+mod audit;
+mod calls;
+mod configurations;
+mod evacuations;
+mod jobs;
+mod newest;
+mod replies;
+mod upkeep;
+
+use std::sync::Arc;
+
+use cloverfold_evacuation::HallNames;
+use cloverfold_http::{Request, Response, json_response, plain_response};
+use cloverfold_leased_process::Shared;
+use cloverfold_leased_settings::UpkeepSettings;
+use http::StatusCode;
+
+use self::calls::classify_product_call;
+use crate::state::ControlState;
+
+pub use self::calls::{CallFormat, JobsCall, OperatorCall, OperatorInterface};
+
+/// Answers operators' calls.
+pub(crate) struct Operators {
+    state: Shared<ControlState>,
+    interface: Arc<dyn OperatorInterface>,
+    name: String,
+    halls: HallNames,
+    /// `None` if no wave of upkeep is served.
+    upkeep: Option<UpkeepSettings>,
+}
+
+impl Operators {
+    pub(crate) fn new(
+        state: Shared<ControlState>,
+        interface: Arc<dyn OperatorInterface>,
+        name: String,
+        halls: HallNames,
+        upkeep: Option<UpkeepSettings>,
+    ) -> Self {
+        Self {
+            state,
+            interface,
+            name,
+            halls,
+            upkeep,
+        }
+    }
+
+    /// Answers one request.
+    pub(crate) async fn answer(&self, request: Request) -> Response {
+        let path = request.uri.path();
+        let call = classify_product_call(&request.method, path);
+        match call.or_else(|| self.interface.classify(&request.method, path)) {
+            Some(OperatorCall::PutConfiguration) => self.put_configuration(&request).await,
+            Some(OperatorCall::GetConfiguration) => self.get_configuration().await,
+            Some(OperatorCall::GetAudit) => self.show_audit(),
+            Some(OperatorCall::GetStatus) => self.show_status(),
+            Some(OperatorCall::ChangeHall(hall, change)) => {
+                self.change_hall(&hall, change, &request).await
+            }
+            Some(OperatorCall::GetEvacuations) => self.get_evacuations().await,
+            Some(OperatorCall::Jobs(call)) => self.answer_jobs(call).await,
+            Some(OperatorCall::StartWave(format)) => self.start_wave(format, &request).await,
+            Some(OperatorCall::GetWave(format, number)) => self.get_wave(format, &number).await,
+            Some(OperatorCall::ListWaves) => self.list_waves().await,
+            None => plain_response(StatusCode::NOT_FOUND, "no such call\n"),
+        }
+    }
+
+    fn show_status(&self) -> Response {
+        let body = self.state.lock().describe().to_string();
+        json_response(StatusCode::OK, body)
+    }
+}
--- a/crates/leased/cloverfold_control/src/upkeep.rs
+++ b/crates/leased/cloverfold_control/src/operators/upkeep.rs
@@ -15,15 +15,15 @@
 use std::time::Duration;
 
 use cloverfold_http::{Request, Response, json_response};
-use cloverfold_upkeep::{
-    Wave, WaveFault, WaveNumber, WaveOrder, WaveOutcome, WaveRecord, WaveRequest,
-};
+use cloverfold_upkeep::{Wave, WaveFault, WaveNumber, WaveOrder, WaveOutcome, WaveRequest};
 use http::StatusCode;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::time::timeout;
 
-use crate::operators::{Operators, PROPOSAL_RESEND_INTERVAL, PROPOSAL_TIMEOUT, answer_unavailable};
+use super::Operators;
+use super::calls::CallFormat;
+use super::replies::{PROPOSAL_RESEND_INTERVAL, PROPOSAL_TIMEOUT, answer_unavailable};
 use crate::state::ControlState;
 use crate::upkeep_caller::read_list;
 
@@ -31,15 +31,6 @@
 /// process after a second.
 const LIST_PATIENCE: Duration = Duration::from_millis(400);
 
-/// In whose format a call about a wave is written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallFormat {
-    /// The product's.
-    Product,
-    /// The platform's.
-    Platform,
-}
-
 /// An order as the product's own interface takes it.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -52,7 +43,7 @@
 
 impl Operators {
     /// Takes an order of a wave, and answers once that is decided.
-    pub(crate) async fn start_wave(&self, format: CallFormat, request: &Request) -> Response {
+    pub(super) async fn start_wave(&self, format: CallFormat, request: &Request) -> Response {
         let wave = match self.decode_wave(format, &request.body) {
             Ok(wave) => wave,
             // Its number is unknown, which is logged as 0.
@@ -141,7 +132,7 @@
     }
 
     /// Answers whether a wave is completed.
-    pub(crate) async fn get_wave(&self, format: CallFormat, number: &str) -> Response {
+    pub(super) async fn get_wave(&self, format: CallFormat, number: &str) -> Response {
         let Ok(number) = number.parse::<WaveNumber>() else {
             let fault = json!({ "faults": ["the number of a wave has digits alone"] });
             return json_response(StatusCode::BAD_REQUEST, fault.to_string());
@@ -170,7 +161,7 @@
     }
 
     /// Shows the waves.
-    pub(crate) async fn list_waves(&self) -> Response {
+    pub(super) async fn list_waves(&self) -> Response {
         if !self.is_newest().await {
             return answer_unavailable("the newest waves are not known here at present\n");
         }
@@ -212,18 +203,6 @@
     described
 }
 
-/// Describes a decision on an order as the audit trail shows it.
-pub(crate) fn describe_wave_record(record: &WaveRecord) -> Value {
-    json!({
-        "wave": record.wave,
-        "outcome": record.outcome.as_str().to_lowercase(),
-        "boxes": record.boxes,
-        "index": record.index,
-        "source": record.source,
-        "unix_ms": record.received_at.as_millis() as u64,
-    })
-}
-
 fn find_status(fault: &WaveFault) -> StatusCode {
     match fault {
         WaveFault::UnknownBox(_) | WaveFault::NotServed => StatusCode::NOT_FOUND,
