Encode once what goes to many peers, and tell a new peer of evacuations alone

Cause: a control process encoded each notice, each list of evacuated halls and each whole configuration once for every peer and kept a copy of the bytes in every queue (1,000 boxes that start together: 49 MB of one text in the leader's queues). And whoever connected made it send the evacuated halls to every peer that had not shown to know them: one message for each pair while many connect with an evacuation in force.

Change: a message to many is encoded once, its queues share the bytes; the configuration in force is kept encoded. A process that connects is told of the evacuations itself; the others hear at once of a new order and every 500 ms until they have shown that they know, as before.

Shown by: copies_of_an_encoded_message_are_not_encoded_again (1 for 1,000), a_peer_that_connects_is_told_of_evacuations_alone, a_message_that_is_encoded_once_arrives_and_is_counted_like_any_other.

--- a/crates/common/cloverfold_link/src/lib.rs
+++ b/crates/common/cloverfold_link/src/lib.rs
@@ -10,11 +10,13 @@
 #![warn(clippy::disallowed_methods)]
 
 mod dial;
+mod encoded;
 mod frame;
 mod link;
 mod socket;
 
 pub use dial::{DialAttempt, DialBackoff, Dialer, send_once};
+pub use encoded::EncodedMessage;
 pub use frame::{FrameError, MAX_FRAME_LEN, decode_frame, encode_frame};
 pub use link::{LinkEvent, LinkId, LinkSender, accept_links};
 pub use socket::{listen, tune_socket};
--- a/crates/common/cloverfold_link/src/link.rs
+++ b/crates/common/cloverfold_link/src/link.rs
@@ -19,7 +19,8 @@
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::time::{sleep, timeout};
 
-use crate::frame::{decode_frame, encode_frame, encode_heartbeat};
+use crate::encoded::EncodedMessage;
+use crate::frame::{decode_frame, encode_heartbeat};
 use crate::socket::{USER_TIMEOUT, tune_socket};
 
 /// Messages that may wait for a slow peer; further ones are refused and the first of them is logged. Chosen, not measured.
@@ -101,19 +102,26 @@
     /// Queues a message without waiting, and returns the length of its frame in bytes. Returns `None` if the link is closed, the queue
     /// is full, or the message cannot be encoded (which is logged).
     pub fn send(&self, message: &M) -> Option<usize> {
-        let mut buf = BytesMut::new();
-        if let Err(cause) = encode_frame(message, &mut buf) {
-            log::error!("a message is not sent: {cause}");
-            return None;
+        match EncodedMessage::new(message) {
+            Ok(encoded) => self.send_encoded(&encoded).then_some(encoded.frame_len()),
+            Err(cause) => {
+                log::error!("a message is not sent: {cause}");
+                None
+            }
         }
-        let frame_len = buf.len();
-        match self.tx.try_send(buf.freeze()) {
-            Ok(()) => Some(frame_len),
+    }
+}
+
+impl<M> LinkSender<M> {
+    /// Queues a message that is encoded already, without waiting. Returns `false` if the link is closed or the queue is full.
+    pub fn send_encoded(&self, message: &EncodedMessage<M>) -> bool {
+        match self.tx.try_send(message.frame()) {
+            Ok(()) => true,
             // Not logged: a `LinkEvent::Closed` follows, and its receiver logs it.
-            Err(TrySendError::Closed(_)) => None,
+            Err(TrySendError::Closed(_)) => false,
             Err(TrySendError::Full(_)) => {
                 self.log_full_queue();
-                None
+                false
             }
         }
     }
--- a/crates/common/cloverfold_link/tests/links.rs
+++ b/crates/common/cloverfold_link/tests/links.rs
@@ -7,8 +7,8 @@
 use bytes::{BufMut, BytesMut};
 use cloverfold_faults::TcpProxy;
 use cloverfold_link::{
-    DialBackoff, Dialer, FrameError, LinkEvent, MAX_FRAME_LEN, accept_links, decode_frame,
-    encode_frame, listen,
+    DialBackoff, Dialer, EncodedMessage, FrameError, LinkEvent, MAX_FRAME_LEN, accept_links,
+    decode_frame, encode_frame, listen,
 };
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -224,3 +224,24 @@
         held.push(event);
     }
 }
+
+/// Counts how often it is encoded.
+struct Counted(std::cell::Cell<u32>);
+
+impl serde::Serialize for Counted {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        self.0.set(self.0.get() + 1);
+        serializer.serialize_u32(0)
+    }
+}
+
+#[test]
+fn copies_of_an_encoded_message_are_not_encoded_again() {
+    let message = Counted(0.into());
+
+    let encoded = EncodedMessage::new(&message).unwrap();
+    let copies: Vec<_> = (0..1_000).map(|_| encoded.clone()).collect();
+
+    assert_eq!(message.0.get(), 1);
+    assert!(copies.iter().all(|copy| copy.frame_len() == 5));
+}
--- a/crates/leased/cloverfold_control/src/state/applying.rs
+++ b/crates/leased/cloverfold_control/src/state/applying.rs
@@ -6,7 +6,7 @@
 use cloverfold_consensus::{
     Entry, LogIndex, Members, Outgoing, Payload, ReplicaId, Role, Snapshot, Term,
 };
-use cloverfold_peer::PeerMessage;
+use cloverfold_peer::{PeerMessage, SharedMessage};
 
 use super::ControlState;
 use super::replicated::{Command, ReplicatedState};
@@ -128,8 +128,10 @@
         let version = self.current_version();
         if version != *self.version.borrow() {
             self.version.send_replace(version);
-            if let Some(current) = self.state.configuration.current() {
-                self.recent_configurations.record(current);
+            if let Some(current) = self.state.configuration.current().cloned() {
+                self.recent_configurations.record(&current);
+                let message = PeerMessage::Configuration(current);
+                self.shared_configuration = SharedMessage::new(&message);
             }
             self.send_notice();
         }
--- a/crates/leased/cloverfold_control/src/state/evacuations.rs
+++ b/crates/leased/cloverfold_control/src/state/evacuations.rs
@@ -12,6 +12,7 @@
 use cloverfold_evacuation::{
     DataHall, EvacuationOrder, EvacuationState, HallChange, OrderId, OrderOutcome,
 };
+use cloverfold_link::LinkId;
 use cloverfold_peer::{Hello, PeerMessage, PeerRole};
 
 use super::ControlState;
@@ -114,6 +115,14 @@
         self.links.send_evacuations(&halls, is_attached);
     }
 
+    /// Sends the evacuated halls to one entry or guard, if it has not shown to know them.
+    pub(super) fn tell_evacuations_to(&self, link: LinkId) {
+        if self.evacuations().revision() > 0 {
+            let halls = self.evacuations().halls();
+            self.links.send_evacuations_to(link, &halls);
+        }
+    }
+
     /// Tells at once of an order that was taken.
     pub(super) fn tell_new_evacuations(&mut self) {
         let revision = self.evacuations().revision();
--- a/crates/leased/cloverfold_control/src/state/mod.rs
+++ b/crates/leased/cloverfold_control/src/state/mod.rs
@@ -52,7 +52,7 @@
 use cloverfold_evacuation::{DataHall, EvacuationRevision, OrderId};
 use cloverfold_leased_process::Suspensions;
 use cloverfold_link::LinkId;
-use cloverfold_peer::{DialedPeers, Hello, PeerLinks, SentCounts};
+use cloverfold_peer::{DialedPeers, Hello, PeerLinks, SentCounts, SharedMessage};
 use tokio::sync::watch;
 
 use self::appended::AppendedEntries;
@@ -109,6 +109,8 @@
     /// The version in force.
     version: watch::Sender<Version>,
     recent_configurations: RecentConfigurations,
+    /// The configuration in force as it is sent whole: many processes that start together fetch it together.
+    shared_configuration: Option<SharedMessage>,
     last_notice: LastNotice,
     /// What was last logged about the group.
     logged_view: GroupView,
@@ -151,6 +153,7 @@
             applied: watch::Sender::new(0),
             version: watch::Sender::new(0),
             recent_configurations: RecentConfigurations::default(),
+            shared_configuration: None,
             last_notice: LastNotice::default(),
             logged_view: GroupView::default(),
         }
--- a/crates/leased/cloverfold_control/src/state/notices.rs
+++ b/crates/leased/cloverfold_control/src/state/notices.rs
@@ -43,7 +43,7 @@
     /// Sends an entry or guard that has just connected the evacuations and the groups that keep jobs, then the
     /// version in force: it begins work once it has a configuration, and knows the others by then.
     pub(super) fn welcome(&self, link: LinkId) {
-        self.tell_evacuations();
+        self.tell_evacuations_to(link);
         self.tell_job_groups(link);
         // A link that closed meanwhile is dialed again by the process.
         self.links.send(link, &self.notice());
--- a/crates/leased/cloverfold_control/src/state/peers.rs
+++ b/crates/leased/cloverfold_control/src/state/peers.rs
@@ -83,9 +83,9 @@
     }
 
     fn send_configuration(&self, link: LinkId) {
-        if let Some(current) = self.state.configuration.current().cloned() {
+        if let Some(message) = &self.shared_configuration {
             // A process whose link is closed fetches from another one.
-            self.links.send(link, &PeerMessage::Configuration(current));
+            self.links.send_shared(link, message);
         }
     }
 
--- a/crates/leased/cloverfold_peer/src/lib.rs
+++ b/crates/leased/cloverfold_peer/src/lib.rs
@@ -28,7 +28,7 @@
 pub use entry_subsets::{EntrySubsets, GuardTraits, KnownGuards, choose_entries};
 pub use group_calls::{has_group_link, send_group_call};
 pub use known_evacuations::KnownEvacuations;
-pub use links::PeerLinks;
+pub use links::{PeerLinks, SharedMessage};
 pub use messages::{
     Directory, Hello, PROTOCOL_VERSION, PeerDetails, PeerMessage, PeerRole, ProtocolVersion,
 };
--- a/crates/leased/cloverfold_peer/src/links.rs
+++ b/crates/leased/cloverfold_peer/src/links.rs
@@ -8,10 +8,29 @@
 
 use cloverfold_configuration::{ConfigurationChange, StoredConfiguration, Version};
 use cloverfold_evacuation::{EvacuatedHalls, EvacuationRevision};
-use cloverfold_link::{LinkId, LinkSender};
+use cloverfold_link::{EncodedMessage, LinkId, LinkSender};
 
 use crate::messages::{Hello, PeerMessage, PeerRole};
-use crate::sent_counts::SentCounts;
+use crate::sent_counts::{MessageKind, SentCounts};
+
+/// A message that is encoded once, to be sent to many peers.
+#[derive(Clone, Debug)]
+pub struct SharedMessage {
+    kind: MessageKind,
+    encoded: EncodedMessage<PeerMessage>,
+}
+
+impl SharedMessage {
+    /// Encodes a message; `None` if that is not possible, which is logged.
+    pub fn new(message: &PeerMessage) -> Option<Self> {
+        let encoded = EncodedMessage::new(message)
+            .inspect_err(|cause| log::error!("a message is not sent: {cause}"));
+        Some(Self {
+            kind: MessageKind::of(message),
+            encoded: encoded.ok()?,
+        })
+    }
+}
 
 /// One open link.
 #[derive(Debug)]
@@ -25,6 +44,14 @@
     evacuations: EvacuationRevision,
 }
 
+impl PeerLink {
+    /// Returns whether the peer can read the evacuated halls and has not shown to know them.
+    fn lacks(&self, halls: &EvacuatedHalls) -> bool {
+        let hello = self.hello.as_ref();
+        hello.is_some_and(Hello::knows_evacuations) && self.evacuations < halls.revision
+    }
+}
+
 /// All open links of a process.
 #[derive(Debug, Default)]
 pub struct PeerLinks {
@@ -85,19 +112,24 @@
     /// whose queue is full misses them: they are sent again with the next change or when it connects, by control processes also at
     /// regular intervals.
     pub fn send_evacuations(&self, halls: &EvacuatedHalls, is_selected: impl Fn(PeerRole) -> bool) {
-        let message = PeerMessage::Evacuations(halls.clone());
+        let Some(message) = SharedMessage::new(&PeerMessage::Evacuations(halls.clone())) else {
+            return;
+        };
         for open in self.links.values() {
-            let lacks_them = |hello: &Hello| {
-                hello.knows_evacuations()
-                    && open.evacuations < halls.revision
-                    && is_selected(hello.role)
-            };
-            if open.hello.as_ref().is_some_and(lacks_them) {
-                self.queue(&open.sender, &message);
+            let is_meant = |hello: &Hello| is_selected(hello.role);
+            if open.lacks(halls) && open.hello.as_ref().is_some_and(is_meant) {
+                self.queue_shared(&open.sender, &message);
             }
         }
     }
 
+    /// Sends the evacuated halls to one peer, if it can read them and has not shown to know them.
+    pub fn send_evacuations_to(&self, link: LinkId, halls: &EvacuatedHalls) {
+        if self.links.get(&link).is_some_and(|open| open.lacks(halls)) {
+            self.send(link, &PeerMessage::Evacuations(halls.clone()));
+        }
+    }
+
     /// Removes a link, which closes it if it is still open. Returns who was at the other end; `None` if the link was removed before or
     /// the peer never introduced itself.
     pub fn close(&mut self, link: LinkId) -> Option<Hello> {
@@ -152,6 +184,13 @@
             .is_some_and(|open| self.queue(&open.sender, message))
     }
 
+    /// Queues a message that is encoded already. Returns `false` if the link is closed or its queue is full.
+    pub fn send_shared(&self, link: LinkId, message: &SharedMessage) -> bool {
+        self.links
+            .get(&link)
+            .is_some_and(|open| self.queue_shared(&open.sender, message))
+    }
+
     /// Asks a peer for its configuration; `known` is the version in force here, 0 before the first. A closed link is not noticed: whoever
     /// asks, asks again.
     pub fn fetch_configuration(&self, link: LinkId, known: Version) {
@@ -189,21 +228,27 @@
     /// Queues a message to each peer whose role is selected. A link whose queue is full misses it: what is sent this way is sent again
     /// at regular intervals or asked for.
     pub fn send_to_roles(&self, is_selected: impl Fn(PeerRole) -> bool, message: &PeerMessage) {
+        let Some(message) = SharedMessage::new(message) else {
+            return;
+        };
         for open in self.links.values() {
             if open
                 .hello
                 .as_ref()
                 .is_some_and(|hello| is_selected(hello.role))
             {
-                self.queue(&open.sender, message);
+                self.queue_shared(&open.sender, &message);
             }
         }
     }
 
     /// Queues a message on every link, also where the peer has not introduced itself yet. A link whose queue is full misses it.
     pub fn send_to_all(&self, message: &PeerMessage) {
+        let Some(message) = SharedMessage::new(message) else {
+            return;
+        };
         for open in self.links.values() {
-            self.queue(&open.sender, message);
+            self.queue_shared(&open.sender, &message);
         }
     }
 
@@ -214,10 +259,14 @@
 
     /// Queues a message and counts it; returns whether it was queued.
     fn queue(&self, sender: &LinkSender<PeerMessage>, message: &PeerMessage) -> bool {
-        let frame_len = sender.send(message);
-        if let Some(frame_len) = frame_len {
-            self.sent.record(message, frame_len);
+        SharedMessage::new(message).is_some_and(|message| self.queue_shared(sender, &message))
+    }
+
+    fn queue_shared(&self, sender: &LinkSender<PeerMessage>, message: &SharedMessage) -> bool {
+        let is_queued = sender.send_encoded(&message.encoded);
+        if is_queued {
+            self.sent.record(message.kind, message.encoded.frame_len());
         }
-        frame_len.is_some()
+        is_queued
     }
 }
--- a/crates/leased/cloverfold_peer/src/sent_counts.rs
+++ b/crates/leased/cloverfold_peer/src/sent_counts.rs
@@ -10,7 +10,7 @@
 
 /// A kind of message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum MessageKind {
+pub(crate) enum MessageKind {
     Hello,
     Echo,
     Assign,
@@ -82,7 +82,7 @@
         Self::ConfigurationChange,
     ];
 
-    fn of(message: &PeerMessage) -> Self {
+    pub(crate) fn of(message: &PeerMessage) -> Self {
         match message {
             PeerMessage::Hello(_) => Self::Hello,
             PeerMessage::ToRunner(DispatcherMessage::Echo { .. }) => Self::Echo,
@@ -185,8 +185,8 @@
 
 impl SentCounts {
     /// Records a message that was queued as a frame of so many bytes.
-    pub(crate) fn record(&self, message: &PeerMessage, frame_len: usize) {
-        let count = &self.by_kind[MessageKind::of(message) as usize];
+    pub(crate) fn record(&self, kind: MessageKind, frame_len: usize) {
+        let count = &self.by_kind[kind as usize];
         count.messages.fetch_add(1, Ordering::Relaxed);
         count.bytes.fetch_add(frame_len as u64, Ordering::Relaxed);
     }
--- a/crates/leased/cloverfold_peer/tests/links.rs
+++ b/crates/leased/cloverfold_peer/tests/links.rs
@@ -7,7 +7,9 @@
 
 use cloverfold_evacuation::EvacuatedHalls;
 use cloverfold_link::{DialBackoff, Dialer, LinkEvent, LinkId, accept_links, listen};
-use cloverfold_peer::{Hello, PeerDetails, PeerLinks, PeerMessage, PeerRole, Trailing};
+use cloverfold_peer::{
+    Hello, PeerDetails, PeerLinks, PeerMessage, PeerRole, SharedMessage, Trailing,
+};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -160,6 +162,41 @@
     assert!(entry.links.sent().iter().all(|s| s.bytes >= 5 * s.messages));
 }
 
+#[tokio::test]
+async fn a_message_that_is_encoded_once_arrives_and_is_counted_like_any_other() {
+    let (entry, entry_link, mut guard, _, _dialer) = connect().await;
+    let message = PeerMessage::VersionNotice {
+        version: 7,
+        has_quorum: true,
+    };
+    let shared = SharedMessage::new(&message).unwrap();
+
+    assert!(entry.links.send_shared(entry_link, &shared));
+    assert!(entry.links.send_shared(entry_link, &shared));
+    assert!(!entry.links.send_shared(entry_link + 100, &shared));
+
+    assert_eq!(guard.receive().await, message);
+    assert_eq!(guard.receive().await, message);
+    let mut sent = entry.links.sent().iter();
+    let notices = sent.find(|sent| sent.kind == "version_notice").unwrap();
+    assert_eq!(notices.messages, 2);
+}
+
+#[tokio::test]
+async fn a_peer_that_connects_is_told_of_evacuations_alone() {
+    let (entry, entry_link, mut guard, _, _dialer) = connect().await;
+
+    entry
+        .links
+        .send_evacuations_to(entry_link + 100, &evacuated(1));
+    entry.links.send_evacuations_to(entry_link, &evacuated(2));
+    entry.links.send(entry_link, &PeerMessage::Fetch);
+
+    let told = PeerMessage::Evacuations(evacuated(2));
+    assert_eq!(guard.receive().await, told);
+    assert_eq!(guard.receive().await, PeerMessage::Fetch);
+}
+
 #[tokio::test]
 async fn evacuations_are_sent_to_peers_that_have_not_shown_to_know_them() {
     let (mut entry, entry_link, mut guard, _, _dialer) = connect().await;
