One loop that brings an operator's order to its decision, one place that encodes a message for links

Orders for data halls and of waves each had the same two loops (submit every 250 ms, look after each applied entry): Operators::decide serves both. LinkSender::send and SharedMessage::new each encoded and logged a failure: EncodedMessage::new does so for both. Comments reflowed; a property test is named by what it asserts. Behaviour and assertions are unchanged.

--- a/crates/common/cloverfold_base/src/suspension.rs
+++ b/crates/common/cloverfold_base/src/suspension.rs
@@ -1,7 +1,7 @@
 //! How long the box was suspended, read off two clocks of the system.
 //!
-//! Owns how much of the difference between them is accounted for ([`SuspensionWatch`]). Relies on the steady clock standing still while the box is suspended, and on the
-//! boot clock going on.
+//! Owns how much of the difference between them is accounted for ([`SuspensionWatch`]). Relies on the steady clock standing still while the
+//! box is suspended, and on the boot clock going on.
 
 use std::time::Duration;
 
--- a/crates/common/cloverfold_link/src/encoded.rs
+++ b/crates/common/cloverfold_link/src/encoded.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use serde::Serialize;
 
-use crate::frame::{FrameError, encode_frame};
+use crate::frame::encode_frame;
 
 /// A message as a frame; a copy shares its bytes.
 #[derive(Debug)]
@@ -26,15 +26,14 @@
 }
 
 impl<M: Serialize> EncodedMessage<M> {
-    /// Encodes a message.
-    ///
-    /// # Errors
-    ///
-    /// As [`encode_frame`].
-    pub fn new(message: &M) -> Result<Self, FrameError> {
+    /// Encodes a message; `None` if that is not possible, which is logged.
+    pub fn new(message: &M) -> Option<Self> {
         let mut buf = BytesMut::new();
-        encode_frame(message, &mut buf)?;
-        Ok(Self {
+        if let Err(cause) = encode_frame(message, &mut buf) {
+            log::error!("a message is not sent: {cause}");
+            return None;
+        }
+        Some(Self {
             frame: buf.freeze(),
             message: PhantomData,
         })
--- a/crates/common/cloverfold_link/src/link.rs
+++ b/crates/common/cloverfold_link/src/link.rs
@@ -102,13 +102,8 @@
     /// Queues a message without waiting, and returns the length of its frame in bytes. Returns `None` if the link is closed, the queue
     /// is full, or the message cannot be encoded (which is logged).
     pub fn send(&self, message: &M) -> Option<usize> {
-        match EncodedMessage::new(message) {
-            Ok(encoded) => self.send_encoded(&encoded).then_some(encoded.frame_len()),
-            Err(cause) => {
-                log::error!("a message is not sent: {cause}");
-                None
-            }
-        }
+        let encoded = EncodedMessage::new(message)?;
+        self.send_encoded(&encoded).then_some(encoded.frame_len())
     }
 }
 
--- a/crates/leased/cloverfold_configuration/src/lib.rs
+++ b/crates/leased/cloverfold_configuration/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! An operator sends a whole [`Configuration`] as text in some [`ConfigurationFormat`]. The text is kept and given back as it was sent.
 //! [`ConfigurationState`] owns what the control processes replicate: the highest version and the audit trail. Other processes are told what
-//! has changed since the version that they have ([`ConfigurationChange`]). Nothing here does I/O; the
-//! log that orders the proposals is `cloverfold_consensus`, the process around both `cloverfold_control`.
+//! has changed since the version that they have ([`ConfigurationChange`]). Nothing here does I/O; the log that orders the proposals is
+//! `cloverfold_consensus`, the process around both `cloverfold_control`.
 
 #![warn(clippy::disallowed_methods)]
 
--- a/crates/leased/cloverfold_configuration/tests/changes.rs
+++ b/crates/leased/cloverfold_configuration/tests/changes.rs
@@ -137,7 +137,7 @@
     }
 
     #[test]
-    fn a_change_to_another_text_gives_nothing(older in text(), newer in text(), other in text()) {
+    fn a_change_to_another_text_gives_the_newer_one_or_nothing(older in text(), newer in text(), other in text()) {
         prop_assume!(older != other);
         let newer = stored(2, &newer);
         if let Some(change) = ConfigurationChange::between(&stored(1, &older), &newer) {
--- a/crates/leased/cloverfold_control/src/lib.rs
+++ b/crates/leased/cloverfold_control/src/lib.rs
@@ -8,7 +8,8 @@
 //!
 //! # From an operator's call to a configuration in force at an entry
 //!
-//! 1. `operators::configurations`: a control process decodes and checks the body. An invalid one is answered 400; a valid one becomes a proposal.
+//! 1. `operators::configurations`: a control process decodes and checks the body. An invalid one is answered 400; a valid one becomes a
+//!    proposal.
 //! 2. `state::proposals`: the proposal goes to the leader, which appends it to the log. This is repeated every 250 ms
 //!    until a version as high is in force here.
 //! 3. `cloverfold_consensus`: the leader commits the entry once a majority has synced it.
@@ -22,8 +23,8 @@
 //! An order to evacuate a data hall goes the same way through `state::evacuations`. It is answered once it is applied here, and entries
 //! and guards get the evacuated halls themselves instead of a notice.
 //!
-//! An order of a wave of upkeep goes the same way through `operators::upkeep` and `state::upkeep`. The leader of the log then holds the upkeep:
-//! `cloverfold_upkeep` decides which box is next, `upkeep_caller` calls the platform.
+//! An order of a wave of upkeep goes the same way through `operators::upkeep` and `state::upkeep`. The leader of the log then holds the
+//! upkeep: `cloverfold_upkeep` decides which box is next, `upkeep_caller` calls the platform.
 //!
 //! The answer 200 therefore says that the configuration is committed, not that entries have it yet. To look for a version that does not
 //! arrive: `version` in the status of each control process (steps 2 to 4), then `version` of the entry in `processes` (5 and 6), then the
--- a/crates/leased/cloverfold_control/src/operators/evacuations.rs
+++ b/crates/leased/cloverfold_control/src/operators/evacuations.rs
@@ -6,14 +6,15 @@
 //! decided within 2.5 s the answer is 503, and the order may still be taken later. Reason: every acknowledgement stands for a place in
 //! the log, so that a process that lags behind acknowledges nothing that has been undone since (docs/design/10-evacuations.md).
 
-use cloverfold_evacuation::{DataHall, EvacuationOrder, HallChange, HallNameFault, OrderOutcome};
+use cloverfold_evacuation::{DataHall, HallChange, HallNameFault, OrderOutcome};
 use cloverfold_http::{Request, Response, json_response};
 use http::StatusCode;
 use serde_json::json;
 use tokio::time::timeout;
 
 use super::Operators;
-use super::replies::{PROPOSAL_RESEND_INTERVAL, PROPOSAL_TIMEOUT, answer_unavailable};
+use super::replies::{PROPOSAL_TIMEOUT, answer_unavailable};
+use crate::state::ControlState;
 
 impl Operators {
     /// Evacuates a data hall or takes it back, and answers once that is decided.
@@ -53,34 +54,14 @@
     async fn decide_order(&self, hall: &DataHall, change: HallChange) {
         loop {
             let order = self.state.lock().make_order(hall, change);
-            match self.wait_until_decided(&order).await {
+            let submit = |state: &mut ControlState| state.submit_order(&order);
+            let find_outcome = |state: &ControlState| state.order_outcome(order.id);
+            match self.decide(submit, find_outcome).await {
                 OrderOutcome::Taken | OrderOutcome::Repeated => return,
                 OrderOutcome::Outdated => {}
             }
         }
     }
-
-    /// Submits an order to the leader again and again until it is applied here; returns what became of it.
-    async fn wait_until_decided(&self, order: &EvacuationOrder) -> OrderOutcome {
-        loop {
-            self.state.lock().submit_order(order);
-            let outcome = self.wait_until_applied(order);
-            if let Ok(outcome) = timeout(PROPOSAL_RESEND_INTERVAL, outcome).await {
-                return outcome;
-            }
-        }
-    }
-
-    async fn wait_until_applied(&self, order: &EvacuationOrder) -> OrderOutcome {
-        let mut applied = self.state.lock().follow_applied();
-        loop {
-            if let Some(outcome) = self.state.lock().order_outcome(order.id) {
-                return outcome;
-            }
-            // This fails only without a sender, and the state owns it.
-            let _ = applied.changed().await;
-        }
-    }
 }
 
 fn find_status(fault: &HallNameFault) -> StatusCode {
--- a/crates/leased/cloverfold_control/src/operators/mod.rs
+++ b/crates/leased/cloverfold_control/src/operators/mod.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | `calls` | which call a request is |
 //! | `configurations`, `evacuations`, `upkeep`, `jobs` | the calls about each of these, and when they are acknowledged |
+//! | `deciding` | how an order is submitted until it is decided |
 //! | `audit` | the decisions that operators are shown |
 //! | `newest` | the proof that what is shown is the newest |
 //! | `replies` | what the calls have in common |
@@ -13,6 +14,7 @@
 mod audit;
 mod calls;
 mod configurations;
+mod deciding;
 mod evacuations;
 mod jobs;
 mod newest;
--- a/crates/leased/cloverfold_control/src/operators/upkeep.rs
+++ b/crates/leased/cloverfold_control/src/operators/upkeep.rs
@@ -23,7 +23,7 @@
 
 use super::Operators;
 use super::calls::CallFormat;
-use super::replies::{PROPOSAL_RESEND_INTERVAL, PROPOSAL_TIMEOUT, answer_unavailable};
+use super::replies::{PROPOSAL_TIMEOUT, answer_unavailable};
 use crate::state::ControlState;
 use crate::upkeep_caller::read_list;
 
@@ -109,26 +109,11 @@
         is_new.then(|| unknown.clone())
     }
 
-    /// Submits an order to the leader again and again until its number is known here.
+    /// Submits an order until its number is known here.
     async fn decide_wave(&self, order: &WaveOrder) -> WaveOutcome {
-        loop {
-            self.state.lock().submit_wave(order);
-            let outcome = self.wait_until_known(order);
-            if let Ok(outcome) = timeout(PROPOSAL_RESEND_INTERVAL, outcome).await {
-                return outcome;
-            }
-        }
-    }
-
-    async fn wait_until_known(&self, order: &WaveOrder) -> WaveOutcome {
-        let mut applied = self.state.lock().follow_applied();
-        loop {
-            if let Some(outcome) = self.state.lock().upkeep().judge(order) {
-                return outcome;
-            }
-            // This fails only without a sender, and the state owns it.
-            let _ = applied.changed().await;
-        }
+        let submit = |state: &mut ControlState| state.submit_wave(order);
+        let find_outcome = |state: &ControlState| state.upkeep().judge(order);
+        self.decide(submit, find_outcome).await
     }
 
     /// Answers whether a wave is completed.
--- a/crates/leased/cloverfold_lease/tests/world/mod.rs
+++ b/crates/leased/cloverfold_lease/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! The simulated world: runners with targets, dispatchers and clients, in steps of a few milliseconds.
 //!
-//! This file holds its state and the check for overlaps; `faults` and `suspensions` have what fails, `links` what is under way, `processes` and `clients`
-//! what each does in a step.
+//! This file holds its state and the check for overlaps; `faults` and `suspensions` have what fails, `links` what is under way,
+//! `processes` and `clients` what each does in a step.
 
 mod clients;
 mod evacuations;
--- a/crates/leased/cloverfold_peer/src/links.rs
+++ b/crates/leased/cloverfold_peer/src/links.rs
@@ -23,11 +23,9 @@
 impl SharedMessage {
     /// Encodes a message; `None` if that is not possible, which is logged.
     pub fn new(message: &PeerMessage) -> Option<Self> {
-        let encoded = EncodedMessage::new(message)
-            .inspect_err(|cause| log::error!("a message is not sent: {cause}"));
         Some(Self {
             kind: MessageKind::of(message),
-            encoded: encoded.ok()?,
+            encoded: EncodedMessage::new(message)?,
         })
     }
 }
