After a stall, let an entry read what came before it judges by silence

Callers saw 504 for jobs whose tasks had long ended, 503 NoTarget, or jobs whose tasks all ran twice, after their entry had stood still for 300 ms or more.

Cause: after a stall all deadlines that run on the silence of others are over at once. The first tick withdrew runs as overdue, closed the sessions of runners that were alive, counted their runs as lost and gave up jobs before anything was read that had come meanwhile.

Now the process notices a gap of 100 ms between two calls. A runner's silence during it does not count, and for one heartbeat no run is withdrawn and no job given up or refused for its age or for want of a target. A runner whose session may be over gets work after its next heartbeat, so nothing is assigned into a session that is gone. When the runs of a lost session are over is reckoned from its last echo as before. A process that is stalled again and again gets no more than half of its time as catch-up, and still gives up and closes.

--- a/crates/leased/cloverfold_lease/src/dispatcher/admission.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/admission.rs
@@ -3,7 +3,7 @@
 //! | when | condition | answer, `cause` in the log | bound |
 //! |---|---|---|---|
 //! | at the submission | the process is leaving | refused, `Leaving` | – |
-//! | at the submission | no target of the service accepts work, and the process has not just started | refused, `NoTarget` | `STARTUP_SPAN` in `startup` |
+//! | at the submission | no target of the service accepts work, and the process has not just started or been stalled | refused, `NoTarget` | `STARTUP_SPAN` in `startup`, `CatchUp` in `stall` |
 //! | at the queue deadline | no task was ever offered to a target, or all came back unstarted | refused, `NoRoom`, or `NoTarget` if none of the service accepts work | `QUEUE_WAIT_SHARE` in `deadlines`, `STANDING_WAIT_SHARE` while the queue stands |
 //! | at the give-up deadline | nothing has run or may yet run | refused, `NoRoom` | `GIVE_UP_FACTOR`, `ANSWERED_SHARE` in `deadlines` |
 //! | at the give-up deadline | parts may have run | given up | the same |
@@ -36,8 +36,11 @@
         if self.is_leaving {
             return Some(JobRefusal::Leaving);
         }
-        let is_hopeless = !self.has_target(&request.service, now) && !is_starting(now);
-        is_hopeless.then_some(JobRefusal::NoTarget)
+        if self.catch_up.is_active(now) || is_starting(now) {
+            return None;
+        }
+        let has_target = self.has_target(&request.service, now);
+        (!has_target).then_some(JobRefusal::NoTarget)
     }
 
     /// Returns whether a target of a service accepts work.
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -27,6 +27,7 @@
 mod judging;
 mod kept_admission;
 mod kept_jobs;
+mod own_stall;
 mod placement;
 mod precedence;
 mod reports;
@@ -48,6 +49,7 @@
 use crate::health::HealthLimits;
 use crate::messages::{Assignment, DispatcherMessage, KeptAssignment, SessionId, TaskId};
 use crate::request::JobRequest;
+use crate::stall::CatchUp;
 use crate::timings::Timings;
 pub use actions::DispatcherAction;
 pub use answers::{JobAnswer, JobRefusal, RETRY_AFTER};
@@ -86,6 +88,7 @@
     next_job: JobNumber,
     /// When the process last called; a long gap is a stall.
     last_call_at: Timestamp,
+    catch_up: CatchUp,
     /// Number of the first run of a new task.
     first_run: u64,
     duration_ratio: DurationRatio,
@@ -114,6 +117,7 @@
             detached_runs: HashMap::new(),
             next_job: 1,
             last_call_at: Timestamp::ZERO,
+            catch_up: CatchUp::default(),
             first_run: 1,
             duration_ratio: DurationRatio::default(),
             shares: QueueShares::default(),
@@ -200,7 +204,7 @@
         let job = Job::new(request, is_late, self.first_run, now);
         self.waiting.insert(job.queue_position(number));
         self.jobs.insert(number, job);
-        self.place_waiting(now);
+        self.place_unless_catching_up(now);
         number
     }
 
@@ -231,8 +235,10 @@
         self.close_silent_sessions(now);
         self.release_expired_lost_sessions(now);
         self.place_waiting(now);
-        self.end_late_jobs(now);
-        self.withdraw_late_runs(now);
+        if !self.catch_up.is_active(now) {
+            self.end_late_jobs(now);
+            self.withdraw_late_runs(now);
+        }
     }
 
     /// Returns a task; `None` once its job is closed.
--- a/crates/leased/cloverfold_lease/src/dispatcher/runner_session.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/runner_session.rs
@@ -32,7 +32,10 @@
     /// The runner's clock reading that was echoed last.
     pub(crate) last_echo_clock: Option<Timestamp>,
     pub(crate) last_echo_at: Timestamp,
+    /// Moved on by the length of each stall of this process.
     pub(crate) last_message_at: Timestamp,
+    /// Whether its session may have ended at its side during a stall of this process; its next heartbeat shows that it has not.
+    is_session_in_doubt: bool,
     pub(crate) health: TargetHealth,
     /// The data hall the runner stands in; `None` if it does not tell.
     pub(super) data_hall: Option<DataHall>,
@@ -56,6 +59,7 @@
             last_echo_clock: None,
             last_echo_at: now,
             last_message_at: now,
+            is_session_in_doubt: false,
             health,
             data_hall: None,
             is_evacuated: false,
@@ -68,10 +72,22 @@
     pub(crate) fn accepts_work(&self, now: Timestamp) -> bool {
         self.description.is_some()
             && !self.is_evacuated
+            && !self.is_session_in_doubt
             && self.last_echo_clock.is_some()
             && self.health.accepts_work(now)
     }
 
+    /// Allows for a stall of this process that has just ended; a session is valid for `session_span` after the last echo.
+    pub(super) fn allow_for_stall(
+        &mut self,
+        stall: Duration,
+        session_span: Duration,
+        now: Timestamp,
+    ) {
+        self.last_message_at += stall;
+        self.is_session_in_doubt |= now > self.last_echo_at + session_span;
+    }
+
     /// Returns whether the target runs this service.
     pub(crate) fn serves(&self, service: &str) -> bool {
         let description = self.description.as_ref();
@@ -164,6 +180,7 @@
     pub(crate) fn record_echo(&mut self, clock: Timestamp, now: Timestamp) {
         self.last_echo_clock = Some(clock);
         self.last_echo_at = now;
+        self.is_session_in_doubt = false;
     }
 
     /// Counts the target as full until its runner reports again.
--- a/crates/leased/cloverfold_lease/src/dispatcher/sessions.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/sessions.rs
@@ -142,7 +142,7 @@
             }
             RunnerMessage::UsualSpeed(speed) => runner.usual_speed = speed,
         }
-        self.place_waiting(now);
+        self.place_unless_catching_up(now);
     }
 
     /// Handles the announcement of a runner's target. A runner announces one only when nothing of earlier sessions runs there, so the
--- a/crates/leased/cloverfold_lease/src/stall.rs
+++ b/crates/leased/cloverfold_lease/src/stall.rs
@@ -1,22 +1,48 @@
 //! How long a process may be stalled (frozen or starved of processor time) before its state counts as out of date.
 //!
-//! Owns no state. Relies on both measures being taken between two calls of the same process, by its own steady clock.
+//! Relies on all measures being taken between two calls of the same process, by its own steady clock.
 //!
-//! There are two limits since the two reactions cost differently:
+//! There are three limits since the three reactions cost differently:
 //!
 //! | limit | what is distrusted | reaction | cost if it was needless |
 //! |---|---|---|---|
+//! | [`PROCESS_STALL`](cloverfold_base::PROCESS_STALL), 100 ms | the silence of others: what they sent meanwhile may be unread | their silence during the stall does not count, and nothing is concluded from it in a [`CatchUp`] | what has really failed is noticed later |
 //! | [`REQUEST_STALL`], 300 ms | requests that arrived during the stall: their callers may have sent them elsewhere | the entry refuses them (`EntryState::submit`) | one more attempt; nothing has run |
 //! | [`JOB_STALL`], 700 ms | open jobs: their callers may have left and sent them elsewhere | the dispatcher gives all of them up (`Dispatcher::give_up_after_stall`) | the work that was done for them |
 //!
-//! Both must stay well below the time after which a caller sends again ([`DEFAULT_RESEND`](crate::DEFAULT_RESEND), 1,300 ms).
+//! The latter two must stay well below the time after which a caller sends again ([`DEFAULT_RESEND`](crate::DEFAULT_RESEND), 1,300 ms).
 
 use std::time::Duration;
 
-/// A gap between two ticks of an entry from which it refuses the requests that it reads before its next tick. Chosen, not measured.
+use cloverfold_base::Timestamp;
+
+/// A gap between two ticks of an entry from which it refuses the requests that it reads before its next tick.
 pub const REQUEST_STALL: Duration = Duration::from_millis(300);
 
 /// A gap between two calls of a dispatcher from which it gives up all open jobs.
 ///
-/// The rule was found by the simulated world (incident 4, two runs of a task after a stall). The value was chosen, not measured.
+/// A caller may have left unnoticed and asked elsewhere; what is started for it then could run twice at once.
 pub const JOB_STALL: Duration = Duration::from_millis(700);
+
+/// The time after a stall in which a process reads what others have sent meanwhile, and concludes nothing from what it has not read.
+///
+/// It lasts for one heartbeat, in which everyone who is alive is heard from. The next one begins no earlier than a heartbeat after its end,
+/// so that a process that is stalled again and again still reaches its conclusions.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct CatchUp {
+    until: Timestamp,
+}
+
+impl CatchUp {
+    /// Begins after a stall, unless the one before has only just ended.
+    pub(crate) fn begin(&mut self, heartbeat: Duration, now: Timestamp) {
+        if now >= self.until + heartbeat {
+            self.until = now + heartbeat;
+        }
+    }
+
+    /// Returns whether it lasts.
+    pub(crate) fn is_active(self, now: Timestamp) -> bool {
+        now < self.until
+    }
+}
--- a/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod judging;
 mod kept_jobs;
+mod own_stall;
 mod placement;
 mod returned_callers;
 mod run_ends;
--- /dev/null
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/own_stall.rs
@@ -0,0 +1,118 @@
+//! What a dispatcher concludes after its own process was stalled.
+
+use cloverfold_lease::{DispatcherAction, JobAnswer, RunOutcome};
+
+use crate::fixture::{CAPACITY, Fixture, job, long_step, ms, one_task_job};
+
+/// Lets the process stand still for so long and notice it.
+fn stall(fixture: &mut Fixture, span_ms: u64) {
+    fixture.now += ms(span_ms);
+    fixture.dispatcher.allow_for_stall(ms(span_ms), fixture.now);
+}
+
+/// Ticks at once and then so many times every 20 ms, while no runner is heard from.
+fn tick_unheard(fixture: &mut Fixture, ticks: u32) {
+    fixture.dispatcher.tick(fixture.now);
+    for _ in 0..ticks {
+        fixture.now += ms(20);
+        fixture.dispatcher.tick(fixture.now);
+    }
+}
+
+// A run that ended during the stall was withdrawn before its end was read.
+#[test]
+fn a_run_that_ended_during_a_stall_is_not_withdrawn_before_its_end_is_read() {
+    let mut fixture = Fixture::new(1);
+    let number = fixture.submit(one_task_job("a"));
+    let run = fixture.assigned().remove(0);
+
+    stall(&mut fixture, 450);
+    fixture.dispatcher.tick(fixture.now);
+
+    assert_eq!(fixture.dispatcher.counts().withdrawn, 0);
+    fixture.end(&run, RunOutcome::Done);
+    assert_eq!(fixture.answers(), [(number, JobAnswer::Completed)]);
+}
+
+// A job whose deadline passed during the stall was given up although its end had been reported.
+#[test]
+fn a_job_that_was_done_during_a_stall_is_answered_with_its_end() {
+    let mut fixture = Fixture::new(1);
+    let number = fixture.submit(one_task_job("a"));
+    let run = fixture.assigned().remove(0);
+    fixture.pass(600, &[1]);
+    fixture.dispatcher.take_actions();
+
+    stall(&mut fixture, 690);
+    fixture.dispatcher.tick(fixture.now);
+    fixture.end(&run, RunOutcome::Done);
+
+    assert_eq!(fixture.answers(), [(number, JobAnswer::Completed)]);
+}
+
+// Sessions with runners that were alive all the time were closed, and their runs counted as lost.
+#[test]
+fn a_session_is_not_closed_for_the_time_of_a_stall() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(job("a", vec![long_step()]));
+    fixture.dispatcher.take_actions();
+
+    stall(&mut fixture, 600);
+    tick_unheard(&mut fixture, 24);
+    let before = fixture.dispatcher.take_actions();
+    tick_unheard(&mut fixture, 2);
+    let after = fixture.dispatcher.take_actions();
+
+    assert!(!before.contains(&DispatcherAction::CloseSession(1)));
+    assert!(after.contains(&DispatcherAction::CloseSession(1)));
+}
+
+// A runner ends a session by its own clock; what is assigned over one that may be over is lost with it.
+#[test]
+fn a_runner_whose_session_may_have_ended_in_a_stall_gets_work_after_its_next_heartbeat() {
+    let mut fixture = Fixture::new(1);
+    stall(&mut fixture, 600);
+
+    fixture.submit(one_task_job("a"));
+    fixture.dispatcher.tick(fixture.now);
+    let before = fixture.assigned().len();
+    fixture.heartbeat(1, CAPACITY, 0);
+    fixture.now += ms(20);
+    fixture.dispatcher.tick(fixture.now);
+
+    assert_eq!((before, fixture.assigned().len()), (0, 1));
+}
+
+// Callers were refused for want of a target by an entry that had read nothing yet of its targets.
+#[test]
+fn a_job_that_comes_right_after_a_stall_waits_until_its_targets_are_heard_from() {
+    let mut fixture = Fixture::new(1);
+    stall(&mut fixture, 600);
+
+    fixture.submit(one_task_job("a"));
+    tick_unheard(&mut fixture, 4);
+    let early = fixture.answers();
+    tick_unheard(&mut fixture, 2);
+    let late = fixture.answers();
+
+    assert_eq!(early, []);
+    assert!(
+        matches!(late[..], [(_, JobAnswer::Refused { .. })]),
+        "{late:?}"
+    );
+}
+
+// A process that gets too little processor time all the time would give up no job and close no session.
+#[test]
+fn a_process_that_is_stalled_again_and_again_still_reaches_its_conclusions() {
+    let mut fixture = Fixture::new(1);
+    let number = fixture.submit(one_task_job("a"));
+    fixture.dispatcher.take_actions();
+
+    for _ in 0..20 {
+        stall(&mut fixture, 110);
+        fixture.dispatcher.tick(fixture.now);
+    }
+
+    assert_eq!(fixture.answers(), [(number, JobAnswer::GivenUp)]);
+}
--- a/crates/leased/cloverfold_leased_entry/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/mod.rs
@@ -20,7 +20,7 @@
     Dispatcher, DispatcherAction, DispatcherCounts, JobAnswer, JobNumber, JobRefusal, JobRequest,
     REQUEST_STALL, find_configuration_wait,
 };
-use cloverfold_leased_process::{LeasedState, Suspensions};
+use cloverfold_leased_process::{LeasedState, Stalls, Suspensions};
 use cloverfold_link::LinkEvent;
 use cloverfold_peer::{ControlLinks, Hello, KnownEvacuations, PeerLinks, PeerMessage, SentCounts};
 use tokio::sync::{oneshot, watch};
@@ -37,6 +37,7 @@
 pub(crate) struct EntryState {
     clock: ProcessClock,
     suspensions: Suspensions,
+    stalls: Stalls,
     own: Hello,
     protocol: Arc<dyn JobProtocol>,
     dispatcher: Dispatcher,
@@ -67,7 +68,8 @@
     }
 
     fn link_event(&mut self, event: LinkEvent<PeerMessage>) {
-        self.check_driver_leases(self.clock.now());
+        let now = self.look_at_clock();
+        self.check_driver_leases(now);
         self.handle_link_event(event);
         self.advance();
     }
@@ -75,11 +77,7 @@
     fn tick(&mut self) {
         // Logged and counted here; what follows from it, follows from the gap in time.
         self.suspensions.look();
-        let now = self.clock.now();
-        let gap = now.saturating_duration_since(self.ticked_at);
-        if gap > REQUEST_STALL {
-            log::warn!(gap_ms = gap.as_millis() as u64; "the process stood still");
-        }
+        let now = self.look_at_clock();
         self.ticked_at = now;
         self.check_driver_leases(now);
         self.dispatcher.tick(now);
@@ -101,6 +99,7 @@
         Self {
             clock: ProcessClock::default(),
             suspensions: Suspensions::default(),
+            stalls: Stalls::default(),
             own,
             protocol,
             dispatcher,
@@ -160,6 +159,15 @@
         &self.suspensions
     }
 
+    /// Returns the present point in time, after the dispatcher has heard of a stall of this process.
+    fn look_at_clock(&mut self) -> Timestamp {
+        let now = self.clock.now();
+        if let Some(stall) = self.stalls.look(now) {
+            self.dispatcher.allow_for_stall(stall, now);
+        }
+        now
+    }
+
     /// Returns the present point in time.
     pub(crate) fn now(&self) -> Timestamp {
         self.clock.now()
@@ -215,7 +223,7 @@
         request: JobRequest,
     ) -> (Option<JobNumber>, oneshot::Receiver<JobAnswer>) {
         let (tx, rx) = oneshot::channel();
-        let now = self.clock.now();
+        let now = self.look_at_clock();
         if now > self.ticked_at + REQUEST_STALL {
             let gap = now.saturating_duration_since(self.ticked_at);
             log::warn!(job = request.id.as_str(), gap_ms = gap.as_millis() as u64; "a job is refused after a stall");
--- a/crates/leased/cloverfold_leased_process/src/lib.rs
+++ b/crates/leased/cloverfold_leased_process/src/lib.rs
@@ -13,6 +13,7 @@
 mod runtime;
 mod settings_watch;
 mod shared;
+mod stalls;
 mod suspensions;
 
 pub use metrics::{MetricsBuilder, ProcessMetrics};
@@ -21,4 +22,5 @@
 pub use runtime::start_leased_runtime;
 pub use settings_watch::SettingsWatch;
 pub use shared::Shared;
+pub use stalls::Stalls;
 pub use suspensions::Suspensions;
