After a stall, let a guard hear its target and entries before it judges them

Callers saw their jobs begun twice or given up after a guard had stood still: it ended its sessions and stopped their runs, and offered no target for 60 ms and more since that had been silent for the stall.

A target's silence and the end of a session were taken from the clock before the answers and echoes of that time were read.

Now the target's silence during a stall does not count. A session that is over by time is in doubt for one heartbeat: nothing starts, no lease is extended, and an echo of a reading from after the stall makes it valid again. The bound after which an entry begins the runs elsewhere allows for a runner that is frozen at the end of its session, so the lease that was extended last still lapses within it. After a suspension of the box sessions end at once as before: the target's clock may have stood still with the box.

The worlds of overlap.rs with single freezes, suspensions, evacuations and kept jobs still show no overlap, and their planted faults are noticed. Four of the five new tests of the runner fail with the rule off.

--- a/crates/leased/cloverfold_lease/src/runner/mod.rs
+++ b/crates/leased/cloverfold_lease/src/runner/mod.rs
@@ -29,6 +29,7 @@
 //! | what an evacuation of the data hall changes | `evacuation` |
 //! | what the coming upkeep of the box changes | `upkeep` |
 //! | what a suspension of the box changes | `suspension` |
+//! | what a stall of this process changes | `own_stall` |
 
 mod actions;
 mod answers;
@@ -42,6 +43,7 @@
 mod lapses;
 mod listing;
 mod orders;
+mod own_stall;
 mod performance;
 mod progress;
 mod refused_start;
@@ -83,6 +85,7 @@
 use crate::messages::{
     DispatcherMessage, RunRefusal, SessionId, TargetDescription, TaskId, UsualSpeed,
 };
+use crate::stall::CatchUp;
 use crate::timings::Timings;
 use candidates::Candidates;
 use renewal_pace::RenewalPace;
@@ -112,6 +115,7 @@
     renewal_pace: RenewalPace,
     /// Earlier incarnations of the target, oldest first.
     ended_incarnations: VecDeque<IncarnationId>,
+    catch_up: CatchUp,
     /// When a target was heard of first: an earlier process beside it has ordered nothing later.
     first_heard_at: Option<Timestamp>,
     is_leaving: bool,
@@ -141,6 +145,7 @@
             usual_speeds: UsualSpeeds::default(),
             renewal_pace: RenewalPace::default(),
             ended_incarnations: VecDeque::new(),
+            catch_up: CatchUp::default(),
             first_heard_at: None,
             is_leaving: false,
             is_evacuated: false,
--- a/crates/leased/cloverfold_lease/src/runner/renewals.rs
+++ b/crates/leased/cloverfold_lease/src/runner/renewals.rs
@@ -27,7 +27,7 @@
     /// Plans the next renewal of the lease, or the question to a candidate whether it is there; `None` without a target.
     ///
     /// The lease is not extended while the target may run something that this runner did not start: that must be able to lapse, since
-    /// nothing else ends it for certain; nor while it is withheld (`lapses`). Such a renewal is answered at once instead of waiting for an
+    /// nothing else ends it for certain; nor while it is withheld (`lapses`) or a session is in doubt (`own_stall`). Such a renewal is answered at once instead of waiting for an
     /// end.
     ///
     /// Nor is the lease of a target extended that answers nothing: it may be gone, and its runs count as lost once the lease has lapsed.
@@ -35,20 +35,21 @@
         if let Some(question) = self.plan_question(now) {
             return Some(question);
         }
-        let lease = self.timings.lease;
-        let target = self.target.as_mut()?;
-        let may_extend = target.has_only_own_runs && !target.is_lease_withheld;
+        let is_in_doubt = self.has_session_in_doubt(now);
+        let target = self.target.as_ref()?;
+        let may_extend = target.has_only_own_runs && !target.is_lease_withheld && !is_in_doubt;
         let wait = if may_extend {
             self.timings.renewal_wait
         } else {
             Duration::ZERO
         };
         let deadline = if may_extend && !target.is_unresponsive {
-            target.extend_lease(now, lease)
+            self.extend_lease(now)
         } else {
             None
         };
         self.counts.calls.renewals += 1;
+        let target = self.target.as_ref()?;
         Some(RenewalOrder {
             incarnation: target.registration.incarnation.clone(),
             address: target.registration.address.clone(),
--- a/crates/leased/cloverfold_lease/src/runner/sessions.rs
+++ b/crates/leased/cloverfold_lease/src/runner/sessions.rs
@@ -52,8 +52,11 @@
         }
     }
 
-    /// Ends the sessions whose dispatchers have sent no echo in time.
+    /// Ends the sessions whose dispatchers have sent no echo in time; after a stall of this process they are in doubt first (`own_stall`).
     pub(super) fn expire_sessions(&mut self, now: Timestamp) {
+        if self.catch_up.is_active(now) {
+            return;
+        }
         let over: Vec<SessionId> = self
             .sessions
             .iter()
--- a/crates/leased/cloverfold_lease/src/runner/starts.rs
+++ b/crates/leased/cloverfold_lease/src/runner/starts.rs
@@ -17,11 +17,10 @@
 impl Runner {
     /// Sends the first start of a waiting run.
     pub(super) fn start_run(&mut self, task: &TaskId, now: Timestamp) {
-        let lease = self.timings.lease;
-        let (Some(target), Some(run)) = (&mut self.target, self.runs.get_mut(task)) else {
+        let Some(deadline) = self.extend_lease(now) else {
             return;
         };
-        let Some(deadline) = target.extend_lease(now, lease) else {
+        let Some(run) = self.runs.get_mut(task) else {
             return;
         };
         run.begin_start(deadline, now);
@@ -132,11 +131,10 @@
 
     /// Sends a start with a new deadline instead of the only one before it, which was refused and so can have no effect later.
     fn replace_start(&mut self, task: &TaskId, now: Timestamp) {
-        let lease = self.timings.lease;
-        let (Some(target), Some(run)) = (&mut self.target, self.runs.get_mut(task)) else {
+        let Some(deadline) = self.extend_lease(now) else {
             return;
         };
-        let Some(deadline) = target.extend_lease(now, lease) else {
+        let Some(run) = self.runs.get_mut(task) else {
             return;
         };
         let start = run.replace_start(deadline, now);
--- a/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
@@ -98,7 +98,7 @@
     pub(super) is_lease_withheld: bool,
     /// When the newest renewal that it answered was sent.
     pub(super) newest_renewal_sent_at: Timestamp,
-    /// When it answered a renewal last; at first when it registered.
+    /// When it answered a renewal last, at first when it registered; moved on by the length of each stall of this process.
     pub(super) answered_at: Timestamp,
     /// Whether its newest list contained nothing but runs of this runner.
     pub(super) has_only_own_runs: bool,
--- a/crates/leased/cloverfold_lease/tests/overlap.rs
+++ b/crates/leased/cloverfold_lease/tests/overlap.rs
@@ -43,6 +43,20 @@
     assert_eq!(world.starts, world.tasks_completed, "each task ran once");
 }
 
+#[test]
+fn no_task_runs_twice_because_all_processes_stood_still() {
+    let (mut done, mut stalls) = (0, 0);
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, WorldFaults::with_world_stalls());
+        world.play(20_000);
+        assert_eq!(world.starts, world.tasks_completed, "seed {seed}");
+        done += world.completed;
+        stalls += world.stalls;
+    }
+    assert!(done > 500, "the world does some work: {done} jobs");
+    assert!(stalls > 500, "all stand still: {stalls} times");
+}
+
 #[test]
 fn the_checker_notices_an_overlap() {
     // A session that outlives the client's pause before it sends again; the first overlap ends the search.
--- a/crates/leased/cloverfold_lease/tests/runner/main.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/main.rs
@@ -9,6 +9,7 @@
 mod incarnations;
 mod kept_runs;
 mod leftover_runs;
+mod own_stall;
 mod renewal_pace;
 mod sessions;
 mod starts;
--- a/crates/leased/cloverfold_lease/tests/world/mod.rs
+++ b/crates/leased/cloverfold_lease/tests/world/mod.rs
@@ -1,6 +1,6 @@
 //! The simulated world: runners with targets, dispatchers and clients, in steps of a few milliseconds.
 //!
-//! This file holds its state and the check for overlaps; `faults` and `suspensions` have what fails, `links` what is under way,
+//! This file holds its state and the check for overlaps; `faults`, `stalls` and `suspensions` have what fails, `links` what is under way,
 //! `processes` and `clients` what each does in a step.
 
 mod clients;
@@ -9,13 +9,14 @@
 mod kept;
 mod links;
 mod processes;
+mod stalls;
 mod suspensions;
 mod target;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cloverfold_base::Timestamp;
+use cloverfold_base::{StallWatch, Timestamp};
 use cloverfold_lease::{Dispatcher, JobNumber, Runner, TargetRegistration, TaskId, Timings};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -49,6 +50,8 @@
     pub has_evacuations: bool,
     /// How kept jobs are treated; `None` in a world without them.
     pub kept: Option<KeptFaults>,
+    /// Whether all processes stand still at once now and then.
+    pub has_world_stalls: bool,
     /// What the clocks of processes show while their box is suspended; `None` in a world in which none is.
     pub suspended: Option<SuspendedClocks>,
 }
@@ -60,6 +63,7 @@
             session_ms: 500,
             has_evacuations: false,
             kept: None,
+            has_world_stalls: false,
             suspended: None,
         }
     }
@@ -85,12 +89,20 @@
         }
     }
 
+    pub fn with_world_stalls() -> Self {
+        Self {
+            has_world_stalls: true,
+            ..Self::none()
+        }
+    }
+
     pub fn none() -> Self {
         Self {
             is_troubled: false,
             session_ms: 500,
             has_evacuations: false,
             kept: None,
+            has_world_stalls: false,
             suspended: None,
         }
     }
@@ -107,6 +119,7 @@
     runner: Option<Runner>,
     frozen_until: u64,
     clock: BoxClock,
+    stalls: StallWatch,
     starts_at: u64,
     target: Target,
     renewal_due_at: u64,
@@ -119,6 +132,7 @@
     dispatcher: Option<Dispatcher>,
     frozen_until: u64,
     clock: BoxClock,
+    stalls: StallWatch,
     starts_at: u64,
     clients: BTreeMap<JobNumber, Client>,
 }
@@ -143,6 +157,8 @@
     pub left: u64,
     /// How often a box was suspended.
     pub suspensions: u64,
+    /// How often all processes stood still at once.
+    pub stalls: u64,
 }
 
 /// The point in time `value` milliseconds after the start of the clock.
@@ -158,6 +174,7 @@
                 runner: Some(Runner::new(faults.timings(), 1_000)),
                 frozen_until: 0,
                 clock: BoxClock::default(),
+                stalls: StallWatch::default(),
                 starts_at: 0,
                 target: Target::new(index, rng.random_range(0.98..=1.0)),
                 renewal_due_at: 0,
@@ -170,6 +187,7 @@
                 dispatcher: Some(new_dispatcher(faults, seed + index as u64)),
                 frozen_until: 0,
                 clock: BoxClock::default(),
+                stalls: StallWatch::default(),
                 starts_at: 0,
                 clients: BTreeMap::new(),
             })
@@ -192,6 +210,7 @@
             starts: 0,
             left: 0,
             suspensions: 0,
+            stalls: 0,
         }
     }
 
@@ -203,7 +222,9 @@
             if self.faults.is_troubled {
                 self.trouble();
             }
+            self.stall_world();
             self.suspend_boxes();
+            self.notice_stalls();
             self.restart_processes();
             self.evacuate_halls();
             self.keep_links();
--- a/crates/leased/cloverfold_lease/tests/world/suspensions.rs
+++ b/crates/leased/cloverfold_lease/tests/world/suspensions.rs
@@ -63,6 +63,8 @@
                     && clocks.of_runners == SuspendedClock::GoesOn
                 {
                     runner.allow_for_suspension(span);
+                    // What follows from a stall does not follow from a suspension.
+                    let _ = node.stalls.record_call(node.clock.read(self.now));
                 }
                 if is_drawn {
                     node.clock.suspended_since = Some(self.now);
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -15,7 +15,7 @@
     IncarnationId, ProcessorUse, RenewalAnswer, RenewalOrder, RenewalPause, Runner, RunnerAction,
     RunnerCounts, RunnerMessage, SessionId, StartAnswer, StartOrder, UnavailableReason, UsualSpeed,
 };
-use cloverfold_leased_process::{LeasedState, Suspensions};
+use cloverfold_leased_process::{LeasedState, Stalls, Suspensions};
 use cloverfold_link::LinkEvent;
 use cloverfold_peer::{
     ChosenEntries, ControlLinks, Departures, DialedPeers, Hello, KnownEvacuations, PeerLinks,
@@ -35,6 +35,7 @@
 pub(crate) struct GuardState {
     clock: ProcessClock,
     suspensions: Suspensions,
+    stalls: Stalls,
     own: Hello,
     runner: Runner,
     configuration: ConfigurationCopy,
@@ -93,6 +94,7 @@
         Self {
             clock: ProcessClock::default(),
             suspensions: Suspensions::default(),
+            stalls: Stalls::default(),
             own,
             runner,
             configuration: ConfigurationCopy::default(),
@@ -131,12 +133,18 @@
         &self.suspensions
     }
 
-    /// Returns the present point in time, after the runner has heard of a suspension of the box: its target may have been suspended too.
+    /// Returns the present point in time, after the runner has heard of a suspension of the box, in which its target may have been
+    /// suspended too, or else of a stall of this process.
     fn now(&mut self) -> Timestamp {
-        if let Some(span) = self.suspensions.look() {
+        let suspension = self.suspensions.look();
+        let now = self.clock.now();
+        let stall = self.stalls.look(now);
+        if let Some(span) = suspension {
             self.runner.allow_for_suspension(span);
+        } else if let Some(stall) = stall {
+            self.runner.allow_for_stall(stall, now);
         }
-        self.clock.now()
+        now
     }
 
     /// Returns how many runs the guard has, also those that wait to be started.
