Serve requests that waited through a stall which open jobs outlive

Callers with an open connection to an entry got 503 Stalled, and came again a second later, after it had stood still for 300 ms. A caller with a new connection was served after the same stall: its request is read one tick later, so the limit depended on the order of two events.

Cause: requests were distrusted after 300 ms although the jobs of others go on through 700 ms. Callers ask elsewhere after 1,300 ms at the earliest, so the shorter limit protected nobody.

Both limits are JOB_STALL now, in one pure function.

--- a/crates/leased/cloverfold_lease/src/lib.rs
+++ b/crates/leased/cloverfold_lease/src/lib.rs
@@ -68,7 +68,7 @@
     RunnerCounts, StartAnswer, StartOrder, StartRefusal, StopOrder, TargetCallCounts,
     TargetRegistration, UnavailableReason,
 };
-pub use stall::{JOB_STALL, REQUEST_STALL};
+pub use stall::{JOB_STALL, is_request_outdated};
 pub use startup::{STARTUP_SPAN, find_configuration_wait};
 pub use timings::{
     CLOCK_DRIFT_PERMILLE, DEFAULT_LEASE, DEFAULT_LONGEST_LEASE, DEFAULT_RESEND, DEFAULT_SESSION,
--- a/crates/leased/cloverfold_lease/tests/timings.rs
+++ b/crates/leased/cloverfold_lease/tests/timings.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cloverfold_lease::{DEFAULT_LEASE, DEFAULT_RESEND, DEFAULT_STOP, Timings};
+use cloverfold_base::Timestamp;
+use cloverfold_lease::{
+    DEFAULT_LEASE, DEFAULT_RESEND, DEFAULT_STOP, JOB_STALL, Timings, is_request_outdated,
+};
 
 #[test]
 fn runs_are_over_before_a_caller_sends_again_by_default() {
@@ -24,3 +27,17 @@
     assert!(longest.are_runs_over_before(DEFAULT_RESEND));
     assert!(!longer.are_runs_over_before(DEFAULT_RESEND));
 }
+
+// Requests that had waited for 300 ms were refused although jobs as old went on.
+#[test]
+fn a_request_outlives_the_stalls_that_open_jobs_outlive() {
+    let last_tick_at = Timestamp::from_start(Duration::from_secs(1));
+    let longest = last_tick_at + JOB_STALL;
+
+    assert!(!is_request_outdated(last_tick_at, longest));
+    assert!(is_request_outdated(
+        last_tick_at,
+        longest + Duration::from_millis(1)
+    ));
+    assert!(JOB_STALL < DEFAULT_RESEND, "callers ask elsewhere later");
+}
--- a/crates/leased/cloverfold_lease/tests/world/mod.rs
+++ b/crates/leased/cloverfold_lease/tests/world/mod.rs
@@ -17,7 +17,9 @@
 use std::time::Duration;
 
 use cloverfold_base::{StallWatch, Timestamp};
-use cloverfold_lease::{Dispatcher, JobNumber, Runner, TargetRegistration, TaskId, Timings};
+use cloverfold_lease::{
+    Dispatcher, JobNumber, JobRequest, Runner, TargetRegistration, TaskId, Timings,
+};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -135,6 +137,10 @@
     stalls: StallWatch,
     starts_at: u64,
     clients: BTreeMap<JobNumber, Client>,
+    /// Requests that it has not read, and who sent them.
+    unread: Vec<(Client, JobRequest)>,
+    /// When it did anything last, on its clock.
+    called_at: Timestamp,
 }
 
 pub struct World {
@@ -190,6 +196,8 @@
                 stalls: StallWatch::default(),
                 starts_at: 0,
                 clients: BTreeMap::new(),
+                unread: Vec::new(),
+                called_at: Timestamp::ZERO,
             })
             .collect();
         Self {
--- a/crates/leased/cloverfold_lease/tests/world/stalls.rs
+++ b/crates/leased/cloverfold_lease/tests/world/stalls.rs
@@ -2,6 +2,7 @@
 
 use std::ops::Range;
 
+use cloverfold_lease::is_request_outdated;
 use rand::RngExt;
 
 use super::{DISPATCHERS, RUNNERS, World};
@@ -28,7 +29,7 @@
         self.stalls += 1;
     }
 
-    /// Lets each process notice that it was stalled, before anything else happens to it.
+    /// Lets each process notice that it was stalled, before anything else happens to it; dispatchers read what was sent to them meanwhile.
     pub(super) fn notice_stalls(&mut self) {
         for index in 0..RUNNERS {
             let node = &mut self.runners[index];
@@ -47,11 +48,19 @@
             if self.now < node.frozen_until {
                 continue;
             }
+            let last_call_at = node.called_at;
+            node.called_at = now;
             if let (Some(stall), Some(dispatcher)) =
                 (node.stalls.record_call(now), &mut node.dispatcher)
             {
                 dispatcher.allow_for_stall(stall, now);
             }
+            if is_request_outdated(last_call_at, now) {
+                // Refused: nothing of them has run, and nobody sends them again.
+                self.dispatchers[index].unread.clear();
+            } else {
+                self.read_requests(index);
+            }
         }
     }
 }
--- a/crates/leased/cloverfold_leased_entry/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/mod.rs
@@ -18,7 +18,7 @@
 use cloverfold_kept_jobs::{CallAnswer, CallToken, Driver, KeptTimings};
 use cloverfold_lease::{
     Dispatcher, DispatcherAction, DispatcherCounts, JobAnswer, JobNumber, JobRefusal, JobRequest,
-    REQUEST_STALL, find_configuration_wait,
+    find_configuration_wait, is_request_outdated,
 };
 use cloverfold_leased_process::{LeasedState, Stalls, Suspensions};
 use cloverfold_link::LinkEvent;
@@ -216,7 +216,7 @@
         self.hand_on_idle_jobs();
     }
 
-    /// Submits a job; its one answer comes through the channel. After a stall of [`REQUEST_STALL`] the job is refused and has no
+    /// Submits a job; its one answer comes through the channel. A request that may have waited through a long stall is refused and has no
     /// number.
     pub(crate) fn submit(
         &mut self,
@@ -224,7 +224,7 @@
     ) -> (Option<JobNumber>, oneshot::Receiver<JobAnswer>) {
         let (tx, rx) = oneshot::channel();
         let now = self.look_at_clock();
-        if now > self.ticked_at + REQUEST_STALL {
+        if is_request_outdated(self.ticked_at, now) {
             let gap = now.saturating_duration_since(self.ticked_at);
             log::warn!(job = request.id.as_str(), gap_ms = gap.as_millis() as u64; "a job is refused after a stall");
             refuse_stalled(tx);
