--- a/crates/common/cloverfold_link/src/dial.rs
+++ b/crates/common/cloverfold_link/src/dial.rs
@@ -18,27 +18,25 @@
 use crate::link::{LinkEvent, run_link};
 use crate::socket::{USER_TIMEOUT, tune_socket};
 
-/// How long [`send_once`] may take. Chosen, not measured.
+/// How long [`send_once`] may take.
 const SEND_ONCE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Attempts that are quick after a link was lost or the process has started. Chosen, not measured: with [`QUICK_ATTEMPT`] they cover
-/// about 1.2 s.
+/// Attempts that are quick after a link was lost or the process has started. With [`QUICK_ATTEMPT`] they cover about 1.2 s.
 const QUICK_ATTEMPTS: u32 = 12;
 
-/// A tenth of a second in all. Measured on `trouble-1` of textovka-sk-grown, where all power is lost for about a second: with
-/// attempts of 250 ms throughout, 686 jobs were refused in that window, with these 510 (commit c872f27).
+/// A tenth of a second in all.
 const QUICK_ATTEMPT: DialAttempt = DialAttempt {
     connect_timeout: Duration::from_millis(70),
     pause: Duration::from_millis(30),
 };
 
-/// Attempts to reach peers that stay away or are far. Chosen, not measured.
+/// Attempts to reach peers that stay away or are far.
 const SLOW_ATTEMPT: DialAttempt = DialAttempt {
     connect_timeout: Duration::from_millis(250),
     pause: Duration::from_millis(200),
 };
 
-/// Factors by which a pause is varied, so that processes that lost a peer together don't dial it together. Chosen, not measured.
+/// Factors by which a pause is varied, so that processes that lost a peer together don't dial it together.
 const JITTER: std::ops::Range<f64> = 0.75..1.25;
 
 /// One attempt to reach a peer, and the pause after it if it fails.
--- a/crates/common/cloverfold_link/src/frame.rs
+++ b/crates/common/cloverfold_link/src/frame.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-/// Longest encoded message, in bytes. Chosen, not measured.
+/// Longest encoded message, in bytes.
 pub const MAX_FRAME_LEN: usize = 8 * 1024 * 1024;
 /// Length of a frame's prefix, in bytes.
 const PREFIX_LEN: usize = 4;
--- a/crates/common/cloverfold_link/src/link.rs
+++ b/crates/common/cloverfold_link/src/link.rs
@@ -23,19 +23,18 @@
 use crate::frame::{decode_frame, encode_heartbeat};
 use crate::socket::{USER_TIMEOUT, tune_socket};
 
-/// Messages that may wait for a slow peer; further ones are refused and the first of them is logged. Chosen, not measured.
+/// Messages that may wait for a slow peer; further ones are refused and the first of them is logged.
 const SEND_QUEUE_MESSAGES: usize = 4_096;
-/// Messages that are written with one system call at the most. Chosen, not measured.
+/// Messages that are written with one system call at the most.
 const WRITE_BATCH_MESSAGES: usize = 64;
 /// How long a link may be idle before a heartbeat is sent: a third of [`SILENCE_TIMEOUT`], so that one that is late closes nothing.
-/// Chosen, not measured.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Without any byte for this long the peer counts as lost: it may have no power or be cut off. Why there is a bound:
-/// docs/incidents/1-half-open-links.md; its length is chosen, not measured.
+/// docs/incidents/1-half-open-links.md.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Buffer space reserved for each read, in bytes. Chosen, not measured.
+/// Buffer space reserved for each read, in bytes.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
-/// Pause after a connection could not be accepted, for instance because the process has no file descriptor left. Chosen, not measured.
+/// Pause after a connection could not be accepted, for instance because the process has no file descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Number of one connection within this process, from 1; never used again.
--- a/crates/common/cloverfold_link/src/socket.rs
+++ b/crates/common/cloverfold_link/src/socket.rs
@@ -8,9 +8,9 @@
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-/// How long the bytes sent on a link may stay unacknowledged before it counts as lost. Chosen, not measured.
+/// How long the bytes sent on a link may stay unacknowledged before it counts as lost.
 pub(crate) const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Connections that may wait to be accepted. Chosen, not measured.
+/// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
 /// Listens on an address, also right after an earlier process has left it.
--- a/crates/leased/cloverfold_lease/src/dispatcher/answers.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/answers.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-/// When a refused job is worth submitting again. Chosen, not measured.
+/// When a refused job is worth submitting again.
 pub const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Why a job was refused; it has not run and never will.
--- a/crates/leased/cloverfold_lease/src/dispatcher/deadlines.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/deadlines.rs
@@ -11,17 +11,14 @@
 
 /// Share of the objective for which a job may wait for its first task to be offered to a target.
 ///
-/// The processors in use swing between 70 % and all of them within tenths of a second, so a job that can wait that long and still end
-/// in time is mostly served. Measured on the days of a site with trouble, with the order of `precedence` and the headroom: 0.10 -> 0.25
-/// gained 0.006, 0.35 lost against it (docs/DECIDING.md, round 4). Without that order a longer wait had lost
-/// (MEASUREMENTS, "refused after a tenth").
+/// The processors in use swing between 70 % and all of them within tenths of a second, so a job that can wait that long and still
+/// end in time is mostly served.
 const QUEUE_WAIT_SHARE: f64 = 0.25;
-/// As [`QUEUE_WAIT_SHARE`], for a queue that stands (`standing_queues`). Measured before there was a longer wait: own day of bursts 0.848
-/// (22 %) -> 0.863 (10 %); 5 % gave the same (MEASUREMENTS, "refused after a tenth").
+/// As [`QUEUE_WAIT_SHARE`], for a queue that stands (`standing_queues`).
 const STANDING_WAIT_SHARE: f64 = 0.10;
-/// How many times the objective, for [`ESTIMATE_MARGIN`] times the estimated work, a job is worked on. Chosen, not measured.
+/// How many times the objective, for [`ESTIMATE_MARGIN`] times the estimated work, a job is worked on.
 const GIVE_UP_FACTOR: f64 = 3.0;
-/// How many times its estimate the work may last without being late. Chosen, not measured.
+/// How many times its estimate the work may last without being late.
 const ESTIMATE_MARGIN: f64 = 2.0;
 /// Share of the time that a caller waits after which it gets its answer: a later one would find it gone. Introduced with
 /// [`QUEUE_WAIT_SHARE`] and measured together with it only.
--- a/crates/leased/cloverfold_lease/src/dispatcher/headroom.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/headroom.rs
@@ -8,13 +8,11 @@
 
 use crate::resources::Resources;
 
-/// Share of a target's processors that less urgent work leaves free. Measured on three loaded days, with the other rules of a
-/// shortage: 0 -> 0.05 gained 0.014 of the worth, 0.08 lost 0.005 against it (docs/DECIDING.md, round 2).
+/// Share of a target's processors that less urgent work leaves free.
 const HEADROOM_SHARE: f64 = 0.05;
 
-/// Share of a target's processors that jobs leave free that came past their objective (`returned_callers`): what is left for jobs that
-/// can be in time while as many come again. Measured together with the waits at a start (`startup`) on a day that ends with a loss of
-/// power: 0.05 without them -> 0.25 with them gained 0.003 of the worth (design note 15).
+/// Share of a target's processors that jobs leave free that came past their objective (`returned_callers`): what is left for jobs
+/// that can be in time while as many come again.
 const LATE_HEADROOM_SHARE: f64 = 0.25;
 
 /// What a task leaves free at its target.
--- a/crates/leased/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/job.rs
@@ -17,9 +17,9 @@
 use crate::messages::{SessionId, TaskId};
 use crate::request::{JobRequest, StepRequest};
 
-/// The estimate that is doubled if the caller gave none or a shorter one. Chosen, not measured.
+/// The estimate that is doubled if the caller gave none or a shorter one.
 const SHORTEST_DOUBLED: Duration = Duration::from_millis(50);
-/// After so many doublings the estimate is over half an hour at least and grows no more. Chosen, not measured.
+/// After so many doublings the estimate is over half an hour at least and grows no more.
 const MOST_DOUBLINGS: u32 = 16;
 
 /// Number of one submission within this process, from 1.
--- a/crates/leased/cloverfold_lease/src/dispatcher/judging.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/judging.rs
@@ -22,32 +22,29 @@
 use crate::dispatcher::runner_session::RunnerSession;
 use crate::messages::SessionId;
 
-/// Weight of the newest run in the ratio of durations to estimates. Chosen, not measured.
+/// Weight of the newest run in the ratio of durations to estimates.
 const RATIO_WEIGHT: f64 = 0.02;
-/// Lowest ratio of one run that counts: one further off reflects a wrong estimate rather than the targets. Chosen, not
-/// measured.
+/// Lowest ratio of one run that counts: one further off reflects a wrong estimate rather than the targets.
 const LOWEST_RUN_RATIO: f64 = 0.2;
 /// Highest ratio of one run that counts, as [`LOWEST_RUN_RATIO`].
 const HIGHEST_RUN_RATIO: f64 = 8.0;
-/// Lowest ratio that the expected duration of a run is calculated with: narrower than the bounds of one run, which move the mean only
-/// a little, since this one decides on a run at once. Chosen, not measured.
+/// Lowest ratio that the expected duration of a run is calculated with: narrower than the bounds of one run, which move the mean
+/// only a little, since this one decides on a run at once.
 const LOWEST_EXPECTED_RATIO: f64 = 0.5;
 /// Highest ratio that the expected duration of a run is calculated with, as [`LOWEST_EXPECTED_RATIO`].
 const HIGHEST_EXPECTED_RATIO: f64 = 4.0;
 
-/// A run whose progress is not seen is overdue after this many times its expected duration and [`OVERDUE_ALLOWANCE`]. Chosen, not
-/// measured.
+/// A run whose progress is not seen is overdue after this many times its expected duration and [`OVERDUE_ALLOWANCE`].
 const OVERDUE_FACTOR: f64 = 2.6;
-/// Time allowed on top of [`OVERDUE_FACTOR`], for short runs. Chosen, not measured.
+/// Time allowed on top of [`OVERDUE_FACTOR`], for short runs.
 const OVERDUE_ALLOWANCE: Duration = Duration::from_millis(120);
 
-/// Slowness of a target, against all others, from which its runs may restart elsewhere. Measured with [`STRAGGLER_GAIN`] and the
-/// reported slowness: own day with slow targets 0.877 -> 0.978 (design note 8); the value itself was not varied.
+/// Slowness of a target, against all others, from which its runs may restart elsewhere.
 const STRAGGLER_SLOWNESS: f64 = 2.5;
 /// What is left of a run must be longer than a whole run elsewhere by this factor, and by [`RESTART_COST`]. As
 /// [`STRAGGLER_SLOWNESS`].
 const STRAGGLER_GAIN: f64 = 1.4;
-/// What the stop and the new start of a run take. Chosen, not measured.
+/// What the stop and the new start of a run take.
 const RESTART_COST: Duration = Duration::from_millis(60);
 
 /// Durations of ended runs against their estimates: a moving mean over all targets, 1 at first.
--- a/crates/leased/cloverfold_lease/src/dispatcher/kept_jobs.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/kept_jobs.rs
@@ -33,8 +33,8 @@
 use crate::messages::{RunOutcome, SessionId};
 use crate::request::{JobRequest, StepRequest};
 
-/// Kept jobs without a target that are tried in one pass. Chosen, not measured: four times as many as of best-effort jobs, since those
-/// that fit nowhere stay.
+/// Kept jobs without a target that are tried in one pass. Four times as many as of best-effort jobs, since those that fit nowhere
+/// stay.
 const MAX_TRIED: usize = 16;
 
 /// A kept job as its driver gives it to the dispatcher.
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -25,12 +25,11 @@
 use crate::resources::Resources;
 
 /// How many candidates are drawn, of which the emptiest is taken: dispatchers that choose at the same moment from the same reports
-/// should not all choose the same target. Chosen, not measured.
+/// should not all choose the same target.
 const DRAWN_TARGETS: usize = 3;
-/// How long an assignment may wait at the runner when others were faster, in milliseconds. Measured with reports of changed capacity
-/// within 20 ms: 60 -> 25 gave fewer refusals on every loaded day (commit bbc5f00).
+/// How long an assignment may wait at the runner when others were faster, in milliseconds.
 const RUNNER_WAIT_MS: u32 = 25;
-/// Jobs without a candidate that later ones may overtake in one pass. Chosen, not measured.
+/// Jobs without a candidate that later ones may overtake in one pass.
 const MAX_OVERTAKEN_JOBS: usize = 4;
 
 /// A target that could run a task now.
--- a/crates/leased/cloverfold_lease/src/dispatcher/returned_callers.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/returned_callers.rs
@@ -22,20 +22,19 @@
 use crate::request::JobRequest;
 
 /// Newest callers of a queue of which is kept how long they wait: about the callers of one second at one entry of the largest
-/// installations played. Chosen, not measured.
+/// installations played.
 const KEPT_CALLERS: usize = 64;
-/// With fewer callers than this, how long they usually wait is unknown. Chosen, not measured.
+/// With fewer callers than this, how long they usually wait is unknown.
 const MIN_KEPT: usize = 8;
-/// Queues at most; beyond them nothing is learned, so that memory is bounded. Chosen, not measured.
+/// Queues at most; beyond them nothing is learned, so that memory is bounded.
 const MAX_QUEUES: usize = 256;
 /// How many times what callers of a queue differ by a caller must wait for less than usual. Reckoned on the waits of new callers in a play,
 /// 1,300 ms less for those that come again: 2 finds 64 % of the jobs of 200 ms that come again and takes 1.3 % of the new ones for such,
 /// 1.5 finds 83 % and takes 2.6 %, 1 finds 92 % and takes 4.2 %; of the jobs of 60 ms each finds all and takes none (design note 15).
 const NOISE_FACTOR: f64 = 2.0;
-/// The quantile of the waits that counts as usual: while half of all come again it is the median of the new ones. Chosen, not measured.
+/// The quantile of the waits that counts as usual: while half of all come again it is the median of the new ones.
 const USUAL_QUANTILE: f64 = 0.75;
-/// Between this quantile and [`USUAL_QUANTILE`] the difference of callers is measured: above the latter there are only new callers. Chosen,
-/// not measured.
+/// Between this quantile and [`USUAL_QUANTILE`] the difference of callers is measured: above the latter there are only new callers.
 const HIGH_QUANTILE: f64 = 0.90;
 /// Standard deviations of a normal distribution between the two quantiles.
 const DEVIATIONS_BETWEEN: f64 = 0.61;
--- a/crates/leased/cloverfold_lease/src/dispatcher/run_ends.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/run_ends.rs
@@ -21,7 +21,7 @@
 use crate::messages::{RunOutcome, RunRefusal, SessionId, TaskId};
 
 /// How far the run number rises when a target has seen a later run: above what another submission can have used, also where the
-/// wall clocks of two entries differ by five seconds (run numbers count tenths of seconds). Chosen, not measured.
+/// wall clocks of two entries differ by five seconds (run numbers count tenths of seconds).
 const STALE_RUN_STEP: u64 = 50;
 
 impl Dispatcher {
--- a/crates/leased/cloverfold_lease/src/dispatcher/runner_session.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/runner_session.rs
@@ -13,8 +13,7 @@
 use crate::messages::{FreeCapacity, TargetDescription, UsualSpeed};
 use crate::resources::Resources;
 
-/// Slowness, against all targets, from which a target is used only when no other has free capacity. Measured with the reported
-/// slowness as a whole: own day with slow targets 0.877 -> 0.978 (design note 8); the value itself was not varied.
+/// Slowness, against all targets, from which a target is used only when no other has free capacity.
 const SLOW_FACTOR: f64 = 1.7;
 
 /// A session with one runner.
--- a/crates/leased/cloverfold_lease/src/dispatcher/sessions.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/sessions.rs
@@ -19,7 +19,7 @@
 use crate::health::TargetHealth;
 use crate::messages::{DispatcherMessage, RunnerMessage, SessionId, TargetDescription, TaskId};
 
-/// Jobs that the report of a lost session names, so that a line of the log stays readable. Chosen, not measured.
+/// Jobs that the report of a lost session names, so that a line of the log stays readable.
 const MAX_NAMED_JOBS: usize = 24;
 
 /// A session that ended while runs of it were under way.
--- a/crates/leased/cloverfold_lease/src/dispatcher/shares.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/shares.rs
@@ -12,10 +12,10 @@
 
 use cloverfold_base::Timestamp;
 
-/// A queue is in use for so long after a submission, also if nothing of it was served. Chosen, not measured.
+/// A queue is in use for so long after a submission, also if nothing of it was served.
 const IN_USE_SPAN: Duration = Duration::from_secs(2);
-/// After this time what a queue was given counts for 1 / e. Long against the jobs of a burst, short against the seconds for which
-/// a mix of requests lasts. Chosen, not measured.
+/// After this time what a queue was given counts for 1 / e. Long against the jobs of a burst, short against the seconds for which a
+/// mix of requests lasts.
 const USE_MEMORY: Duration = Duration::from_secs(1);
 
 /// A queue in use.
--- a/crates/leased/cloverfold_lease/src/dispatcher/standing_queues.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/standing_queues.rs
@@ -13,9 +13,7 @@
 
 use cloverfold_base::Timestamp;
 
-/// A queue that has had waiting jobs for so long stands. Measured on days with one kind of request alone, more than fits: without it
-/// 0.021 to 0.027 less of the worth than with a short wait for all, with it 0.002 to 0.004 more; 100 ms was 0.010 worse with half of the
-/// targets slow (docs/DECIDING.md, round 6).
+/// A queue that has had waiting jobs for so long stands.
 const STANDING_SPAN: Duration = Duration::from_millis(200);
 
 /// Since when each queue has had jobs that wait to begin.
--- a/crates/leased/cloverfold_lease/src/health.rs
+++ b/crates/leased/cloverfold_lease/src/health.rs
@@ -10,7 +10,7 @@
 
 use cloverfold_base::Timestamp;
 
-/// Share of troubled results below which the next pause is the first again. Chosen, not measured.
+/// Share of troubled results below which the next pause is the first again.
 const CLEARED_SHARE: f64 = 0.05;
 
 /// Limits of the judgement on targets.
@@ -27,8 +27,7 @@
 }
 
 impl Default for HealthLimits {
-    /// Returns limits with which three troubles in a row pause a target, for 1 s at first and 8 s at the most. Chosen, not
-    /// measured.
+    /// Returns limits with which three troubles in a row pause a target, for 1 s at first and 8 s at the most.
     fn default() -> Self {
         Self {
             weight: 0.25,
--- a/crates/leased/cloverfold_lease/src/request.rs
+++ b/crates/leased/cloverfold_lease/src/request.rs
@@ -8,7 +8,7 @@
 
 /// Lowest factor on the duration of the work: no answer can be due before the work is done.
 const LOWEST_STRETCH: f64 = 1.0;
-/// Highest factor on the duration of the work, so that a wrong configuration keeps no job for hours. Chosen, not measured.
+/// Highest factor on the duration of the work, so that a wrong configuration keeps no job for hours.
 const HIGHEST_STRETCH: f64 = 100.0;
 
 /// The tasks of one step of a job.
--- a/crates/leased/cloverfold_lease/src/runner/candidates.rs
+++ b/crates/leased/cloverfold_lease/src/runner/candidates.rs
@@ -28,12 +28,12 @@
 use crate::runner::incarnation_id::IncarnationId;
 use crate::runner::target_incarnation::FENCING_TOKEN_STEP;
 
-/// How long a candidate is asked after it registered last. Longer than the interval at which targets register, so that a living one is
-/// asked until it answers. Chosen, not measured.
+/// How long a candidate is asked after it registered last. Longer than the interval at which targets register, so that a living one
+/// is asked until it answers.
 const CANDIDATE_MEMORY: Duration = Duration::from_secs(3);
-/// Pause between two questions to a candidate that does not answer, in which the target's lease is renewed. Chosen, not measured.
+/// Pause between two questions to a candidate that does not answer, in which the target's lease is renewed.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
-/// Candidates at a time; the one that registered longest ago gives way. Chosen, not measured.
+/// Candidates at a time; the one that registered longest ago gives way.
 const MAX_CANDIDATES: usize = 4;
 
 /// An incarnation that has registered beside a known target and has not answered yet.
--- a/crates/leased/cloverfold_lease/src/runner/held_ends.rs
+++ b/crates/leased/cloverfold_lease/src/runner/held_ends.rs
@@ -24,7 +24,7 @@
 
 use cloverfold_kept_jobs::{EndDecision, TaskEnd};
 
-/// Ends that a target may list before held ones are let go of by a lapse. Chosen, not measured: targets list 500 at once.
+/// Ends that a target may list before held ones are let go of by a lapse. Targets list 500 at once.
 const MOST_LISTED: usize = 400;
 
 /// Why an end is held.
--- a/crates/leased/cloverfold_lease/src/runner/performance.rs
+++ b/crates/leased/cloverfold_lease/src/runner/performance.rs
@@ -17,11 +17,11 @@
 
 /// How long a target is on probation after a pause, at most, before all of its capacity is offered again.
 ///
-/// docs/design/8-progress.md, "Pause". Chosen, not measured.
+/// docs/design/8-progress.md, "Pause".
 const PROBATION: Duration = Duration::from_secs(2);
 /// During probation one part of so many of the target's processors is offered.
 ///
-/// docs/design/8-progress.md, "Pause". Chosen, not measured.
+/// docs/design/8-progress.md, "Pause".
 const PROBATION_PARTS: i64 = 6;
 
 /// Runs whose newest speeds are kept, each counted once.
@@ -29,13 +29,13 @@
 /// docs/design/8-progress.md, "Slowness": estimates are wrong by half, so the verdict is the median of many runs; with a moving mean
 /// one run with a wrong estimate made its target look slow (trial). The number itself was chosen.
 const MEASURED_RUNS: usize = 16;
-/// With fewer measured runs than this the slowness is unknown. Chosen, not measured.
+/// With fewer measured runs than this the slowness is unknown.
 const MIN_MEASURED_RUNS: usize = 5;
 /// Older measurements do not count, so that a target that was slow is used again.
 ///
-/// docs/design/8-progress.md, "Slowness". Chosen, not measured.
+/// docs/design/8-progress.md, "Slowness".
 const SPEED_MEMORY: Duration = Duration::from_secs(2);
-/// The lowest median speed that counts, 1 being as fast as estimated: it bounds the slowness at 50. Chosen, not measured.
+/// The lowest median speed that counts, 1 being as fast as estimated: it bounds the slowness at 50.
 const LOWEST_SPEED: f64 = 0.02;
 
 /// The judgement on a target by its runs.
--- a/crates/leased/cloverfold_lease/src/runner/progress.rs
+++ b/crates/leased/cloverfold_lease/src/runner/progress.rs
@@ -22,7 +22,7 @@
 /// docs/design/8-progress.md: a runner that was itself stalled must not judge its target by one late list.
 const MIN_SIGHTINGS: u32 = 3;
 
-/// The shortest span over which a speed is measured. Chosen, not measured (commit 4fcd71c).
+/// The shortest span over which a speed is measured.
 const SPEED_SPAN: Duration = Duration::from_millis(80);
 /// The longest span over which a speed is measured; it is refined until then.
 ///
--- a/crates/leased/cloverfold_lease/src/runner/renewal_pace.rs
+++ b/crates/leased/cloverfold_lease/src/runner/renewal_pace.rs
@@ -21,7 +21,7 @@
 
 use crate::runner::orders::RenewalOrder;
 
-/// Pause after an early list that tells a new end. Chosen, not measured: below the way to a target and back on a box under load.
+/// Pause after an early list that tells a new end. Below the way to a target and back on a box under load.
 const FIRST_PAUSE: Duration = Duration::from_millis(2);
 /// Pause after a renewal that was not answered, or that listed runs which are being stopped. 30 ms before; with shorter waits for
 /// answers and more starts the benches' day of lost answers rose from 0.853 to 0.862 (commit 17223cb).
@@ -30,8 +30,8 @@
 /// day of lost answers without it, 8,745 with it (commit 17223cb).
 const UNREADY_PAUSE: Duration = Duration::from_millis(60);
 
-/// A list is early that comes before one part of so many of the wait of its renewal. Chosen, not measured: far from the wait, since the
-/// timers of a target may fire a little before or after it.
+/// A list is early that comes before one part of so many of the wait of its renewal. Far from the wait, since the timers of a
+/// target may fire a little before or after it.
 const EARLY_PART: u32 = 2;
 
 /// How long to wait before the next renewal.
--- a/crates/leased/cloverfold_lease/src/runner/run.rs
+++ b/crates/leased/cloverfold_lease/src/runner/run.rs
@@ -27,8 +27,6 @@
 use crate::timings::TargetTime;
 
 /// Starts of one run that are sent at most; then the runner waits until the deadline of the start has passed.
-///
-/// Chosen, not measured (stated in docs/design/6-leased-runs.md, "Placement, admission, health").
 pub(super) const MAX_START_ATTEMPTS: u32 = 6;
 
 /// A start that was sent and is not acknowledged.
--- a/crates/leased/cloverfold_lease/src/runner/stops.rs
+++ b/crates/leased/cloverfold_lease/src/runner/stops.rs
@@ -13,7 +13,7 @@
 use crate::runner::run::{RunState, StopStep};
 use crate::runner::{Runner, RunnerAction};
 
-/// How long a stop may show no effect before it is sent again. Chosen, not measured.
+/// How long a stop may show no effect before it is sent again.
 const STOP_REPEAT: Duration = Duration::from_millis(120);
 
 impl Runner {
--- a/crates/leased/cloverfold_lease/src/runner/target.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target.rs
@@ -13,8 +13,6 @@
 use crate::runner::{Runner, RunnerAction};
 
 /// Incarnations of the target that are remembered as over, so that a registration that comes late from one is ignored.
-///
-/// Chosen, not measured.
 const REMEMBERED_INCARNATIONS: usize = 16;
 
 impl Runner {
--- a/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
+++ b/crates/leased/cloverfold_lease/src/runner/target_incarnation.rs
@@ -17,8 +17,8 @@
 
 /// How far the fencing token rises above one that the target has refused.
 ///
-/// Fencing tokens are milliseconds since 1970 at the start of the guard (docs/design/6-leased-runs.md, "Fencing tokens"), so this is 10 s of a
-/// clock that was put back. Chosen, not measured.
+/// Fencing tokens are milliseconds since 1970 at the start of the guard (docs/design/6-leased-runs.md, "Fencing tokens"), so this
+/// is 10 s of a clock that was put back.
 pub(super) const FENCING_TOKEN_STEP: u64 = 10_000;
 
 /// Why a target gets no work.
--- a/crates/leased/cloverfold_lease/src/runner/usual_speed.rs
+++ b/crates/leased/cloverfold_lease/src/runner/usual_speed.rs
@@ -18,18 +18,17 @@
 use crate::resources::Resources;
 use crate::runner::answers::TargetRegistration;
 
-/// With fewer runs than this the usual speed is unknown: with estimates wrong by half the mean of so many is wrong by a tenth. Chosen,
-/// not measured.
+/// With fewer runs than this the usual speed is unknown: with estimates wrong by half the mean of so many is wrong by a tenth.
 const MIN_RUNS: u32 = 20;
-/// From so many runs on each new one counts for one part of so many. Chosen, not measured.
+/// From so many runs on each new one counts for one part of so many.
 const FULL_RUNS: u32 = 100;
-/// A run that took so many times as long as usual does not count. Chosen, not measured.
+/// A run that took so many times as long as usual does not count.
 const TROUBLE_FACTOR: f64 = 3.0;
-/// The lowest slowness of one run that counts. Chosen, not measured.
+/// The lowest slowness of one run that counts.
 const LOWEST_SLOWNESS: f64 = 0.1;
-/// The highest slowness of one run that counts. Chosen, not measured.
+/// The highest slowness of one run that counts.
 const HIGHEST_SLOWNESS: f64 = 20.0;
-/// Change of the mean from which dispatchers are told again, as a share of what they know. Chosen, not measured.
+/// Change of the mean from which dispatchers are told again, as a share of what they know.
 const TOLD_CHANGE: f64 = 0.1;
 
 /// What a target is: the same after a restart.
--- a/crates/leased/cloverfold_lease/src/startup.rs
+++ b/crates/leased/cloverfold_lease/src/startup.rs
@@ -13,8 +13,8 @@
 
 use cloverfold_base::Timestamp;
 
-/// An entry counts as just started for so long. Above the time that guards take to connect after a start of all processes, well below the
-/// seconds for which control processes or targets may be away. Chosen, not measured.
+/// An entry counts as just started for so long. Above the time that guards take to connect after a start of all processes, well
+/// below the seconds for which control processes or targets may be away.
 pub const STARTUP_SPAN: Duration = Duration::from_millis(500);
 /// How long a request waits for the first configuration. Three times what that took after a loss of all power (20 ms in a play on one
 /// site).
--- a/crates/leased/cloverfold_lease/src/timings.rs
+++ b/crates/leased/cloverfold_lease/src/timings.rs
@@ -37,19 +37,17 @@
 /// How much slower than a true clock a target's may be, in thousandths. Given by the platform (design note 6).
 pub const CLOCK_DRIFT_PERMILLE: u32 = 20;
 
-/// [`Timings::heartbeat`]: four fit in a session. Chosen, not measured.
+/// [`Timings::heartbeat`]: four fit in a session.
 const HEARTBEAT: Duration = Duration::from_millis(120);
-/// [`Timings::renewal_wait`]. Measured in one trial with [`ANSWER_SLACK`] and [`SILENCE`]: own day of lost answers 0.853 -> 0.862 of
-/// the worth (MEASUREMENTS, "a lost answer costs less"; 40 ms before).
+/// [`Timings::renewal_wait`].
 const RENEWAL_WAIT: Duration = Duration::from_millis(25);
-/// [`Timings::answer_slack`]. Measured with [`RENEWAL_WAIT`] (30 ms before).
+/// [`Timings::answer_slack`].
 const ANSWER_SLACK: Duration = Duration::from_millis(15);
-/// [`Timings::order_timeout`]. Chosen, not measured.
+/// [`Timings::order_timeout`].
 const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
-/// [`Timings::start_timeout`]. Measured in one trial with a shorter wait of renewals: own day of late orders 0.654 -> 0.834 of the
-/// worth (commit 897526f; 60 ms before).
+/// [`Timings::start_timeout`].
 const START_TIMEOUT: Duration = Duration::from_millis(20);
-/// [`Timings::silence`]. Measured with [`RENEWAL_WAIT`] (430 ms before).
+/// [`Timings::silence`].
 const SILENCE: Duration = Duration::from_millis(200);
 
 /// Bounds that runners and dispatchers of an installation share.
--- a/crates/leased/cloverfold_leased_entry/src/configuration.rs
+++ b/crates/leased/cloverfold_leased_entry/src/configuration.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// How long an answer to a fetch is awaited before another peer may be asked. Chosen, not measured.
+/// How long an answer to a fetch is awaited before another peer may be asked.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// A fetch that was sent and not answered yet.
--- a/crates/leased/cloverfold_leased_entry/src/job_counts.rs
+++ b/crates/leased/cloverfold_leased_entry/src/job_counts.rs
@@ -12,7 +12,7 @@
 use prometheus_client::metrics::family::Family;
 
 /// Queues that are counted by name; all further ones are counted together, so that a long configuration cannot make the metrics
-/// grow without bound. Chosen, not measured.
+/// grow without bound.
 const MAX_NAMED_QUEUES: usize = 64;
 /// The name under which further queues are counted.
 const OTHER_QUEUES: &str = "other";
--- a/crates/leased/cloverfold_leased_entry/src/kept_callers.rs
+++ b/crates/leased/cloverfold_leased_entry/src/kept_callers.rs
@@ -35,13 +35,13 @@
 use crate::responses::{job_state_response, no_such_job_response, refusal_response};
 use crate::state::GroupAnswer;
 
-/// How long a group may take to accept a job. Chosen, not measured: an election of 0.7 s and two repeats fit.
+/// How long a group may take to accept a job. An election of 0.7 s and two repeats fit.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(2_500);
-/// How long a group may take to answer a question. Chosen, not measured: an election fits.
+/// How long a group may take to answer a question. An election fits.
 const SHOW_LIMIT: Duration = Duration::from_millis(1_500);
 /// How long a group may take to cancel a job. As [`SUBMIT_LIMIT`].
 const CANCEL_LIMIT: Duration = Duration::from_millis(2_500);
-/// Share of the time that a caller waits after which it gets its answer. Chosen, not measured.
+/// Share of the time that a caller waits after which it gets its answer.
 const ANSWERED_SHARE: f64 = 0.9;
 
 impl Callers {
--- a/crates/leased/cloverfold_leased_entry/src/known_guards.rs
+++ b/crates/leased/cloverfold_leased_entry/src/known_guards.rs
@@ -11,7 +11,7 @@
 
 /// How often a guard that is not connected is invited. Chosen, not measured; docs/design/6-leased-runs.md, "Finding one another".
 const INVITE_INTERVAL: Duration = Duration::from_millis(500);
-/// How long a guard that is not connected is remembered. Chosen, not measured.
+/// How long a guard that is not connected is remembered.
 const GUARD_MEMORY: Duration = Duration::from_secs(60);
 
 /// A guard that is or was connected.
--- a/crates/leased/cloverfold_leased_entry/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_entry/src/metrics.rs
@@ -16,11 +16,11 @@
 use crate::job_counts::{JobCounts, JobOutcome};
 use crate::state::EntryState;
 
-/// Upper bound of the first bucket of answer times, in seconds. Chosen, not measured.
+/// Upper bound of the first bucket of answer times, in seconds.
 const FIRST_BUCKET: f64 = 0.005;
-/// Each bucket's upper bound over that of the one before. Chosen, not measured.
+/// Each bucket's upper bound over that of the one before.
 const BUCKET_GROWTH: f64 = 2.0;
-/// Buckets: the last ends at 10.24 s. Chosen, not measured.
+/// Buckets: the last ends at 10.24 s.
 const BUCKETS: u16 = 12;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
--- a/crates/leased/cloverfold_leased_entry/src/pending_counts.rs
+++ b/crates/leased/cloverfold_leased_entry/src/pending_counts.rs
@@ -12,11 +12,11 @@
 
 use cloverfold_base::Timestamp;
 
-/// A count of this age is given without asking. Chosen, not measured.
+/// A count of this age is given without asking.
 const FRESH: Duration = Duration::from_millis(800);
-/// The oldest count that is given at all: drivers tell what has begun every 0.3 s, and callers accept 2 s. Chosen, not measured.
+/// The oldest count that is given at all: drivers tell what has begun every 0.3 s, and callers accept 2 s.
 const USABLE: Duration = Duration::from_millis(1_600);
-/// Queues whose counts are remembered; beyond that all are forgotten. Chosen, not measured.
+/// Queues whose counts are remembered; beyond that all are forgotten.
 const MAX_QUEUES: usize = 1_024;
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/leased/cloverfold_leased_entry/src/process.rs
+++ b/crates/leased/cloverfold_leased_entry/src/process.rs
@@ -24,11 +24,11 @@
 use crate::protocol::JobProtocol;
 use crate::state::EntryState;
 
-/// How often the entry does what has fallen due. Chosen, not measured.
+/// How often the entry does what has fallen due.
 const TICK: Duration = Duration::from_millis(20);
 
-/// How long before the end of the drain time kept jobs are handed on whose runs have not ended. Chosen, not measured: a group that elects a
-/// leader at that moment answers within it.
+/// How long before the end of the drain time kept jobs are handed on whose runs have not ended. A group that elects a leader at
+/// that moment answers within it.
 const HAND_ON_TIME: Duration = Duration::from_secs(1);
 
 /// A running entry; dropping it stops it at once.
--- a/crates/leased/cloverfold_leased_entry/src/run_numbers.rs
+++ b/crates/leased/cloverfold_leased_entry/src/run_numbers.rs
@@ -8,7 +8,7 @@
 
 /// Start of the numbers: 2026-01-01 00:00 UTC, as a span since the Unix epoch.
 const RUN_EPOCH: Duration = Duration::from_secs(1_767_225_600);
-/// Span of one number, in milliseconds. Chosen, not measured: a caller sends its job again 1.3 s after its entry is lost, 13 numbers later.
+/// Span of one number, in milliseconds. A caller sends its job again 1.3 s after its entry is lost, 13 numbers later.
 const RUN_UNIT_MS: u128 = 100;
 
 /// Returns the number of the first run of a job that is submitted now. It is drawn from the clock, so that a job that is submitted again, here
--- a/crates/leased/cloverfold_leased_guard/src/configuration.rs
+++ b/crates/leased/cloverfold_leased_guard/src/configuration.rs
@@ -9,7 +9,7 @@
 use cloverfold_configuration::{StoredConfiguration, Version};
 use cloverfold_link::LinkId;
 
-/// How long a guard waits before it fetches a newer configuration, so that a burst of changes is fetched once. Chosen, not measured.
+/// How long a guard waits before it fetches a newer configuration, so that a burst of changes is fetched once.
 const FETCH_DELAY: Duration = Duration::from_millis(1_000);
 
 /// A fetch that is not sent yet.
--- a/crates/leased/cloverfold_leased_guard/src/process.rs
+++ b/crates/leased/cloverfold_leased_guard/src/process.rs
@@ -26,9 +26,9 @@
 use crate::state::GuardState;
 use crate::target_orders::{TargetOrder, send_orders};
 
-/// How often the guard does what has fallen due. Chosen, not measured.
+/// How often the guard does what has fallen due.
 const TICK: Duration = Duration::from_millis(20);
-/// How often a guard that drains checks whether its runs have ended. Chosen, not measured.
+/// How often a guard that drains checks whether its runs have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A running guard; dropping it stops it at once.
--- a/crates/leased/cloverfold_leased_guard/src/renewals.rs
+++ b/crates/leased/cloverfold_leased_guard/src/renewals.rs
@@ -14,7 +14,7 @@
 use crate::interface::TargetInterface;
 use crate::state::GuardState;
 
-/// How long to wait before looking again whether there is a target, unless the state notifies earlier. Chosen, not measured.
+/// How long to wait before looking again whether there is a target, unless the state notifies earlier.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(200);
 
 /// Renews the lease for as long as the future is polled; `renew_now` ends the wait for a target and the longer pauses.
--- a/crates/leased/cloverfold_leased_process/src/peer_port.rs
+++ b/crates/leased/cloverfold_leased_process/src/peer_port.rs
@@ -17,7 +17,7 @@
 
 use crate::shared::Shared;
 
-/// Events that may wait for the state; links read no further while the channel is full. Chosen, not measured.
+/// Events that may wait for the state; links read no further while the channel is full.
 const LINK_EVENTS: usize = 1_024;
 
 /// A state that is driven by its links and by time.
--- a/crates/leased/cloverfold_leased_process/src/settings_watch.rs
+++ b/crates/leased/cloverfold_leased_process/src/settings_watch.rs
@@ -11,7 +11,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{Interval, MissedTickBehavior, interval};
 
-/// How often the settings file is checked: it may change without a signal. Chosen, not measured.
+/// How often the settings file is checked: it may change without a signal.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// When a file was last modified, and its length in bytes: tells one content from another without reading the file.
