Go on with a job after its grace while all its tasks have a place

Callers with time left got 504 "given up" for short jobs whose runs had been lost with a dark target or a session, and sent all of it again 1.3 s later, too late for their own deadline.

Cause: a job was given up after three times its objective, whatever it did. A dark target's runs are lost after 0.9 s and those of a lost session after 1.2 s; 60 ms of work were given up after 0.65 to 0.76 s. In its last moments such a job came before jobs that could be in time.

Now three times the objective are a job's grace. After it the job goes on only while each open task has a place, behind all others and with the headroom of late jobs, until 0.9 of its caller's time; as soon as a task waits it is given up. Nobody is held back with nothing under way.

--- a/crates/leased/cloverfold_lease/src/dispatcher/admission.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/admission.rs
@@ -5,8 +5,9 @@
 //! | at the submission | the process is leaving | refused, `Leaving` | – |
 //! | at the submission | no target of the service accepts work, and the process has not just started or been stalled | refused, `NoTarget` | `STARTUP_SPAN` in `startup`, `CatchUp` in `stall` |
 //! | at the queue deadline | no task was ever offered to a target, or all came back unstarted | refused, `NoRoom`, or `NoTarget` if none of the service accepts work | `QUEUE_WAIT_SHARE` in `deadlines`, `STANDING_WAIT_SHARE` while the queue stands |
-//! | at the give-up deadline | nothing has run or may yet run | refused, `NoRoom` | `GIVE_UP_FACTOR`, `ANSWERED_SHARE` in `deadlines` |
-//! | at the give-up deadline | parts may have run | given up | the same |
+//! | grace over, or at the give-up deadline | nothing has run or may yet run | refused, `NoRoom` | `GRACE_FACTOR`, `ANSWERED_SHARE` in `deadlines` |
+//! | grace over, and a task waits for a place | parts may have run | given up | `GRACE_FACTOR` in `deadlines` |
+//! | at the give-up deadline | parts may have run | given up | `ANSWERED_SHARE` in `deadlines` |
 //! | at the first call after a stall | callers may have left and asked elsewhere | all open jobs given up | [`JOB_STALL`] |
 //!
 //! None of this holds for kept jobs: they are refused before they are accepted (`kept_admission`) or not at all.
@@ -97,10 +98,13 @@
         }
     }
 
-    /// Lists the jobs that are no longer worked on.
+    /// Lists the jobs that are no longer worked on: their callers leave, or their grace is over and a task has no place.
     fn list_expired(&self, now: Timestamp) -> Vec<JobNumber> {
+        let is_over = |job: &Job| {
+            now >= job.deadlines.give_up || (job.is_past_grace(now) && job.has_waiting())
+        };
         let open = self.jobs.iter();
-        open.filter(|(_, job)| !job.is_kept() && now >= job.deadlines.give_up)
+        open.filter(|(_, job)| !job.is_kept() && is_over(job))
             .map(|(number, _)| *number)
             .collect()
     }
--- a/crates/leased/cloverfold_lease/src/dispatcher/deadlines.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/deadlines.rs
@@ -1,4 +1,8 @@
-//! How long a job may wait, and how long it is worked on.
+//! Decision: how long a job may wait, and how long it is worked on.
+//!
+//! The grace of a job ends some times its objective after its submission. From then on it goes on only while all its open tasks have a
+//! place: as soon as one has to wait, the job is given up. What runs, or whose end is not known yet, may still be answered while the caller
+//! waits; a caller that hears earlier that its job is given up sends it again, and all of it runs anew.
 //!
 //! Owns no state: [`JobDeadlines`] follow from a request and the time of its submission. Relies on the caller's estimates, which are
 //! rough.
@@ -16,8 +20,8 @@
 const QUEUE_WAIT_SHARE: f64 = 0.25;
 /// As [`QUEUE_WAIT_SHARE`], for a queue that stands (`standing_queues`).
 const STANDING_WAIT_SHARE: f64 = 0.10;
-/// How many times the objective, for [`ESTIMATE_MARGIN`] times the estimated work, a job is worked on.
-const GIVE_UP_FACTOR: f64 = 3.0;
+/// How many times the objective, for [`ESTIMATE_MARGIN`] times the estimated work, is the grace of a job.
+const GRACE_FACTOR: f64 = 3.0;
 /// How many times its estimate the work may last without being late.
 const ESTIMATE_MARGIN: f64 = 2.0;
 /// Share of the time that a caller waits after which it gets its answer: a later one would find it gone. Introduced with
@@ -31,6 +35,8 @@
     pub(crate) queue: Timestamp,
     /// As `queue`, while the job's queue stands.
     pub(crate) standing_queue: Timestamp,
+    /// After this the job goes on only while all its open tasks have a place.
+    pub(crate) grace_end: Timestamp,
     /// The job is given up then.
     pub(crate) give_up: Timestamp,
 }
@@ -42,15 +48,24 @@
         Self {
             queue: now + objective.mul_f64(QUEUE_WAIT_SHARE),
             standing_queue: now + objective.mul_f64(STANDING_WAIT_SHARE),
+            grace_end: now + find_grace(request),
             give_up: now + longest_work(request),
         }
     }
 }
 
-/// Returns how long a job is worked on, counted from its submission.
+/// Returns how long after its submission a job is given up whatever it does.
 fn longest_work(request: &JobRequest) -> Duration {
+    match request.patience {
+        Some(patience) => patience.mul_f64(ANSWERED_SHARE),
+        None => find_grace(request),
+    }
+}
+
+/// Returns how long after its submission the grace of a job ends.
+fn find_grace(request: &JobRequest) -> Duration {
     let slow_work = request.estimate_work().mul_f64(ESTIMATE_MARGIN);
-    let longest = request.objective.span(slow_work).mul_f64(GIVE_UP_FACTOR);
+    let longest = request.objective.span(slow_work).mul_f64(GRACE_FACTOR);
     match request.patience {
         Some(patience) => longest.min(patience.mul_f64(ANSWERED_SHARE)),
         None => longest,
--- a/crates/leased/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/job.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// Returns whether it has been worked on for so long that its answer is worth little.
+    pub(crate) fn is_past_grace(&self, now: Timestamp) -> bool {
+        !self.is_kept() && now >= self.deadlines.grace_end
+    }
+
     /// Returns the step of one of its tasks.
     pub(crate) fn step(&self, task: &Task) -> &StepRequest {
         &self.request.steps[task.step]
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -160,8 +160,8 @@
     }
 
     /// Returns what the tasks of a job leave free.
-    fn headroom_of(&self, job: &Job) -> Headroom {
-        if job.is_late {
+    fn headroom_of(&self, job: &Job, now: Timestamp) -> Headroom {
+        if job.is_late || job.is_past_grace(now) {
             Headroom::ForTimely
         } else if self.shares.has_more_urgent(job.request.priority) {
             Headroom::ForUrgent
@@ -177,7 +177,7 @@
         task: &Task,
         now: Timestamp,
     ) -> impl Iterator<Item = Candidate> {
-        let headroom = self.headroom_of(job);
+        let headroom = self.headroom_of(job, now);
         let sessions = self.sessions.iter();
         sessions.filter_map(move |(session, runner)| {
             let needed = needed_at(runner, job.step(task), headroom);
--- a/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod evacuation;
 mod fixture;
+mod grace;
 mod judging;
 mod kept_jobs;
 mod own_stall;
--- a/crates/leased/cloverfold_lease/tests/world/clients.rs
+++ b/crates/leased/cloverfold_lease/tests/world/clients.rs
@@ -132,6 +132,6 @@
             stretch: 1.6,
             allowance: Duration::from_millis(60),
         },
-        patience: None,
+        patience: Some(Duration::from_millis(CLIENT_PATIENCE_MS * 4)),
     }
 }
