--- a/crates/tools/cloverfold_soak/src/run/callers.rs
+++ b/crates/tools/cloverfold_soak/src/run/callers.rs
@@ -25,6 +25,15 @@
 /// Most sends of one job.
 const MAX_SENDS: usize = 4;
 
+/// A caller that begins later than this is left out.
+const LATEST_BEGIN: Duration = Duration::from_millis(1_000);
+
+/// Returns whether a caller that is late by so much still begins. It is late only if the soak itself stood still; all callers of that time
+/// at once would be a burst that no plan has.
+pub(crate) fn is_in_time(lateness: Duration) -> bool {
+    lateness <= LATEST_BEGIN
+}
+
 /// Plays one caller.
 pub(crate) async fn call(installation: &Installation, job: &str, planned: &PlannedJob) {
     for send in 0..MAX_SENDS {
--- a/crates/tools/cloverfold_soak/src/run/mod.rs
+++ b/crates/tools/cloverfold_soak/src/run/mod.rs
@@ -165,7 +165,9 @@
         let name = format!("{:08x}{number:08x}", plan.seed as u32);
         tasks.spawn(async move {
             sleep_until(at).await;
-            callers::call(&installation, &name, &job).await;
+            if callers::is_in_time(at.elapsed()) {
+                callers::call(&installation, &name, &job).await;
+            }
         });
     }
     for planned in plan.orders.iter().cloned() {
