--- a/crates/leased/cloverfold_lease/src/dispatcher/headroom.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/headroom.rs
@@ -11,8 +11,8 @@
 /// Share of a target's processors that less urgent work leaves free.
 const HEADROOM_SHARE: f64 = 0.05;
 
-/// Share of a target's processors that jobs leave free that came past their objective (`returned_callers`) or whose grace is over: what is left for jobs
-/// that can be in time while as many come again.
+/// Share of a target's processors that jobs leave free that came past their objective (`returned_callers`) or whose grace is over
+/// (`deadlines`): what is left for jobs that can be in time while as many come again.
 const LATE_HEADROOM_SHARE: f64 = 0.25;
 
 /// What a task leaves free at its target.
--- a/crates/leased/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/job.rs
@@ -147,7 +147,7 @@
         }
     }
 
-    /// Returns whether it has been worked on for so long that its answer is worth little.
+    /// Returns whether its grace is over (`deadlines`); a job that is kept has none.
     pub(crate) fn is_past_grace(&self, now: Timestamp) -> bool {
         !self.is_kept() && now >= self.deadlines.grace_end
     }
--- a/crates/leased/cloverfold_lease/src/dispatcher/own_stall.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/own_stall.rs
@@ -31,7 +31,7 @@
         self.catch_up.begin(self.timings.heartbeat, now);
     }
 
-    /// Assigns waiting tasks, unless messages may be unread that change where they fit.
+    /// Assigns waiting tasks, unless messages are still unread that may change where they fit; the next tick does it then.
     pub(super) fn place_unless_catching_up(&mut self, now: Timestamp) {
         if !self.catch_up.is_active(now) {
             self.place_waiting(now);
--- a/crates/leased/cloverfold_lease/src/runner/renewals.rs
+++ b/crates/leased/cloverfold_lease/src/runner/renewals.rs
@@ -27,8 +27,8 @@
     /// Plans the next renewal of the lease, or the question to a candidate whether it is there; `None` without a target.
     ///
     /// The lease is not extended while the target may run something that this runner did not start: that must be able to lapse, since
-    /// nothing else ends it for certain; nor while it is withheld (`lapses`) or a session is in doubt (`own_stall`). Such a renewal is answered at once instead of waiting for an
-    /// end.
+    /// nothing else ends it for certain; nor while it is withheld (`lapses`) or a session is in doubt (`own_stall`). Such a renewal is
+    /// answered at once instead of waiting for an end.
     ///
     /// Nor is the lease of a target extended that answers nothing: it may be gone, and its runs count as lost once the lease has lapsed.
     pub fn plan_renewal(&mut self, now: Timestamp) -> Option<RenewalOrder> {
