--- a/review/harness/src/executor.rs
+++ b/review/harness/src/executor.rs
@@ -18,7 +18,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// How many ends an answer lists.
 const LISTED_ENDS: usize = 500;
-const CAPACITY_CPU: u64 = 16_000;
+pub const CAPACITY_CPU: u64 = 16_000;
 
 pub struct Options {
     pub id: String,
