--- a/review/harness/src/executor.rs
+++ b/review/harness/src/executor.rs
@@ -16,6 +16,8 @@
 const HOLD_MAX_MS: u64 = 1_000;
 /// `HeartbeatMs` of the pages.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// Only for the script: the executor is unhealthy for `ForMs`. It answers starts with 503 and has done nothing.
+pub const UNHEALTHY_PATH: &str = "/stand-in/unhealthy";
 /// How many ends an answer lists.
 const LISTED_ENDS: usize = 500;
 pub const CAPACITY_CPU: u64 = 16_000;
@@ -51,6 +53,7 @@
     running: BTreeMap<String, Run>,
     ended: Vec<End>,
     last_end: u64,
+    unhealthy_until: Option<Instant>,
     /// The highest run of each task that stopped or ended here, or was told to stop.
     highest: BTreeMap<String, u64>,
 }
@@ -131,6 +134,12 @@
 
     fn start(&mut self, body: &Json) -> Reply {
         self.advance();
+        if self
+            .unhealthy_until
+            .is_some_and(|until| Instant::now() < until)
+        {
+            return Reply::json(503, "{}");
+        }
         if self.is_fenced(body) {
             return self.refuse("fence");
         }
@@ -273,6 +282,11 @@
         ("POST", "/api/run-start") => lock(state).start(&body),
         ("POST", "/api/run-stop") => lock(state).stop(&body),
         ("POST", "/api/hold") => hold(state, &body),
+        ("POST", UNHEALTHY_PATH) => {
+            let span = Duration::from_millis(body.number("ForMs").unwrap_or_default());
+            lock(state).unhealthy_until = Some(Instant::now() + span);
+            Reply::json(200, "{}")
+        }
         _ => Reply::json(404, "{}"),
     }
 }
@@ -287,6 +301,7 @@
         running: BTreeMap::new(),
         ended: Vec::new(),
         last_end: 0,
+        unhealthy_until: None,
         highest: BTreeMap::new(),
     }));
     let listener = TcpListener::bind(options.address).map_err(|cause| cause.to_string())?;
--- a/review/harness/src/installation.rs
+++ b/review/harness/src/installation.rs
@@ -11,6 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::executor::UNHEALTHY_PATH;
 use crate::http::{Reply, call};
 
 pub const HOST: &str = "shop.example";
@@ -202,6 +203,15 @@
         self.start(&name, &program, &arguments)
     }
 
+    /// Makes an executor unhealthy for a while.
+    pub fn make_unhealthy(&self, side: u8, span: Duration) -> Result<(), String> {
+        let address = self.address(20 + side, EXECUTOR_PORT);
+        let body = format!(r#"{{"ForMs":{}}}"#, span.as_millis());
+        let host = address.to_string();
+        let limit = Duration::from_secs(1);
+        call(address, "POST", UNHEALTHY_PATH, &host, &[], &body, limit).map(|_| ())
+    }
+
     /// Ends a process at once, as SIGKILL does.
     pub fn kill(&mut self, name: &str) {
         if let Some(mut child) = self.running.remove(name) {
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -9,6 +9,7 @@
 mod json;
 mod lost_cancel;
 mod starved_jobs;
+mod wrong_count;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -65,6 +66,7 @@
     });
     let result = match case {
         "lost-cancel" => lost_cancel::run(root, &mut record, has_trouble),
+        "wrong-count" => wrong_count::run(root, &mut record, has_trouble),
         "starved-jobs" => starved_jobs::run(root, &mut record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
