--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -13,6 +13,8 @@
       cloverfold* | review_harness*) kill -KILL "$pid" 2>/dev/null ;;
     esac
   done < "$pids"
+  # The harness removes its folder itself, unless it was ended.
+  [ -z "${case:-}" ] || rm -rf "$(dirname "$pids")/cloverfold-review-$case"
   rm -f "$pids"
 }
 trap end_all EXIT
