Report why jobs wait for a target; benchmark a pass over waiting kept jobs

Whether a waiting job was tried or passed over could not be told from an entry's logs and metrics. Each pass now counts both, as the gauge waiting_jobs{cause} and, while a job has waited for over a second, as the line "jobs wait for a target" once a second.

The benchmark "dispatch" measures a pass of 5,000 waiting kept jobs of six forms over 240 targets.

--- a/benches/benches/dispatch.rs
+++ b/benches/benches/dispatch.rs
@@ -1,5 +1,7 @@
 //! Measures the time that a dispatcher with many targets takes for one best-effort job, and a runner for one run.
 //!
+//! Also measures one pass over a queue of kept jobs that find no target, for several forms of jobs.
+//!
 //! Calls `cloverfold_lease` directly and starts no process. To compare two builds, run them alternately.
 
 use std::hint::black_box;
@@ -8,7 +10,7 @@
 use cloverfold_base::Timestamp;
 use cloverfold_lease::{
     Assignment, Dispatcher, DispatcherAction, DispatcherMessage, EndCause, EndedRun, FreeCapacity,
-    HealthLimits, IncarnationId, JobRequest, LatencyObjective, RenewalAnswer, Resources,
+    HealthLimits, IncarnationId, JobRequest, KeptJob, LatencyObjective, RenewalAnswer, Resources,
     RunOutcome, Runner, RunnerAction, RunnerMessage, SessionId, StartAnswer, StepRequest,
     TargetDescription, TargetRegistration, TaskId, Timings,
 };
@@ -17,6 +19,14 @@
 /// Number of jobs that wait while others are served.
 const BACKLOG: usize = 200;
 const JOBS: u32 = 1_000;
+/// Number of kept jobs that wait in the measured passes.
+const WAITING: usize = 5_000;
+/// Number of targets in the measured passes.
+const PASS_TARGETS: SessionId = 240;
+/// Number of passes of one measurement.
+const PASSES: u32 = 20;
+/// Number of repetitions of a measurement of passes. Only the fastest counts.
+const PASS_REPETITIONS: usize = 2;
 /// Number of repetitions. Only the fastest counts, since other processes slow some of them down.
 const REPETITIONS: usize = 120;
 const DEMAND: Resources = Resources {
@@ -41,6 +51,80 @@
     println!("dispatcher, one job of 2 tasks, {TARGETS} targets: {job:.3} us");
     println!("the same with {BACKLOG} jobs waiting: {job_behind_backlog:.3} us");
     println!("runner, one run: {run:.3} us");
+    for (form, make_job) in FORMS {
+        let times = (0..PASS_REPETITIONS).map(|_| measure_pass(make_job).as_secs_f64() * 1e6);
+        let pass = times.fold(f64::INFINITY, f64::min);
+        println!("one pass, {WAITING} kept jobs, {PASS_TARGETS} targets, {form}: {pass:.0} us");
+    }
+}
+
+/// Forms of jobs that find no target, with the job of each number.
+const FORMS: [(&str, fn(usize) -> JobRequest); 6] = [
+    ("alike", |number| {
+        with_step(number, |step| step.demand.cpu_milli = 16_001)
+    }),
+    ("each a little smaller than the one before", |number| {
+        with_step(number, |step| {
+            step.demand.cpu_milli = 32_000 - number as i64
+        })
+    }),
+    (
+        "more memory but fewer cores than the one before",
+        |number| {
+            with_step(number, |step| {
+                step.demand.cpu_milli = 16_000 - number as i64;
+                step.demand.memory_mb = 16_001 + number as i64;
+            })
+        },
+    ),
+    ("a label of its own", |number| {
+        with_step(number, |step| {
+            step.required_label = Some(format!("label-{number}"))
+        })
+    }),
+    ("limit per target, missing label", |number| {
+        with_step(number, |step| {
+            step.required_label = Some("missing".into());
+            step.max_per_target = Some(1);
+        })
+    }),
+    ("100 tasks", |number| {
+        with_step(number, |step| {
+            step.count = 100;
+            step.demand.cpu_milli = 32_000 - number as i64;
+        })
+    }),
+];
+
+/// Returns a job whose step is changed by `change`.
+fn with_step(number: usize, change: impl FnOnce(&mut StepRequest)) -> JobRequest {
+    let mut request = job(number);
+    change(&mut request.steps[0]);
+    request
+}
+
+/// Returns the mean time of a message of a runner, each of which causes a pass over the queue.
+fn measure_pass(make_job: fn(usize) -> JobRequest) -> Duration {
+    let mut dispatcher = make_dispatcher(PASS_TARGETS);
+    for session in 1..=PASS_TARGETS {
+        dispatcher.set_supports_kept_jobs(session);
+    }
+    for number in 0..WAITING {
+        let kept = KeptJob {
+            request: make_job(number),
+            epoch: 1,
+            progress: vec![],
+        };
+        dispatcher.drive(kept, at(1));
+    }
+    let started_at = Instant::now();
+    for pass in 0..PASSES {
+        let session = 1 + SessionId::from(pass) % PASS_TARGETS;
+        let report = RunnerMessage::FreeCapacity(free_capacity(CAPACITY));
+        dispatcher.receive(session, report, at(2));
+        black_box(dispatcher.take_actions());
+    }
+    started_at.elapsed() / PASSES
 }
 
 /// Returns the shortest of several means, in microseconds.
@@ -86,11 +170,11 @@
     }
 }
 
-/// Returns a dispatcher with idle targets.
-fn make_dispatcher() -> Dispatcher {
+/// Returns a dispatcher with `targets` idle targets.
+fn make_dispatcher(targets: SessionId) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(Timings::default(), HealthLimits::default(), 1);
     dispatcher.tick(at(1));
-    for session in 1..=TARGETS {
+    for session in 1..=targets {
         dispatcher.open_session(session, &format!("runner-{session}"), at(1));
         let heartbeat = RunnerMessage::Heartbeat {
             clock: at(1),
@@ -122,7 +206,7 @@
 
 /// Serves jobs one after the other while a backlog waits that fits no target, and returns the mean time for one job.
 fn serve_jobs(backlog: usize) -> Duration {
-    let mut dispatcher = make_dispatcher();
+    let mut dispatcher = make_dispatcher(TARGETS);
     for number in 0..backlog {
         let mut large = job(number);
         large.id = format!("large-{number}");
--- a/crates/leased/cloverfold_lease/src/dispatcher/events.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/events.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::dispatcher::answers::JobRefusal;
+use crate::dispatcher::waiting_jobs::WaitingJobs;
 use crate::messages::{RunOutcome, TaskId};
 
 /// Number of targets known to a dispatcher.
@@ -95,6 +96,13 @@
         /// Time since the last echo to the runner.
         last_echo: Duration,
     },
+    /// Jobs have waited for a target for long.
+    JobsWaiting {
+        /// The waiting jobs after the latest pass over the queue.
+        jobs: WaitingJobs,
+        /// Time since the submission of the oldest one.
+        oldest: Duration,
+    },
     /// A target is paused because too many of its runs fail.
     TargetPaused {
         /// The runner of the target.
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -16,7 +16,7 @@
 //! - `sessions`, `runner_session`: what is known of runners, and when the runs of a lost session have ended;
 //! - `stall_recovery`: which timeouts are suspended after a stall of this process;
 //! - `kept_jobs`: what is specific to kept jobs;
-//! - `closing`: how jobs are closed, and runs that continue after that; `reports`: decisions to be logged.
+//! - `closing`: how jobs are closed, and runs that continue after that; `reports`: decisions to be logged; `waiting_jobs`: why jobs wait.
 //!
 //! The process calls [`Dispatcher::tick`] regularly, carries out the actions in order, and passes on every message and every closed link.
 
@@ -43,6 +43,7 @@
 mod shares;
 mod stall_recovery;
 mod standing_queues;
+mod waiting_jobs;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -63,6 +64,7 @@
 pub use events::{DispatcherEvent, TargetCounts};
 pub use job::JobNumber;
 pub use kept_jobs::KeptJob;
+pub use waiting_jobs::WaitingJobs;
 
 use closing::DetachedRun;
 use job::{Job, QueuePosition, Task, TaskPosition};
@@ -72,6 +74,7 @@
 use sessions::LostSession;
 use shares::QueueShares;
 use standing_queues::StandingQueues;
+use waiting_jobs::WaitingJobsReport;
 
 /// Coordinates the jobs of one entry.
 #[derive(Debug)]
@@ -89,6 +92,7 @@
     open_jobs_by_name: HashMap<String, JobNumber>,
     /// Jobs with waiting tasks; `precedence` determines the order in which they are served.
     waiting: BTreeSet<QueuePosition>,
+    waiting_jobs: WaitingJobsReport,
     /// Runs of closed jobs; a task with the same ID is not started before the run has ended.
     detached_runs: HashMap<TaskId, DetachedRun>,
     next_job: JobNumber,
@@ -120,6 +124,7 @@
             kept_jobs: 0,
             open_jobs_by_name: HashMap::new(),
             waiting: BTreeSet::new(),
+            waiting_jobs: WaitingJobsReport::default(),
             detached_runs: HashMap::new(),
             next_job: 1,
             last_call_at: Timestamp::ZERO,
@@ -245,6 +250,7 @@
         self.close_silent_sessions(now);
         self.release_expired_lost_sessions(now);
         self.place_waiting(now);
+        self.report_waiting_jobs(now);
         if !self.catch_up.is_active(now) {
             self.end_expired_jobs(now);
             self.withdraw_late_runs(now);
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -21,6 +21,7 @@
 use crate::dispatcher::job::{Job, JobNumber, Task, TaskPhase, TaskPosition};
 use crate::dispatcher::kept_jobs::BlockedKeptJobs;
 use crate::dispatcher::runner_session::RunnerSession;
+use crate::dispatcher::waiting_jobs::WaitingJobs;
 use crate::messages::{Assignment, SessionId};
 use crate::request::StepRequest;
 use crate::resources::Resources;
@@ -78,12 +79,14 @@
     /// Assigns waiting tasks in the order of precedence while targets have free capacity.
     pub(super) fn place_waiting(&mut self, now: Timestamp) {
         let mut skipped = 0;
+        let mut unplaced = 0;
         let mut blocked = BlockedKeptJobs::default();
         for position in self.list_waiting(now) {
             if self.is_blocked(position.job, &blocked, now) {
                 continue;
             }
             if !self.place_job(position.job, now) {
+                unplaced += 1;
                 if self.record_blocked(position.job, &mut blocked) {
                     continue;
                 }
@@ -97,6 +100,10 @@
                 self.waiting.remove(&position);
             }
         }
+        self.waiting_jobs.latest = WaitingJobs {
+            unplaced,
+            untried: self.waiting.len().saturating_sub(unplaced),
+        };
         self.record_standing_queues(now);
     }
 
--- a/crates/leased/cloverfold_leased_entry/src/event_log.rs
+++ b/crates/leased/cloverfold_leased_entry/src/event_log.rs
@@ -6,7 +6,7 @@
 
 use cloverfold_configuration::Version;
 use cloverfold_kept_jobs::{Epoch, JobAssignment, StopCause};
-use cloverfold_lease::DispatcherEvent;
+use cloverfold_lease::{DispatcherEvent, WaitingJobs};
 
 /// Logs a decision of the dispatcher; `version` is the version of the configuration in force.
 pub(crate) fn log_event(event: &DispatcherEvent, version: Version) {
@@ -17,6 +17,7 @@
         DispatcherEvent::RunOverdue { .. } => log_run_overdue(event),
         DispatcherEvent::StragglerWithdrawn { .. } => log_straggler_withdrawn(event),
         DispatcherEvent::SessionLost { .. } => log_session_lost(event),
+        DispatcherEvent::JobsWaiting { jobs, oldest } => log_jobs_waiting(jobs, oldest),
         DispatcherEvent::TargetPaused { runner } => {
             log::warn!(runner = runner.as_str(); "target paused after repeated failures; assigning it no tasks until the pause ends");
         }
@@ -125,6 +126,13 @@
     }
 }
 
+fn log_jobs_waiting(jobs: &WaitingJobs, oldest: &Duration) {
+    log::info!(
+        unplaced = jobs.unplaced, untried = jobs.untried, oldest_ms = millis(oldest);
+        "jobs wait for a target"
+    );
+}
+
 /// Logs that this entry drives a kept job; at a higher level if another entry has driven it before, which is rare.
 pub(crate) fn log_driving(order: &JobAssignment) {
     let (job, epoch, recorded_tasks) = (order.job.as_str(), order.epoch, order.progress.len());
--- a/crates/leased/cloverfold_leased_entry/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_entry/src/metrics.rs
@@ -33,6 +33,7 @@
     jobs: JobCounts,
     runs: CauseGauges,
     given_back: CauseGauges,
+    waiting_jobs: CauseGauges,
     version: Gauge,
     ready_targets: Gauge,
     open_jobs: Gauge,
@@ -67,6 +68,8 @@
         let runs = metrics.add_cause_gauges("runs", help);
         let help = "Runs given back without a start since the start, by the guard's reason";
         let given_back = metrics.add_cause_gauges("given_back", help);
+        let help = "Jobs with tasks that wait for a target, by cause";
+        let waiting_jobs = metrics.add_cause_gauges("waiting_jobs", help);
         Self {
             version: metrics.add_gauge("configuration_version", "Version in force here"),
             ready_targets: metrics.add_gauge("ready_targets", "Targets that take work"),
@@ -87,6 +90,7 @@
             jobs,
             runs,
             given_back,
+            waiting_jobs,
             metrics: metrics.finish(),
         }
     }
@@ -130,6 +134,11 @@
             .map(|(reason, count)| (reason.as_str(), count))
             .collect();
         self.given_back.set(&given_back);
+        let waiting = state.waiting_jobs();
+        self.waiting_jobs.set(&[
+            ("unplaced", waiting.unplaced as u64),
+            ("untried", waiting.untried as u64),
+        ]);
         self.version.set(state.version() as i64);
         self.ready_targets.set(state.ready_targets() as i64);
         self.open_jobs.set(state.open_jobs() as i64);
--- a/crates/leased/cloverfold_leased_entry/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/mod.rs
@@ -16,7 +16,7 @@
 use cloverfold_kept_jobs::{CallAnswer, CallToken, Driver, KeptJobTimings};
 use cloverfold_lease::{
     Dispatcher, DispatcherAction, DispatcherCounts, JobAnswer, JobNumber, JobRefusal, JobRequest,
-    configuration_timeout, is_request_outdated,
+    WaitingJobs, configuration_timeout, is_request_outdated,
 };
 use cloverfold_leased_process::{ProcessState, StallMonitor, SuspensionMonitor};
 use cloverfold_link::LinkEvent;
@@ -147,6 +147,11 @@
         self.dispatcher.counts()
     }
 
+    /// Returns the jobs that wait for a target, by cause.
+    pub(crate) fn waiting_jobs(&self) -> WaitingJobs {
+        self.dispatcher.waiting_jobs()
+    }
+
     /// Returns the counters of messages sent to peers since the start.
     pub(crate) fn sent(&self) -> &SentCounts {
         self.links.sent()
