Count the tasks of a job by phase instead of looking at each

Whether a job has waiting tasks, has started or is done was found by going through its tasks, for every waiting job in every pass over the queue. The counts are now kept up to date where a phase changes, which only the job itself does.

--- a/crates/leased/cloverfold_lease/src/dispatcher/closing.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/closing.rs
@@ -63,7 +63,7 @@
             self.open_jobs_by_name.remove(&job.request.id);
         }
         for task in job.tasks {
-            if let Some(run) = DetachedRun::from_phase(task.phase) {
+            if let Some(run) = DetachedRun::from_phase(task.phase()) {
                 self.detached_runs.insert(task.id, run);
             }
         }
@@ -71,26 +71,15 @@
 
     /// Tells the runner of a task to stop its run. The task remains assigned until the runner reports the end of the run.
     pub(super) fn withdraw_task(&mut self, position: TaskPosition) {
-        let Some(task) = self.task_mut(position) else {
+        let Some(job) = self.jobs.get_mut(&position.job) else {
             return;
         };
-        let TaskPhase::Assigned {
-            session,
-            run,
-            is_withdrawn,
-            ..
-        } = &mut task.phase
-        else {
+        let Some((session, run)) = job.mark_withdrawn(position.index) else {
             return;
         };
-        if *is_withdrawn {
-            return;
-        }
-        *is_withdrawn = true;
-        let session = *session;
         let message = DispatcherMessage::Withdraw {
-            run: *run,
-            task: task.id.clone(),
+            run,
+            task: job.tasks[position.index].id.clone(),
         };
         self.counts.withdrawn += 1;
         self.actions.push(DispatcherAction::Send(session, message));
--- a/crates/leased/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/job.rs
@@ -12,6 +12,7 @@
 use cloverfold_kept_jobs::Epoch;
 
 use crate::dispatcher::deadlines::JobDeadlines;
+use crate::dispatcher::phase_counts::PhaseCounts;
 use crate::messages::{SessionId, TaskId};
 use crate::request::{JobRequest, StepRequest};
 
@@ -75,7 +76,7 @@
     pub(crate) id: TaskId,
     /// Index of its step.
     pub(crate) step: usize,
-    pub(crate) phase: TaskPhase,
+    phase: TaskPhase,
     pub(crate) next_run: u64,
     /// Number of failed runs.
     pub(crate) failures: u32,
@@ -86,17 +87,9 @@
 }
 
 impl Task {
-    /// Starts the next run and returns its number.
-    pub(crate) fn begin_run(&mut self, session: SessionId, now: Timestamp) -> u64 {
-        let run = self.next_run;
-        self.next_run += 1;
-        self.phase = TaskPhase::Assigned {
-            session,
-            run,
-            since: now,
-            is_withdrawn: false,
-        };
-        run
+    /// Returns its phase, which only [`Job`] changes.
+    pub(crate) fn phase(&self) -> TaskPhase {
+        self.phase
     }
 }
 
@@ -105,6 +98,7 @@
 pub(crate) struct Job {
     pub(crate) request: JobRequest,
     pub(crate) tasks: Vec<Task>,
+    phases: PhaseCounts,
     pub(crate) submitted_at: Timestamp,
     pub(crate) deadlines: JobDeadlines,
     /// Whether its latency objective had already passed when it was submitted.
@@ -125,9 +119,14 @@
     ) -> Self {
         let deadlines = JobDeadlines::new(&request, now);
         let tasks = build_tasks(&request, first_run);
+        let mut phases = PhaseCounts::new(request.steps.len());
+        for task in &tasks {
+            phases.add(task.step, task.phase);
+        }
         Self {
             request,
             tasks,
+            phases,
             submitted_at: now,
             deadlines,
             is_late_resubmission,
@@ -175,28 +174,69 @@
         }
     }
 
+    /// Changes the phase of a task.
+    pub(crate) fn set_phase(&mut self, index: usize, phase: TaskPhase) {
+        let task = &mut self.tasks[index];
+        self.phases.remove(task.step, task.phase);
+        self.phases.add(task.step, phase);
+        task.phase = phase;
+    }
+
+    /// Starts the next run of a task and returns its number.
+    pub(crate) fn begin_run(&mut self, index: usize, session: SessionId, now: Timestamp) -> u64 {
+        let task = &mut self.tasks[index];
+        let run = task.next_run;
+        task.next_run += 1;
+        self.set_phase(
+            index,
+            TaskPhase::Assigned {
+                session,
+                run,
+                since: now,
+                is_withdrawn: false,
+            },
+        );
+        run
+    }
+
+    /// Marks the run of a task as withdrawn and returns it with its session; `None` if the task has no run that is not withdrawn yet.
+    pub(crate) fn mark_withdrawn(&mut self, index: usize) -> Option<(SessionId, u64)> {
+        let TaskPhase::Assigned {
+            session,
+            run,
+            is_withdrawn,
+            ..
+        } = &mut self.tasks[index].phase
+        else {
+            return None;
+        };
+        let was_withdrawn = std::mem::replace(is_withdrawn, true);
+        (!was_withdrawn).then_some((*session, *run))
+    }
+
     /// Returns whether all tasks are done.
     pub(crate) fn is_done(&self) -> bool {
-        self.tasks.iter().all(|task| task.phase == TaskPhase::Done)
+        self.phases.done() == self.tasks.len()
     }
 
     /// Returns whether any task has run, is running, or may run because of an assignment that was sent.
     pub(crate) fn may_have_run(&self) -> bool {
-        let may_run = |task: &Task| !matches!(task.phase, TaskPhase::Waiting | TaskPhase::Blocked);
-        self.has_run || self.tasks.iter().any(may_run)
+        self.has_run || self.phases.idle() < self.tasks.len()
     }
 
     /// Returns whether any task waits to be assigned.
     pub(crate) fn has_waiting_tasks(&self) -> bool {
-        self.tasks
-            .iter()
-            .any(|task| task.phase == TaskPhase::Waiting)
+        self.phases.waiting_steps().next().is_some()
+    }
+
+    /// Returns the steps that have waiting tasks, in order.
+    pub(crate) fn waiting_steps(&self) -> impl Iterator<Item = usize> {
+        self.phases.waiting_steps()
     }
 
     /// Returns the number of tasks that are not done.
     pub(crate) fn count_open_tasks(&self) -> usize {
-        let tasks = self.tasks.iter();
-        tasks.filter(|task| task.phase != TaskPhase::Done).count()
+        self.tasks.len() - self.phases.done()
     }
 
     /// Returns the number of tasks of a step that are assigned to a session.
@@ -219,14 +259,13 @@
             }
             let mut dependencies = self.step(task).depends_on.iter();
             if dependencies.all(|&step| self.is_step_done(step)) {
-                self.tasks[index].phase = TaskPhase::Waiting;
+                self.set_phase(index, TaskPhase::Waiting);
             }
         }
     }
 
     fn is_step_done(&self, step: usize) -> bool {
-        let mut of_step = self.tasks.iter().filter(|task| task.step == step);
-        of_step.all(|task| task.phase == TaskPhase::Done)
+        self.phases.done_in_step(step) == self.request.steps[step].count
     }
 }
 
--- a/crates/leased/cloverfold_lease/src/dispatcher/kept_admission.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/kept_admission.rs
@@ -78,9 +78,9 @@
         }
         let is_served_first = |task: &&Task| {
             if job.is_kept() {
-                task.phase != TaskPhase::Done && job.request.priority <= other.priority
+                task.phase() != TaskPhase::Done && job.request.priority <= other.priority
             } else {
-                task.phase == TaskPhase::Waiting && job.request.priority < other.priority
+                task.phase() == TaskPhase::Waiting && job.request.priority < other.priority
             }
         };
         let tasks = job.tasks.iter().filter(is_served_first);
--- a/crates/leased/cloverfold_lease/src/dispatcher/kept_jobs.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/kept_jobs.rs
@@ -126,8 +126,8 @@
     ///
     /// The run may have been recorded as done, so the task is not run again in this epoch.
     pub(super) fn release_job(&mut self, position: TaskPosition) {
-        if let Some(task) = self.task_mut(position) {
-            task.phase = TaskPhase::Unrecorded;
+        if let Some(job) = self.jobs.get_mut(&position.job) {
+            job.set_phase(position.index, TaskPhase::Unrecorded);
             self.actions
                 .push(DispatcherAction::ReleaseJob(position.job));
         }
@@ -167,7 +167,7 @@
         let job = self.jobs.get(&number);
         let may_be_running = |task: &Task| {
             matches!(
-                task.phase,
+                task.phase(),
                 TaskPhase::Assigned { .. } | TaskPhase::Uncertain
             )
         };
@@ -230,9 +230,8 @@
 
 /// Returns the step of the first waiting task.
 fn next_step(job: &Job) -> Option<&StepRequest> {
-    let waits = |task: &&Task| task.phase == TaskPhase::Waiting;
-    let task = job.tasks.iter().find(waits)?;
-    Some(job.step(task))
+    let step = job.waiting_steps().next()?;
+    Some(&job.request.steps[step])
 }
 
 /// Builds a job from its recorded progress.
@@ -247,7 +246,7 @@
         };
         task.failures = progress.failures;
         if progress.is_done {
-            task.phase = TaskPhase::Done;
+            job.set_phase(index as usize, TaskPhase::Done);
         }
     }
     job.unblock_steps();
--- a/crates/leased/cloverfold_lease/src/dispatcher/late_runs.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/late_runs.rs
@@ -128,7 +128,7 @@
                     since,
                     is_withdrawn: false,
                     ..
-                } = task.phase
+                } = task.phase()
                 else {
                     continue;
                 };
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -33,6 +33,7 @@
 mod kept_admission;
 mod kept_jobs;
 mod late_runs;
+mod phase_counts;
 mod placement;
 mod precedence;
 mod reports;
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -137,7 +137,7 @@
             return Vec::new();
         };
         let is_placeable = |task: &Task| {
-            task.phase == TaskPhase::Waiting && !self.detached_runs.contains_key(&task.id)
+            task.phase() == TaskPhase::Waiting && !self.detached_runs.contains_key(&task.id)
         };
         let tasks = job.tasks.iter().enumerate();
         tasks
@@ -243,13 +243,12 @@
         };
         let task = &job.tasks[position.index];
         let (demand, estimate) = (job.step(task).demand, job.estimate(task));
-        let task = &mut job.tasks[position.index];
-        let run = task.begin_run(session, now);
+        let run = job.begin_run(position.index, session, now);
         runner.record_assignment(demand);
         let work = demand.cores() * estimate.as_secs_f64();
         self.shares.record_allocation(&job.request.queue, work, now);
         let assignment = Assignment {
-            task: task.id.clone(),
+            task: job.tasks[position.index].id.clone(),
             run,
             spec: job.request.spec.clone(),
             demand,
--- a/crates/leased/cloverfold_lease/src/dispatcher/reports.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/reports.rs
@@ -65,7 +65,7 @@
             return;
         };
         let task = &job.tasks[position.index];
-        if let TaskPhase::Assigned { run, since, .. } = task.phase {
+        if let TaskPhase::Assigned { run, since, .. } = task.phase() {
             self.report(DispatcherEvent::RunOverdue {
                 task: task.id.clone(),
                 run,
@@ -86,7 +86,7 @@
             run,
             since,
             ..
-        } = task.phase
+        } = task.phase()
         else {
             return;
         };
--- a/crates/leased/cloverfold_lease/src/dispatcher/run_ends.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/run_ends.rs
@@ -70,7 +70,7 @@
         let number: JobNumber = *self.open_jobs_by_name.get(&id.job)?;
         let job = self.jobs.get(&number)?;
         let index = job.find_task(id)?;
-        match job.tasks[index].phase {
+        match job.tasks[index].phase() {
             TaskPhase::Assigned { session, run, .. }
                 if session == expected_session && run == expected_run =>
             {
@@ -86,7 +86,7 @@
             return;
         };
         let estimate = job.step(&job.tasks[position.index]).estimate;
-        job.tasks[position.index].phase = TaskPhase::Done;
+        job.set_phase(position.index, TaskPhase::Done);
         job.unblock_steps();
         let is_done = job.is_done();
         if job.has_waiting_tasks() {
@@ -189,7 +189,7 @@
     /// Queues a task again.
     pub(super) fn queue_task(&mut self, position: TaskPosition) {
         if let Some(job) = self.jobs.get_mut(&position.job) {
-            job.tasks[position.index].phase = TaskPhase::Waiting;
+            job.set_phase(position.index, TaskPhase::Waiting);
             self.waiting.insert(job.queue_position(position.job));
         }
     }
--- a/crates/leased/cloverfold_lease/src/dispatcher/sessions.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/sessions.rs
@@ -84,13 +84,13 @@
     fn mark_tasks_uncertain(&mut self, session: SessionId) -> Vec<LostTask> {
         let mut lost = Vec::new();
         for (number, job) in &mut self.jobs {
-            for task in &mut job.tasks {
-                if task.phase.is_assigned_to(session) {
-                    task.phase = TaskPhase::Uncertain;
+            for index in 0..job.tasks.len() {
+                if job.tasks[index].phase().is_assigned_to(session) {
+                    job.set_phase(index, TaskPhase::Uncertain);
                     job.has_run = true;
                     lost.push(LostTask {
                         job: Some(*number),
-                        id: task.id.clone(),
+                        id: job.tasks[index].id.clone(),
                     });
                 }
             }
@@ -222,7 +222,7 @@
             return;
         };
         if let Some(index) = job.find_task(&lost.id)
-            && job.tasks[index].phase == TaskPhase::Uncertain
+            && job.tasks[index].phase() == TaskPhase::Uncertain
         {
             self.counts.lost += 1;
             if job.is_kept() {
