Try every waiting job in each pass over the queue

Cause: the work of a pass was bounded by the number of jobs that found no target, 16 kept or 4 best-effort ones, and each pass began with the same jobs.

Now a pass tries every waiting job, and bounds what one try costs: for each set of targets that tasks can use it computes once the free capacities that no other one covers, and a demand fits a target of the set if and only if one of these covers it. Only jobs that fit are put in order. MAX_TRIED_JOBS and MAX_SKIPPED_JOBS are gone. The two equal functions that ask whether a service has a target are one.

--- a/benches/benches/dispatch.rs
+++ b/benches/benches/dispatch.rs
@@ -23,6 +23,8 @@
 const WAITING: usize = 5_000;
 /// Number of targets in the measured passes.
 const PASS_TARGETS: SessionId = 240;
+/// Label that only the first target has.
+const SINGLE_LABEL: &str = "single";
 /// Number of passes of one measurement.
 const PASSES: u32 = 20;
 /// Number of repetitions of a measurement of passes. Only the fastest counts.
@@ -59,7 +61,7 @@
 }
 
 /// Forms of jobs that find no target, with the job of each number.
-const FORMS: [(&str, fn(usize) -> JobRequest); 6] = [
+const FORMS: [(&str, fn(usize) -> JobRequest); 7] = [
     ("alike", |number| {
         with_step(number, |step| step.demand.cpu_milli = 16_001)
     }),
@@ -88,6 +90,14 @@
             step.max_per_target = Some(1);
         })
     }),
+    ("begun, at the limit per target", |number| {
+        with_step(number, |step| {
+            step.required_label = Some(SINGLE_LABEL.into());
+            step.demand.cpu_milli = 1;
+            step.demand.memory_mb = 1;
+            step.max_per_target = Some(1);
+        })
+    }),
     ("100 tasks", |number| {
         with_step(number, |step| {
             step.count = 100;
@@ -185,7 +195,11 @@
             incarnation: format!("target-{session}"),
             service: "service".into(),
             capacity: CAPACITY,
-            labels: vec![],
+            labels: if session == 1 {
+                vec![SINGLE_LABEL.into()]
+            } else {
+                vec![]
+            },
         };
         dispatcher.receive(session, RunnerMessage::Target(Some(target)), at(1));
     }
--- a/crates/leased/cloverfold_lease/src/dispatcher/admission.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/admission.rs
@@ -33,7 +33,6 @@
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::answers::{JobAnswer, JobRefusal};
 use crate::dispatcher::job::{Job, JobNumber};
-use crate::dispatcher::runner_session::RunnerSession;
 use crate::request::JobRequest;
 use crate::stall::JOB_STALL_LIMIT;
 use crate::startup::is_starting;
@@ -47,14 +46,16 @@
         if self.catch_up.is_active(now) || is_starting(now) {
             return None;
         }
-        let has_target = self.has_accepting_target(&request.service, now);
+        let has_target = self.has_target_for(&request.service, now);
         (!has_target).then_some(JobRefusal::NoTarget)
     }
 
     /// Returns whether any target of a service accepts work.
-    fn has_accepting_target(&self, service: &str, now: Timestamp) -> bool {
-        let can_run = |runner: &RunnerSession| runner.accepts_work(now) && runner.serves(service);
-        self.sessions.values().any(can_run)
+    pub(super) fn has_target_for(&self, service: &str, now: Timestamp) -> bool {
+        let targets = self.targets.find(service, None);
+        let sessions = targets.into_iter().flat_map(|targets| &targets.sessions);
+        let mut runners = sessions.filter_map(|session| self.sessions.get(session));
+        runners.any(|runner| runner.accepts_work(now))
     }
 
     /// Refuses a job at its submission.
@@ -121,7 +122,7 @@
         let Some(job) = self.jobs.get(&number) else {
             return;
         };
-        let cause = if self.has_accepting_target(&job.request.service, now) {
+        let cause = if self.has_target_for(&job.request.service, now) {
             JobRefusal::NoCapacity
         } else {
             JobRefusal::NoTarget
--- a/crates/leased/cloverfold_lease/src/dispatcher/headroom.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/headroom.rs
@@ -16,7 +16,7 @@
 const ON_TIME_HEADROOM_SHARE: f64 = 0.25;
 
 /// Capacity that a task leaves free on its target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) enum Headroom {
     /// No capacity.
     None,
@@ -37,18 +37,20 @@
     }
 }
 
-/// Returns the resources that must be free on a target so that the headroom remains free after a task is placed there.
+/// Returns the part of a target's free capacity that a task may use so that the headroom remains free.
 ///
-/// The sum is limited to the capacity of the target, so that a task that is nearly as large as the target can be placed on an empty one.
-pub(super) fn demand_with_headroom(
-    demand: &Resources,
+/// On an empty target that is all of it, so that a task nearly as large as the target can be placed.
+pub(super) fn usable_capacity(
+    free: &Resources,
     capacity: &Resources,
     headroom: Headroom,
 ) -> Resources {
+    if free.cpu_milli >= capacity.cpu_milli {
+        return *free;
+    }
     let headroom = (capacity.cpu_milli as f64 * headroom.share()) as i64;
-    let limit = capacity.cpu_milli.max(demand.cpu_milli);
     Resources {
-        cpu_milli: (demand.cpu_milli + headroom).min(limit),
-        ..*demand
+        cpu_milli: free.cpu_milli - headroom,
+        ..*free
     }
 }
--- a/crates/leased/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/job.rs
@@ -6,6 +6,7 @@
 //!
 //! Other modules decide what follows from a phase.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use cloverfold_base::Timestamp;
@@ -239,10 +240,15 @@
         self.tasks.len() - self.phases.done()
     }
 
-    /// Returns the number of tasks of a step that are assigned to a session.
-    pub(crate) fn count_assigned(&self, step: usize, session: SessionId) -> u32 {
-        let is_there = |task: &&Task| task.step == step && task.phase.is_assigned_to(session);
-        self.tasks.iter().filter(is_there).count() as u32
+    /// Returns the number of tasks of a step that are assigned to each session.
+    pub(crate) fn count_assigned(&self, step: usize) -> HashMap<SessionId, u32> {
+        let mut assigned = HashMap::new();
+        for task in self.tasks.iter().filter(|task| task.step == step) {
+            if let TaskPhase::Assigned { session, .. } = task.phase {
+                *assigned.entry(session).or_default() += 1;
+            }
+        }
+        assigned
     }
 
     /// Returns the index of the task with this ID.
--- a/crates/leased/cloverfold_lease/src/dispatcher/kept_jobs.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/kept_jobs.rs
@@ -11,13 +11,6 @@
 //! ([`DispatcherAction::ReleaseJob`]), to be driven in another epoch. The runner may have recorded an end `Done` that was not reported to
 //! this dispatcher, and a task that is done must not start again. An epoch starts with everything that is recorded, and no end of an
 //! earlier epoch is recorded after that.
-//!
-//! # Skipped jobs
-//!
-//! A kept job may wait for hours. A few that fit no target must not block the others, and thousands must not be tried for each message. So
-//! one pass over the queue skips a kept job if no target of its service accepts work, if its next task needs as much as one that found no
-//! target in this pass and is not more urgent, or if [`MAX_TRIED_JOBS`] kept jobs have already found no target. Skipped kept jobs do not
-//! count towards the limit on jobs that `placement` skips.
 
 use cloverfold_base::Timestamp;
 use cloverfold_kept_jobs::{EndOutcome, Epoch, TaskIndex, TaskProgress, first_run_of};
@@ -27,11 +20,7 @@
 use crate::dispatcher::answers::JobAnswer;
 use crate::dispatcher::job::{Job, JobNumber, Task, TaskPhase, TaskPosition};
 use crate::messages::{RunOutcome, SessionId};
-use crate::request::{JobRequest, StepRequest};
-
-/// Maximum number of kept jobs that may find no target in one pass. Higher than for repeatable jobs, since kept jobs that fit no target
-/// remain in the queue.
-const MAX_TRIED_JOBS: usize = 16;
+use crate::request::JobRequest;
 
 /// A kept job as its driver passes it to the dispatcher.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,52 +33,6 @@
     pub progress: Vec<(TaskIndex, TaskProgress)>,
 }
 
-/// Request of a kept job for which no target was found.
-#[derive(Debug)]
-struct UnplacedRequest {
-    service: String,
-    priority: u32,
-    step: StepRequest,
-}
-
-impl UnplacedRequest {
-    /// Returns whether another request would find no target either, because it needs at least as much and is not more urgent.
-    fn implies_unplaceable(&self, request: &JobRequest, step: &StepRequest) -> bool {
-        self.service == request.service
-            && self.priority <= request.priority
-            && self.step.required_label == step.required_label
-            && step.demand.covers(&self.step.demand)
-    }
-}
-
-/// The kept jobs that found no target in one pass over the queue.
-#[derive(Debug, Default)]
-pub(super) struct BlockedKeptJobs {
-    /// Number of jobs that found no target.
-    tried: usize,
-    unplaced: Vec<UnplacedRequest>,
-}
-
-impl BlockedKeptJobs {
-    fn blocks(&self, request: &JobRequest, step: &StepRequest) -> bool {
-        let mut unplaced = self.unplaced.iter();
-        self.tried >= MAX_TRIED_JOBS
-            || unplaced.any(|other| other.implies_unplaceable(request, step))
-    }
-
-    fn record(&mut self, request: &JobRequest, step: &StepRequest) {
-        self.tried += 1;
-        // With a limit per target, the job may be blocked only by its own tasks, which does not affect others.
-        if step.max_per_target.is_none() {
-            self.unplaced.push(UnplacedRequest {
-                service: request.service.clone(),
-                priority: request.priority,
-                step: step.clone(),
-            });
-        }
-    }
-}
-
 impl Dispatcher {
     /// Starts driving a kept job and returns its number.
     ///
@@ -190,48 +133,6 @@
             runner.supports_kept_jobs = true;
         }
     }
-
-    /// Returns whether a job is kept and must be skipped in this pass over the queue.
-    pub(super) fn is_blocked(
-        &self,
-        number: JobNumber,
-        blocked: &BlockedKeptJobs,
-        now: Timestamp,
-    ) -> bool {
-        if self.kept_jobs == 0 {
-            return false;
-        }
-        let Some(job) = self.jobs.get(&number).filter(|job| job.is_kept()) else {
-            return false;
-        };
-        let Some(step) = next_step(job) else {
-            return false;
-        };
-        blocked.blocks(&job.request, step) || !self.has_target_for(&job.request.service, now)
-    }
-
-    /// Records that a job found no target if it is kept; returns whether it is.
-    pub(super) fn record_blocked(&self, number: JobNumber, blocked: &mut BlockedKeptJobs) -> bool {
-        let Some(job) = self.jobs.get(&number).filter(|job| job.is_kept()) else {
-            return false;
-        };
-        if let Some(step) = next_step(job) {
-            blocked.record(&job.request, step);
-        }
-        true
-    }
-
-    /// Returns whether any target of a service accepts work.
-    pub(super) fn has_target_for(&self, service: &str, now: Timestamp) -> bool {
-        let mut runners = self.sessions.values();
-        runners.any(|runner| runner.accepts_work(now) && runner.serves(service))
-    }
-}
-
-/// Returns the step of the first waiting task.
-fn next_step(job: &Job) -> Option<&StepRequest> {
-    let step = job.waiting_steps().next()?;
-    Some(&job.request.steps[step])
 }
 
 /// Builds a job from its recorded progress.
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -11,7 +11,8 @@
 //!
 //! - `admission`, `kept_admission`: which jobs are refused or given up; `deadlines`, `standing_queues`: when;
 //! - `precedence`, `shares`, `resubmissions`: the order in which waiting jobs are served;
-//! - `placement`, `headroom`: which target a task is assigned to; `evacuation`: which data halls are excluded;
+//! - `placement`, `headroom`: which target a task is assigned to; `placement_pass`, `target_index`: which jobs need not be tried;
+//!   `evacuation`: which data halls are excluded;
 //! - `run_ends`: what follows from the end of a run; `late_runs`: which runs take too long;
 //! - `sessions`, `runner_session`: what is known of runners, and when the runs of a lost session have ended;
 //! - `stall_recovery`: which timeouts are suspended after a stall of this process;
@@ -35,6 +36,7 @@
 mod late_runs;
 mod phase_counts;
 mod placement;
+mod placement_pass;
 mod precedence;
 mod reports;
 mod resubmissions;
@@ -44,6 +46,7 @@
 mod shares;
 mod stall_recovery;
 mod standing_queues;
+mod target_index;
 mod waiting_jobs;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -75,6 +78,7 @@
 use sessions::LostSession;
 use shares::QueueShares;
 use standing_queues::StandingQueues;
+use target_index::TargetIndex;
 use waiting_jobs::WaitingJobsReport;
 
 /// Coordinates the jobs of one entry.
@@ -84,6 +88,7 @@
     health_limits: HealthLimits,
     rng: SmallRng,
     sessions: BTreeMap<SessionId, RunnerSession>,
+    targets: TargetIndex,
     /// Closed sessions whose runs may not have ended yet.
     lost_sessions: Vec<LostSession>,
     jobs: BTreeMap<JobNumber, Job>,
@@ -120,6 +125,7 @@
             health_limits,
             rng: SmallRng::seed_from_u64(seed),
             sessions: BTreeMap::new(),
+            targets: TargetIndex::default(),
             lost_sessions: Vec::new(),
             jobs: BTreeMap::new(),
             kept_jobs: 0,
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -12,16 +12,19 @@
 //! The free capacity that runners report may be up to 20 ms old. The runner has the final decision and refuses an assignment for which it
 //! has no capacity.
 
+use std::collections::HashMap;
+
 use cloverfold_base::Timestamp;
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
 use crate::dispatcher::Dispatcher;
-use crate::dispatcher::headroom::{Headroom, demand_with_headroom};
-use crate::dispatcher::job::{Job, JobNumber, Task, TaskPhase, TaskPosition};
-use crate::dispatcher::kept_jobs::BlockedKeptJobs;
+use crate::dispatcher::headroom::{Headroom, usable_capacity};
+use crate::dispatcher::job::{Job, JobNumber, QueuePosition, Task, TaskPhase, TaskPosition};
+use crate::dispatcher::placement_pass::{CapacityKey, PlacementPass};
 use crate::dispatcher::runner_session::RunnerSession;
-use crate::dispatcher::waiting_jobs::WaitingJobs;
+use crate::dispatcher::target_index::TargetSet;
+use crate::dispatcher::waiting_jobs::WaitCause;
 use crate::messages::{Assignment, SessionId};
 use crate::request::StepRequest;
 use crate::resources::Resources;
@@ -31,8 +34,6 @@
 const SAMPLE_SIZE: usize = 3;
 /// How long an assignment may wait at the runner for capacity that another dispatcher took first, in milliseconds.
 const RUNNER_WAIT_MS: u32 = 25;
-/// Number of jobs without a candidate after which a pass over the queue ends.
-const MAX_SKIPPED_JOBS: usize = 4;
 
 /// A target that can run a task now.
 #[derive(Clone, Copy, Debug)]
@@ -67,46 +68,123 @@
     least_loaded.map(|candidate| candidate.session)
 }
 
-/// Returns the resources that must be free on a target to assign a task of this step there.
-fn required_free(runner: &RunnerSession, step: &StepRequest, headroom: Headroom) -> Resources {
-    let target = runner.description.as_ref();
-    target.map_or(step.demand, |target| {
-        demand_with_headroom(&step.demand, &target.capacity, headroom)
-    })
+/// Returns the free capacity of a target that a task may use, or `None` if the target accepts no work or no kept runs.
+fn usable_on(
+    runner: &RunnerSession,
+    headroom: Headroom,
+    is_kept: bool,
+    now: Timestamp,
+) -> Option<Resources> {
+    if !runner.accepts_work(now) || (is_kept && !runner.supports_kept_jobs) {
+        return None;
+    }
+    let target = runner.description.as_ref()?;
+    Some(usable_capacity(&runner.free(), &target.capacity, headroom))
+}
+
+/// Returns whether a target holds as many tasks of a step as allowed; `assigned` are their numbers.
+fn has_reached_limit(assigned: &HashMap<SessionId, u32>, session: SessionId, limit: u32) -> bool {
+    assigned.get(&session).copied().unwrap_or_default() >= limit
 }
 
 impl Dispatcher {
     /// Assigns waiting tasks in the order of precedence while targets have free capacity.
     pub(super) fn place_waiting(&mut self, now: Timestamp) {
-        let mut skipped = 0;
-        let mut unplaced = 0;
-        let mut blocked = BlockedKeptJobs::default();
-        for position in self.list_waiting(now) {
-            if self.is_blocked(position.job, &blocked, now) {
-                continue;
-            }
-            if !self.place_job(position.job, now) {
-                unplaced += 1;
-                if self.record_blocked(position.job, &mut blocked) {
-                    continue;
-                }
-                skipped += 1;
-                if skipped >= MAX_SKIPPED_JOBS {
-                    break;
-                }
+        let mut pass = PlacementPass::default();
+        for position in self.list_placeable_jobs(&mut pass, now) {
+            if let Some(cause) = self.place_job(position.job, &mut pass, now) {
+                pass.record_waiting(cause);
             }
             let job = self.jobs.get(&position.job);
             if job.is_none_or(|job| !job.has_waiting_tasks()) {
                 self.waiting.remove(&position);
             }
         }
-        self.waiting_jobs.latest = WaitingJobs {
-            unplaced,
-            untried: self.waiting.len().saturating_sub(unplaced),
-        };
+        self.waiting_jobs.latest = pass.waiting();
         self.record_standing_queues(now);
     }
 
+    /// Returns the waiting jobs of which a target can run a task now, in the order of precedence, and counts the others.
+    fn list_placeable_jobs(&self, pass: &mut PlacementPass, now: Timestamp) -> Vec<QueuePosition> {
+        if self.waiting.len() == 1 {
+            // Placing it tells as much.
+            return self.waiting.iter().copied().collect();
+        }
+        let mut placeable = Vec::new();
+        for position in &self.waiting {
+            let job = self.jobs.get(&position.job);
+            match job.and_then(|job| self.find_job_wait_cause(job, pass, now)) {
+                Some(cause) => pass.record_waiting(cause),
+                None => placeable.push(*position),
+            }
+        }
+        self.sort_by_precedence(placeable, now)
+    }
+
+    /// Returns why no target can run the next task of a job now, or `None` if one can.
+    fn find_job_wait_cause(
+        &self,
+        job: &Job,
+        pass: &mut PlacementPass,
+        now: Timestamp,
+    ) -> Option<WaitCause> {
+        let step = job.waiting_steps().next()?;
+        self.find_wait_cause(job, step, pass, now)
+    }
+
+    /// Returns why no target can run a task of a step now, or `None` if one can.
+    fn find_wait_cause(
+        &self,
+        job: &Job,
+        step_index: usize,
+        pass: &mut PlacementPass,
+        now: Timestamp,
+    ) -> Option<WaitCause> {
+        let step = &job.request.steps[step_index];
+        let Some(targets) = self.find_targets(job, step) else {
+            return Some(WaitCause::NoTarget);
+        };
+        let key = CapacityKey {
+            targets: targets.id,
+            headroom: self.headroom_of(job, now),
+            is_kept: job.is_kept(),
+        };
+        let capacities = pass.capacities(key, || self.list_usable(targets, key, now));
+        if capacities.is_empty() {
+            return Some(WaitCause::NoTarget);
+        }
+        if !capacities.fit(&step.demand) {
+            return Some(WaitCause::NoCapacity);
+        }
+        let limit = step.max_per_target?;
+        let assigned = job.count_assigned(step_index);
+        let is_at_limit = |session| has_reached_limit(&assigned, session, limit);
+        let can_run = capacities.fit_except(&step.demand, is_at_limit);
+        (!can_run).then_some(WaitCause::LimitPerTarget)
+    }
+
+    /// Returns the targets with the service and the label that a step needs.
+    fn find_targets(&self, job: &Job, step: &StepRequest) -> Option<&TargetSet> {
+        let label = step.required_label.as_deref();
+        self.targets.find(&job.request.service, label)
+    }
+
+    /// Returns the targets of a set that accept work, with the free capacity that a task may use.
+    fn list_usable(
+        &self,
+        targets: &TargetSet,
+        key: CapacityKey,
+        now: Timestamp,
+    ) -> Vec<(SessionId, Resources)> {
+        let sessions = targets.sessions.iter();
+        let usable = sessions.filter_map(|session| {
+            let runner = self.sessions.get(session)?;
+            let usable = usable_on(runner, key.headroom, key.is_kept, now)?;
+            Some((*session, usable))
+        });
+        usable.collect()
+    }
+
     /// Records which queues have jobs that wait to start.
     fn record_standing_queues(&mut self, now: Timestamp) {
         let jobs = self.waiting.iter();
@@ -116,28 +194,59 @@
         self.standing_queues.record(queues, now);
     }
 
-    /// Assigns the waiting tasks of a job; returns whether all found a target.
-    fn place_job(&mut self, number: JobNumber, now: Timestamp) -> bool {
-        let had_started = self.jobs.get(&number).is_some_and(Job::may_have_run);
-        for index in self.list_placeable(number) {
+    /// Assigns the waiting tasks of a job; returns why a task is left, if any.
+    fn place_job(
+        &mut self,
+        number: JobNumber,
+        pass: &mut PlacementPass,
+        now: Timestamp,
+    ) -> Option<WaitCause> {
+        let job = self.jobs.get(&number)?;
+        let had_started = job.may_have_run();
+        let steps: Vec<usize> = job.waiting_steps().collect();
+        let mut steps = steps.into_iter();
+        let cause = steps.find_map(|step| self.place_step(number, step, pass, now));
+        let has_started = self.jobs.get(&number).is_some_and(Job::may_have_run);
+        let is_partially_started = cause.is_some() && has_started && !had_started;
+        self.counts.partially_started += u64::from(is_partially_started);
+        cause
+    }
+
+    /// Assigns the waiting tasks of a step; returns why a task is left, if any.
+    fn place_step(
+        &mut self,
+        number: JobNumber,
+        step: usize,
+        pass: &mut PlacementPass,
+        now: Timestamp,
+    ) -> Option<WaitCause> {
+        let job = self.jobs.get(&number)?;
+        if pass.has_assignments()
+            && let Some(cause) = self.find_wait_cause(job, step, pass, now)
+        {
+            return Some(cause);
+        }
+        for index in self.list_placeable(number, step) {
             let position = TaskPosition { job: number, index };
             let Some(session) = self.choose_target(position, now) else {
-                let has_started = self.jobs.get(&number).is_some_and(Job::may_have_run);
-                self.counts.partially_started += u64::from(has_started && !had_started);
-                return false;
+                let job = self.jobs.get(&number)?;
+                return self.find_wait_cause(job, step, pass, now);
             };
             self.assign(position, session, now);
+            pass.record_assignment();
         }
-        true
+        None
     }
 
-    /// Returns the waiting tasks of a job, except those of which a detached run may still be in progress.
-    fn list_placeable(&self, number: JobNumber) -> Vec<usize> {
+    /// Returns the waiting tasks of a step, except those of which a detached run may still be in progress.
+    fn list_placeable(&self, number: JobNumber, step: usize) -> Vec<usize> {
         let Some(job) = self.jobs.get(&number) else {
             return Vec::new();
         };
         let is_placeable = |task: &Task| {
-            task.phase() == TaskPhase::Waiting && !self.detached_runs.contains_key(&task.id)
+            task.step == step
+                && task.phase() == TaskPhase::Waiting
+                && !self.detached_runs.contains_key(&task.id)
         };
         let tasks = job.tasks.iter().enumerate();
         tasks
@@ -150,7 +259,7 @@
     fn choose_target(&mut self, position: TaskPosition, now: Timestamp) -> Option<SessionId> {
         let job = self.jobs.get(&position.job)?;
         let task = &job.tasks[position.index];
-        let mut candidates: Vec<Candidate> = self.list_candidates(job, task, now).collect();
+        let mut candidates = self.list_candidates(job, task, now);
         retain_if_any(&mut candidates, |candidate| candidate.is_preferred);
         retain_if_any(&mut candidates, |candidate| !candidate.is_slow);
         retain_if_any(&mut candidates, |candidate| !candidate.is_avoided);
@@ -163,8 +272,8 @@
             return false;
         };
         let task = &job.tasks[position.index];
-        self.list_candidates(job, task, now)
-            .any(|candidate| !candidate.is_slow)
+        let candidates = self.list_candidates(job, task, now);
+        candidates.iter().any(|candidate| !candidate.is_slow)
     }
 
     /// Returns the headroom that tasks of a job must leave.
@@ -179,54 +288,49 @@
     }
 
     /// Returns the targets that can run a task now, in order of their session IDs.
-    fn list_candidates(
-        &self,
-        job: &Job,
-        task: &Task,
-        now: Timestamp,
-    ) -> impl Iterator<Item = Candidate> {
+    fn list_candidates(&self, job: &Job, task: &Task, now: Timestamp) -> Vec<Candidate> {
+        let step = job.step(task);
+        let Some(targets) = self.find_targets(job, step) else {
+            return Vec::new();
+        };
         let headroom = self.headroom_of(job, now);
-        let sessions = self.sessions.iter();
-        sessions.filter_map(move |(session, runner)| {
-            let needed = required_free(runner, job.step(task), headroom);
-            self.check_candidate(job, task, *session, runner, &needed, now)
-        })
+        let assigned = match step.max_per_target {
+            Some(_) => job.count_assigned(task.step),
+            None => HashMap::new(),
+        };
+        let is_at_limit = |session| {
+            let limit = step.max_per_target;
+            limit.is_some_and(|limit| has_reached_limit(&assigned, session, limit))
+        };
+        let sessions = targets.sessions.iter();
+        let candidates = sessions.filter_map(|&session| {
+            let runner = self.sessions.get(&session)?;
+            let usable = usable_on(runner, headroom, job.is_kept(), now)?;
+            if !usable.covers(&step.demand) || is_at_limit(session) {
+                return None;
+            }
+            Some(self.describe_candidate(job, task, session, runner))
+        });
+        candidates.collect()
     }
 
-    /// Returns a target as a candidate if it can run a task now and `needed` is free there.
-    fn check_candidate(
+    /// Returns a target that can run a task as a candidate.
+    fn describe_candidate(
         &self,
         job: &Job,
         task: &Task,
         session: SessionId,
         runner: &RunnerSession,
-        needed: &Resources,
-        now: Timestamp,
-    ) -> Option<Candidate> {
+    ) -> Candidate {
         let step = job.step(task);
         let has_label = |label: &String| runner.has_label(label);
-        let is_usable = runner.accepts_work(now)
-            && runner.serves(&job.request.service)
-            && step.required_label.as_ref().is_none_or(has_label);
-        if !is_usable {
-            return None;
-        }
-        let free = runner.free();
-        let has_space = free.covers(needed);
-        let allows_one_more = |limit: u32| job.count_assigned(task.step, session) < limit;
-        if !has_space || !step.max_per_target.is_none_or(allows_one_more) {
-            return None;
-        }
-        if job.is_kept() && !runner.supports_kept_jobs {
-            return None;
-        }
-        Some(Candidate {
+        Candidate {
             session,
             is_preferred: step.preferred_label.as_ref().is_some_and(has_label),
             is_slow: runner.is_slow(self.duration_ratio.value()),
             is_avoided: task.avoided_session == Some(session),
-            free_share: runner.cpu_share(&free.minus(&step.demand)),
-        })
+            free_share: runner.cpu_share(&runner.free().minus(&step.demand)),
+        }
     }
 
     /// Starts the next run of a task on a target.
--- /dev/null
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement_pass.rs
@@ -0,0 +1,120 @@
+//! Free capacity during one pass over the queue, and why jobs found none.
+//!
+//! A pass must find out for thousands of waiting jobs whether any target could run one of their tasks. Checking each job against each target
+//! would take too long, and checking only some of the jobs would leave the others waiting for as long as these do. So for each set of
+//! targets the pass keeps the free capacities that no other one covers. A demand fits a target of the set if and only if one of these covers
+//! it, and there are few of them.
+//!
+//! Free capacity only shrinks during a pass. What found no target need not be tried again in it, and a set is computed anew only if a task
+//! was assigned since.
+
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+
+use crate::dispatcher::headroom::Headroom;
+use crate::dispatcher::target_index::TargetSetId;
+use crate::dispatcher::waiting_jobs::{WaitCause, WaitingJobs};
+use crate::messages::SessionId;
+use crate::resources::Resources;
+
+/// Identifies the targets that a task can use, and how much of their free capacity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct CapacityKey {
+    /// Targets with the service and the label that the task needs.
+    pub(super) targets: TargetSetId,
+    pub(super) headroom: Headroom,
+    /// Whether only runners count that record the ends of kept jobs.
+    pub(super) is_kept: bool,
+}
+
+/// Free capacities of a set of targets.
+#[derive(Debug)]
+pub(super) struct FreeCapacities {
+    /// The targets that accept work.
+    targets: Vec<(SessionId, Resources)>,
+    /// The capacities that no other one covers.
+    maximal: Vec<Resources>,
+}
+
+impl FreeCapacities {
+    fn new(targets: Vec<(SessionId, Resources)>) -> Self {
+        let mut maximal: Vec<Resources> = Vec::new();
+        for (_, free) in &targets {
+            if !maximal.iter().any(|other| other.covers(free)) {
+                maximal.retain(|other| !free.covers(other));
+                maximal.push(*free);
+            }
+        }
+        Self { targets, maximal }
+    }
+
+    /// Returns whether no target accepts work.
+    pub(super) fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Returns whether a demand fits any target.
+    pub(super) fn fit(&self, demand: &Resources) -> bool {
+        self.maximal.iter().any(|free| free.covers(demand))
+    }
+
+    /// Returns whether a demand fits any target that is not excluded.
+    pub(super) fn fit_except(
+        &self,
+        demand: &Resources,
+        is_excluded: impl Fn(SessionId) -> bool,
+    ) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|(session, free)| free.covers(demand) && !is_excluded(*session))
+    }
+}
+
+/// State of one pass over the queue.
+#[derive(Debug, Default)]
+pub(super) struct PlacementPass {
+    /// Number of tasks assigned in this pass.
+    assigned: u64,
+    /// Computed capacities, with the number of assigned tasks at that time.
+    capacities: HashMap<CapacityKey, (u64, FreeCapacities)>,
+    waiting: WaitingJobs,
+}
+
+impl PlacementPass {
+    /// Returns the free capacities of a set of targets, which `list` lists if they are unknown or a task was assigned since.
+    pub(super) fn capacities(
+        &mut self,
+        key: CapacityKey,
+        list: impl FnOnce() -> Vec<(SessionId, Resources)>,
+    ) -> &FreeCapacities {
+        let compute = || (self.assigned, FreeCapacities::new(list()));
+        let known = match self.capacities.entry(key) {
+            Entry::Occupied(known) if known.get().0 == self.assigned => known.into_mut(),
+            Entry::Occupied(mut outdated) => {
+                outdated.insert(compute());
+                outdated.into_mut()
+            }
+            Entry::Vacant(unknown) => unknown.insert(compute()),
+        };
+        &known.1
+    }
+
+    /// Records that a task was assigned, which changes the free capacity of a target.
+    pub(super) fn record_assignment(&mut self) {
+        self.assigned += 1;
+    }
+
+    /// Returns whether any task was assigned in this pass.
+    pub(super) fn has_assignments(&self) -> bool {
+        self.assigned > 0
+    }
+
+    /// Counts a job that remains in the queue.
+    pub(super) fn record_waiting(&mut self, cause: WaitCause) {
+        self.waiting.record(cause);
+    }
+
+    /// Returns the jobs that the pass has left in the queue.
+    pub(super) fn waiting(&self) -> WaitingJobs {
+        self.waiting
+    }
+}
--- a/crates/leased/cloverfold_lease/src/dispatcher/precedence.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/precedence.rs
@@ -28,25 +28,29 @@
 }
 
 impl Dispatcher {
-    /// Returns the jobs with waiting tasks in the order in which they are served.
-    pub(super) fn list_waiting(&self, now: Timestamp) -> Vec<QueuePosition> {
-        let mut order: Vec<Precedence> = self
-            .waiting
-            .iter()
-            .map(|position| self.rank(*position, now))
-            .collect();
+    /// Sorts waiting jobs into the order in which they are served.
+    pub(super) fn sort_by_precedence(
+        &self,
+        waiting: Vec<QueuePosition>,
+        now: Timestamp,
+    ) -> Vec<QueuePosition> {
+        let total = self.shares.total_allocated(now);
+        let waiting = waiting.into_iter();
+        let ranks = waiting.map(|position| self.rank(position, total, now));
+        let mut order: Vec<Precedence> = ranks.collect();
         order.sort_unstable();
         order.into_iter().map(|rank| rank.position).collect()
     }
 
-    fn rank(&self, position: QueuePosition, now: Timestamp) -> Precedence {
+    /// Returns the rank of a job; `total` is the recent allocation of all queues.
+    fn rank(&self, position: QueuePosition, total: f64, now: Timestamp) -> Precedence {
         let job = self.jobs.get(&position.job);
         Precedence {
             is_past_grace: job.is_some_and(|job| job.is_past_grace(now)),
             is_not_started: job.is_some_and(|job| !job.may_have_run()),
             is_late_resubmission: job.is_some_and(|job| job.is_late_resubmission),
             is_above_share: job
-                .is_some_and(|job| self.shares.is_above_share(&job.request.queue, now)),
+                .is_some_and(|job| self.shares.is_above_share(&job.request.queue, total, now)),
             position,
         }
     }
--- a/crates/leased/cloverfold_lease/src/dispatcher/sessions.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/sessions.rs
@@ -62,6 +62,9 @@
         let Some(closed) = self.sessions.remove(&session) else {
             return;
         };
+        if let Some(target) = &closed.description {
+            self.targets.remove(session, target);
+        }
         let mut tasks = self.mark_tasks_uncertain(session);
         tasks.extend(self.mark_detached_runs_uncertain(session));
         if tasks.is_empty() {
@@ -157,6 +160,12 @@
         let Some(runner) = self.sessions.get_mut(&session) else {
             return;
         };
+        if let Some(target) = &runner.description {
+            self.targets.remove(session, target);
+        }
+        if let Some(target) = &description {
+            self.targets.insert(session, target);
+        }
         let is_announced = description.is_some();
         if runner.record_target(description) {
             runner.health = TargetHealth::new(self.health_limits);
--- a/crates/leased/cloverfold_lease/src/dispatcher/shares.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/shares.rs
@@ -39,6 +39,8 @@
 #[derive(Debug, Default)]
 pub(super) struct QueueShares {
     active: HashMap<String, QueueUsage>,
+    /// The most urgent priority among them.
+    most_urgent: Option<u32>,
 }
 
 impl QueueShares {
@@ -56,6 +58,7 @@
             allocated_at,
         };
         self.active.insert(queue.into(), usage);
+        self.most_urgent = self.active.values().map(|usage| usage.priority).min();
     }
 
     /// Records an allocation of processor time, in core-seconds, to a queue.
@@ -67,20 +70,20 @@
         }
     }
 
-    /// Returns whether a queue was allocated more than an equal share among the active queues.
-    pub(super) fn is_above_share(&self, queue: &str, now: Timestamp) -> bool {
-        let Some(own) = self.active.get(queue) else {
-            return false;
-        };
-        let all = self
-            .active
-            .values()
-            .map(|usage| usage.recently_allocated(now));
-        own.recently_allocated(now) * self.active.len() as f64 > all.sum()
+    /// Returns the processor time allocated to all active queues of late, in core-seconds.
+    pub(super) fn total_allocated(&self, now: Timestamp) -> f64 {
+        let active = self.active.values();
+        active.map(|usage| usage.recently_allocated(now)).sum()
+    }
+
+    /// Returns whether a queue was allocated more than an equal share of `total` among the active queues.
+    pub(super) fn is_above_share(&self, queue: &str, total: f64, now: Timestamp) -> bool {
+        let own = self.active.get(queue);
+        own.is_some_and(|own| own.recently_allocated(now) * self.active.len() as f64 > total)
     }
 
     /// Returns whether a queue with a more urgent priority is active.
     pub(super) fn has_more_urgent(&self, priority: u32) -> bool {
-        self.active.values().any(|usage| usage.priority < priority)
+        self.most_urgent.is_some_and(|urgent| urgent < priority)
     }
 }
--- a/crates/leased/cloverfold_lease/src/dispatcher/standing_queues.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/standing_queues.rs
@@ -25,7 +25,12 @@
     /// Records the queues that currently have waiting jobs; all others are empty.
     pub(super) fn record<'a>(&mut self, waiting: impl Iterator<Item = &'a str>, now: Timestamp) {
         let mut previous = std::mem::take(&mut self.nonempty_since);
+        let mut latest = None;
         for queue in waiting {
+            // Most jobs are of the same queue as the one before, which saves the look-up.
+            if latest.replace(queue) == Some(queue) {
+                continue;
+            }
             if !self.nonempty_since.contains_key(queue) {
                 let known = previous.remove_entry(queue);
                 let (name, since) = known.unwrap_or_else(|| (queue.into(), now));
--- a/crates/leased/cloverfold_lease/src/dispatcher/waiting_jobs.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/waiting_jobs.rs
@@ -15,13 +15,37 @@
 /// Minimum time between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Jobs with waiting tasks after a pass over the queue, by the reason why they wait.
+/// Why no target can run a task of a step now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WaitCause {
+    /// No target of the service with the required label accepts work.
+    NoTarget,
+    /// No such target has free capacity.
+    NoCapacity,
+    /// All targets with free capacity hold as many tasks of the step as allowed.
+    LimitPerTarget,
+}
+
+/// Jobs with tasks that wait for a target after a pass over the queue, by the cause of the first of their steps that waits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WaitingJobs {
-    /// No target could run their next task.
-    pub unplaced: usize,
-    /// The pass ended or skipped them before it looked for a target.
-    pub untried: usize,
+    /// No target of the service with the required label accepts work.
+    pub no_target: usize,
+    /// No such target has free capacity.
+    pub no_capacity: usize,
+    /// All targets with free capacity hold as many tasks of the step as allowed.
+    pub limit_per_target: usize,
+}
+
+impl WaitingJobs {
+    pub(super) fn record(&mut self, cause: WaitCause) {
+        let count = match cause {
+            WaitCause::NoTarget => &mut self.no_target,
+            WaitCause::NoCapacity => &mut self.no_capacity,
+            WaitCause::LimitPerTarget => &mut self.limit_per_target,
+        };
+        *count += 1;
+    }
 }
 
 /// The counts of the latest pass, and when counts were last reported.
--- a/crates/leased/cloverfold_lease/tests/dispatcher/fixture.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/fixture.rs
@@ -5,8 +5,8 @@
 use cloverfold_base::Timestamp;
 use cloverfold_lease::{
     Assignment, Dispatcher, DispatcherAction, DispatcherMessage, FreeCapacity, HealthLimits,
-    JobAnswer, JobNumber, JobRequest, LatencyObjective, Resources, RunOutcome, RunnerMessage,
-    SessionId, StepRequest, TargetDescription, Timings,
+    JobAnswer, JobNumber, JobRequest, KeptAssignment, KeptJob, LatencyObjective, Resources,
+    RunOutcome, RunnerMessage, SessionId, StepRequest, TargetDescription, Timings,
 };
 
 /// Capacity of each target.
@@ -234,3 +234,41 @@
         self.send_message(*session, message);
     }
 }
+
+/// Returns a dispatcher whose runners support kept jobs.
+pub fn fixture_with_kept_jobs(targets: SessionId) -> Fixture {
+    let mut fixture = Fixture::new(targets);
+    for session in 1..=targets {
+        fixture.dispatcher.set_supports_kept_jobs(session);
+    }
+    fixture
+}
+
+/// Returns a kept job without recorded progress.
+pub fn kept_job(request: JobRequest, epoch: u64) -> KeptJob {
+    KeptJob {
+        request,
+        epoch,
+        progress: vec![],
+    }
+}
+
+/// Starts to drive a kept job at the current time.
+pub fn drive(fixture: &mut Fixture, job: KeptJob) -> JobNumber {
+    let now = fixture.now;
+    fixture.dispatcher.drive(job, now)
+}
+
+/// Returns the assignments of kept runs among the actions.
+pub fn kept_runs(actions: Vec<DispatcherAction>) -> Vec<(SessionId, KeptAssignment)> {
+    let runs = actions.into_iter().filter_map(|action| match action {
+        DispatcherAction::Send(session, DispatcherMessage::AssignKept(run)) => Some((session, run)),
+        _ => None,
+    });
+    runs.collect()
+}
+
+/// Returns the assignments of kept runs, and discards all other actions.
+pub fn take_kept_assignments(fixture: &mut Fixture) -> Vec<(SessionId, KeptAssignment)> {
+    kept_runs(fixture.dispatcher.take_actions())
+}
--- a/crates/leased/cloverfold_lease/tests/dispatcher/kept_jobs.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/kept_jobs.rs
@@ -2,45 +2,14 @@
 
 use cloverfold_kept_jobs::{TaskProgress, first_run_of};
 use cloverfold_lease::{
-    Assignment, DispatcherAction, DispatcherMessage, JobAnswer, JobNumber, JobRefusal, JobRequest,
+    Assignment, DispatcherAction, DispatcherMessage, JobAnswer, JobRefusal, JobRequest,
     KeptAssignment, KeptJob, RunOutcome, RunRefusal, SessionId,
 };
 
-use crate::fixture::{CAPACITY, Fixture, NO_FREE_CPU, job, ms, one_task_job, step};
-
-/// Returns a dispatcher whose runners support kept jobs.
-fn fixture_with_kept_jobs(targets: SessionId) -> Fixture {
-    let mut fixture = Fixture::new(targets);
-    for session in 1..=targets {
-        fixture.dispatcher.set_supports_kept_jobs(session);
-    }
-    fixture
-}
-
-fn kept_job(request: JobRequest, epoch: u64) -> KeptJob {
-    KeptJob {
-        request,
-        epoch,
-        progress: vec![],
-    }
-}
-
-fn drive(fixture: &mut Fixture, job: KeptJob) -> JobNumber {
-    let now = fixture.now;
-    fixture.dispatcher.drive(job, now)
-}
-
-fn kept_runs(actions: Vec<DispatcherAction>) -> Vec<(SessionId, KeptAssignment)> {
-    let runs = actions.into_iter().filter_map(|action| match action {
-        DispatcherAction::Send(session, DispatcherMessage::AssignKept(run)) => Some((session, run)),
-        _ => None,
-    });
-    runs.collect()
-}
-
-fn take_kept_assignments(fixture: &mut Fixture) -> Vec<(SessionId, KeptAssignment)> {
-    kept_runs(fixture.dispatcher.take_actions())
-}
+use crate::fixture::{
+    CAPACITY, Fixture, NO_FREE_CPU, drive, fixture_with_kept_jobs, job, kept_job, kept_runs, ms,
+    one_task_job, step, take_kept_assignments,
+};
 
 fn run_of(kept_run: &(SessionId, KeptAssignment)) -> (SessionId, Assignment) {
     (kept_run.0, kept_run.1.assignment.clone())
--- a/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
@@ -16,3 +16,4 @@
 mod stall_recovery;
 mod startup;
 mod usual_speed;
+mod waiting_jobs;
--- a/crates/leased/cloverfold_leased_entry/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_entry/src/metrics.rs
@@ -136,8 +136,9 @@
         self.given_back.set(&given_back);
         let waiting = state.waiting_jobs();
         self.waiting_jobs.set(&[
-            ("unplaced", waiting.unplaced as u64),
-            ("untried", waiting.untried as u64),
+            ("NoTarget", waiting.no_target as u64),
+            ("NoRoom", waiting.no_capacity as u64),
+            ("LimitPerTarget", waiting.limit_per_target as u64),
         ]);
         self.version.set(state.version() as i64);
         self.ready_targets.set(state.ready_targets() as i64);
