--- a/benches/benches/dispatch.rs
+++ b/benches/benches/dispatch.rs
@@ -60,14 +60,17 @@
     }
 }
 
-/// Forms of jobs that find no target, with the job of each number.
-const FORMS: [(&str, fn(usize) -> JobRequest); 7] = [
+/// Returns the job with a number.
+type MakeJob = fn(usize) -> JobRequest;
+
+/// Forms of jobs that find no target.
+const FORMS: [(&str, MakeJob); 7] = [
     ("alike", |number| {
         with_step(number, |step| step.demand.cpu_milli = 16_001)
     }),
     ("each a little smaller than the one before", |number| {
         with_step(number, |step| {
-            step.demand.cpu_milli = 32_000 - number as i64
+            step.demand.cpu_milli = 32_000 - number as i64;
         })
     }),
     (
@@ -81,7 +84,7 @@
     ),
     ("a label of its own", |number| {
         with_step(number, |step| {
-            step.required_label = Some(format!("label-{number}"))
+            step.required_label = Some(format!("label-{number}"));
         })
     }),
     ("limit per target, missing label", |number| {
@@ -114,7 +117,7 @@
 }
 
 /// Returns the mean time of a message of a runner, each of which causes a pass over the queue.
-fn measure_pass(make_job: fn(usize) -> JobRequest) -> Duration {
+fn measure_pass(make_job: MakeJob) -> Duration {
     let mut dispatcher = make_dispatcher(PASS_TARGETS);
     for session in 1..=PASS_TARGETS {
         dispatcher.set_supports_kept_jobs(session);
