Place the independent steps of a job though an earlier step finds no target

Callers saw steps that depend on nothing wait, next to idle targets, for a step before them whose kind of target was lost or full.

Cause: placing a job stopped at its first task without a target, in the order of the steps, and a pass looked at the next waiting step alone. Each step with waiting tasks is now tried on its own; the tasks of one step are alike, so its first task without a target still ends that step.

Test: a_step_that_finds_no_target_does_not_block_an_independent_step, for a kept and a best-effort job; it failed before.

--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -121,15 +121,19 @@
         self.sort_by_precedence(placeable, now)
     }
 
-    /// Returns why no target can run the next task of a job now, or `None` if one can.
+    /// Returns why no target can run any waiting task of a job now, or `None` if one can.
     fn find_job_wait_cause(
         &self,
         job: &Job,
         pass: &mut PlacementPass,
         now: Timestamp,
     ) -> Option<WaitCause> {
-        let step = job.waiting_steps().next()?;
-        self.find_wait_cause(job, step, pass, now)
+        let mut first = None;
+        for step in job.waiting_steps() {
+            let cause = self.find_wait_cause(job, step, pass, now)?;
+            first.get_or_insert(cause);
+        }
+        first
     }
 
     /// Returns why no target can run a task of a step now, or `None` if one can.
@@ -204,12 +208,15 @@
         let job = self.jobs.get(&number)?;
         let had_started = job.may_have_run();
         let steps: Vec<usize> = job.waiting_steps().collect();
-        let mut steps = steps.into_iter();
-        let cause = steps.find_map(|step| self.place_step(number, step, pass, now));
+        let mut first_cause = None;
+        for step in steps {
+            let cause = self.place_step(number, step, pass, now);
+            first_cause = first_cause.or(cause);
+        }
         let has_started = self.jobs.get(&number).is_some_and(Job::may_have_run);
-        let is_partially_started = cause.is_some() && has_started && !had_started;
+        let is_partially_started = first_cause.is_some() && has_started && !had_started;
         self.counts.partially_started += u64::from(is_partially_started);
-        cause
+        first_cause
     }
 
     /// Assigns the waiting tasks of a step; returns why a task is left, if any.
--- a/crates/leased/cloverfold_lease/tests/dispatcher/waiting_jobs.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/waiting_jobs.rs
@@ -135,6 +135,30 @@
     assert_eq!(fixture.take_assignments().len(), 1);
 }
 
+/// Guards against a step without a target that keeps back later steps which do not depend on it.
+#[test]
+fn a_step_that_finds_no_target_does_not_block_an_independent_step() {
+    let mut fixture = fixture_with_kept_jobs(2);
+    fixture.announce_target(2, &["b"]);
+    let labelled = spread_step(1, "b");
+    let steps = vec![labelled, step(1, vec![]), step(1, vec![1])];
+    fixture.dispatcher.close_session(2, fixture.now);
+
+    drive(&mut fixture, kept_job(job("kept", steps.clone()), 1));
+    let mut kept = take_kept_assignments(&mut fixture);
+    fixture.submit(job("best-effort", steps));
+    let best_effort = fixture.take_assignments();
+
+    assert_eq!(kept.len(), 1);
+    assert_eq!(best_effort.len(), 1);
+    let (session, first) = kept.remove(0);
+    assert_eq!(first.assignment.task.step, 1);
+    fixture.report_end(&(session, first.assignment), RunOutcome::Done);
+    let next = take_kept_assignments(&mut fixture);
+    assert_eq!(next.len(), 1);
+    assert_eq!(next[0].1.assignment.task.step, 2);
+}
+
 /// Guards against any mix of jobs that wait, before or after they have begun, that keeps back a job which fits.
 #[test]
 fn no_mix_of_waiting_jobs_blocks_a_job_that_fits() {
