Leave work that no target can run out of the backlog of kept jobs

Cause: the expected wait counted all unfinished kept tasks of the service, on the assumption that what is ahead in the queue is served first. The sums go by steps instead of tasks.

Test: a_backlog_that_no_target_could_run_does_not_refuse_a_kept_job; it failed before.

--- a/crates/leased/cloverfold_lease/src/dispatcher/admission.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/admission.rs
@@ -53,9 +53,7 @@
     /// Returns whether any target of a service accepts work.
     pub(super) fn has_target_for(&self, service: &str, now: Timestamp) -> bool {
         let targets = self.targets.find(service, None);
-        let sessions = targets.into_iter().flat_map(|targets| &targets.sessions);
-        let mut runners = sessions.filter_map(|session| self.sessions.get(session));
-        runners.any(|runner| runner.accepts_work(now))
+        targets.is_some_and(|targets| self.any_accepts_work(targets, now))
     }
 
     /// Refuses a job at its submission.
--- a/crates/leased/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/job.rs
@@ -240,6 +240,16 @@
         self.tasks.len() - self.phases.done()
     }
 
+    /// Returns the number of tasks of a step that are not done.
+    pub(crate) fn count_open_in_step(&self, step: usize) -> u32 {
+        self.request.steps[step].count - self.phases.done_in_step(step)
+    }
+
+    /// Returns the number of tasks of a step that wait to be assigned.
+    pub(crate) fn count_waiting_in_step(&self, step: usize) -> u32 {
+        self.phases.waiting_in_step(step)
+    }
+
     /// Returns the number of tasks of a step that are assigned to each session.
     pub(crate) fn count_assigned(&self, step: usize) -> HashMap<SessionId, u32> {
         let mut assigned = HashMap::new();
--- a/crates/leased/cloverfold_lease/src/dispatcher/kept_admission.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/kept_admission.rs
@@ -9,8 +9,8 @@
 //!    the work that is served first, divided by the processors of the targets of the service, plus the critical path of the job.
 //!
 //! Work that is served first consists of the unfinished tasks of kept jobs of the same service with the same or a more urgent priority, and
-//! the waiting tasks of repeatable jobs with a more urgent one. It is the product of demand in cores, estimated duration and the ratio of
-//! durations to estimates.
+//! the waiting tasks of repeatable jobs with a more urgent one, except tasks for which no target with the required label accepts work. It
+//! is the product of demand in cores, estimated duration and the ratio of durations to estimates.
 //!
 //! An accepted kept job is never given up, so a backlog that takes longer than callers find useful must not be accepted. Other entries use
 //! the same targets, so the estimate tends to be too low: a job that is refused here could not have been answered in time.
@@ -21,7 +21,7 @@
 
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::answers::JobRefusal;
-use crate::dispatcher::job::{Job, Task, TaskPhase};
+use crate::dispatcher::job::Job;
 use crate::dispatcher::runner_session::RunnerSession;
 use crate::request::{JobRequest, StepRequest};
 
@@ -60,7 +60,7 @@
     /// Estimates how long the work takes that is served before a job.
     fn estimate_queue_time(&self, request: &JobRequest, now: Timestamp) -> Duration {
         let jobs = self.jobs.values();
-        let backlog: f64 = jobs.map(|job| self.work_ahead_of(job, request)).sum();
+        let backlog: f64 = jobs.map(|job| self.work_ahead_of(job, request, now)).sum();
         let runners = self.sessions.values();
         let eligible =
             runners.filter(|runner| runner.accepts_work(now) && runner.serves(&request.service));
@@ -72,27 +72,36 @@
     }
 
     /// Returns the work of a job that is served before another job, in core-seconds.
-    fn work_ahead_of(&self, job: &Job, other: &JobRequest) -> f64 {
+    fn work_ahead_of(&self, job: &Job, other: &JobRequest, now: Timestamp) -> f64 {
         if job.request.service != other.service {
             return 0.0;
         }
-        let is_served_first = |task: &&Task| {
-            if job.is_kept() {
-                task.phase() != TaskPhase::Done && job.request.priority <= other.priority
-            } else {
-                task.phase() == TaskPhase::Waiting && job.request.priority < other.priority
+        let steps = job.request.steps.iter().enumerate();
+        let work = steps.map(|(index, step)| {
+            let tasks = count_tasks_ahead(job, index, other);
+            // Without a target for it, the step keeps no other work waiting.
+            if tasks == 0 || !self.has_accepting_target(job, step, now) {
+                return 0.0;
             }
-        };
-        let tasks = job.tasks.iter().filter(is_served_first);
-        let work = tasks.map(|task| {
-            let step = job.step(task);
             let expected = self.duration_ratio.expected_duration(step.estimate);
-            step.demand.cores() * expected.as_secs_f64()
+            f64::from(tasks) * step.demand.cores() * expected.as_secs_f64()
         });
         work.sum()
     }
 }
 
+/// Returns the number of tasks of a step of a job that are served before another job.
+fn count_tasks_ahead(job: &Job, step: usize, other: &JobRequest) -> u32 {
+    let priority = job.request.priority;
+    if job.is_kept() && priority <= other.priority {
+        job.count_open_in_step(step)
+    } else if !job.is_kept() && priority < other.priority {
+        job.count_waiting_in_step(step)
+    } else {
+        0
+    }
+}
+
 /// Returns whether a target accepts work and could run a task of a step when empty.
 fn can_run_step(
     runner: &RunnerSession,
--- a/crates/leased/cloverfold_lease/src/dispatcher/phase_counts.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/phase_counts.rs
@@ -80,6 +80,10 @@
         self.done_by_step[step]
     }
 
+    pub(super) fn waiting_in_step(&self, step: usize) -> u32 {
+        self.waiting_by_step.get(&step).copied().unwrap_or_default()
+    }
+
     /// Returns the steps that have waiting tasks, in order.
     pub(super) fn waiting_steps(&self) -> impl Iterator<Item = usize> {
         self.waiting_by_step.keys().copied()
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -173,6 +173,24 @@
         self.targets.find(&job.request.service, label)
     }
 
+    /// Returns whether a target with the service and the label that a step needs accepts work.
+    pub(super) fn has_accepting_target(
+        &self,
+        job: &Job,
+        step: &StepRequest,
+        now: Timestamp,
+    ) -> bool {
+        let targets = self.find_targets(job, step);
+        targets.is_some_and(|targets| self.any_accepts_work(targets, now))
+    }
+
+    /// Returns whether any target of a set accepts work.
+    pub(super) fn any_accepts_work(&self, targets: &TargetSet, now: Timestamp) -> bool {
+        let sessions = targets.sessions.iter();
+        let mut runners = sessions.filter_map(|session| self.sessions.get(session));
+        runners.any(|runner| runner.accepts_work(now))
+    }
+
     /// Returns the targets of a set that accept work, with the free capacity that a task may use.
     fn list_usable(
         &self,
--- a/crates/leased/cloverfold_lease/tests/dispatcher/kept_jobs.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/kept_jobs.rs
@@ -3,7 +3,7 @@
 use cloverfold_kept_jobs::{TaskProgress, first_run_of};
 use cloverfold_lease::{
     Assignment, DispatcherAction, DispatcherMessage, JobAnswer, JobRefusal, JobRequest,
-    KeptAssignment, KeptJob, RunOutcome, RunRefusal, SessionId,
+    KeptAssignment, KeptJob, RunOutcome, RunRefusal, SessionId, StepRequest,
 };
 
 use crate::fixture::{
@@ -265,6 +265,27 @@
     assert_eq!(refusal(&fixture), Some(JobRefusal::NoCapacity));
 }
 
+/// Guards against refusals for want of capacity while all targets are idle and the backlog waits for a kind of target that is lost.
+#[test]
+fn a_backlog_that_no_target_could_run_does_not_refuse_a_kept_job() {
+    let mut fixture = fixture_with_kept_jobs(2);
+    fixture.announce_target(2, &["b"]);
+    let labelled = StepRequest {
+        required_label: Some("b".into()),
+        ..step(400, vec![])
+    };
+    drive(&mut fixture, kept_job(job("labelled", vec![labelled]), 1));
+    let refusal = |fixture: &Fixture| {
+        let request = one_task_job("next");
+        fixture.dispatcher.find_kept_refusal(&request, fixture.now)
+    };
+    assert_eq!(refusal(&fixture), Some(JobRefusal::NoCapacity));
+
+    fixture.dispatcher.close_session(2, fixture.now);
+
+    assert_eq!(refusal(&fixture), None);
+}
+
 #[test]
 fn a_less_urgent_backlog_does_not_refuse_a_kept_job() {
     let mut fixture = fixture_with_kept_jobs(1);
