--- a/crates/leased/cloverfold_leased_entry/src/kept_requests.rs
+++ b/crates/leased/cloverfold_leased_entry/src/kept_requests.rs
@@ -27,7 +27,7 @@
 
 use crate::protocol::JobState;
 use crate::request_handler::RequestHandler;
-use crate::responses::{job_state_response, no_such_job_response, refusal_response};
+use crate::responses::{NoSuchJob, job_state_response, no_such_job_response, refusal_response};
 use crate::state::GroupAnswer;
 use crate::stored_job::StoredJob;
 
@@ -123,7 +123,7 @@
             CallAnswer::Shown(Some(phase)) => {
                 job_state_response(self.protocol.as_ref(), to_job_state(phase))
             }
-            CallAnswer::Shown(None) => no_such_job_response(),
+            CallAnswer::Shown(None) => no_such_job_response(id, NoSuchJob::SaidByGroup),
             other => unavailable_response(id, "cannot show kept job", other),
         }
     }
@@ -137,7 +137,7 @@
                 json_response(StatusCode::OK, "{}")
             }
             CallAnswer::Cancelled(CancelOutcome::Ended(_) | CancelOutcome::Unknown) => {
-                no_such_job_response()
+                no_such_job_response(id, NoSuchJob::SaidByGroup)
             }
             other => unavailable_response(id, "cannot cancel kept job", other),
         }
--- a/crates/leased/cloverfold_leased_entry/src/request_handler.rs
+++ b/crates/leased/cloverfold_leased_entry/src/request_handler.rs
@@ -13,7 +13,7 @@
 use crate::metrics::EntryMetrics;
 use crate::pending_counts::PendingCounts;
 use crate::protocol::{JobProtocol, JobState, QueueCall};
-use crate::responses::{job_state_response, no_such_job_response, refusal_response};
+use crate::responses::{NoSuchJob, job_state_response, no_such_job_response, refusal_response};
 use crate::state::EntryState;
 
 /// Handles the requests of callers.
@@ -99,7 +99,7 @@
         if self.may_be_kept(id) {
             return self.show_kept(id, request).await;
         }
-        no_such_job_response()
+        no_such_job_response(id, NoSuchJob::NotKept)
     }
 
     /// Cancels a job by its ID.
@@ -110,7 +110,7 @@
         if self.may_be_kept(id) {
             return self.cancel_kept(id, request).await;
         }
-        no_such_job_response()
+        no_such_job_response(id, NoSuchJob::NotKept)
     }
 
     /// Responds with the number of jobs of a queue that have not started: the repeatable ones of this entry and all kept ones.
--- a/crates/leased/cloverfold_leased_entry/src/responses.rs
+++ b/crates/leased/cloverfold_leased_entry/src/responses.rs
@@ -27,8 +27,28 @@
     json_response(StatusCode::OK, protocol.write_state(state))
 }
 
-/// Returns the response for an unknown job.
-pub(crate) fn no_such_job_response() -> Response {
+/// On what grounds a job is said not to exist.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoSuchJob {
+    /// No job of this ID is open here, and it cannot be kept.
+    NotKept,
+    /// The group of the job has said that it is unknown, or that it cannot be cancelled any more.
+    SaidByGroup,
+}
+
+impl NoSuchJob {
+    /// Returns the name used in log lines.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::NotKept => "NotKept",
+            Self::SaidByGroup => "SaidByGroup",
+        }
+    }
+}
+
+/// Returns the response for a job that does not exist.
+pub(crate) fn no_such_job_response(id: &str, grounds: NoSuchJob) -> Response {
+    log::info!(job = id, grounds = grounds.as_str(); "no such job");
     plain_response(StatusCode::GONE, "no such job\n")
 }
 
