Do not deny a kept job while the groups are unknown

The 410 acknowledged the cancellation, and the tasks of the job started on once control was back.

Cause: an unknown number of groups was 0, the value for "there are none", and without a link to control the entry took it for that.

The number is an Option now, and whether a link is up plays no part. An entry denies a job only if its ID cannot be kept or its group says so.

--- a/crates/leased/cloverfold_kept_jobs/src/driver/callers.rs
+++ b/crates/leased/cloverfold_kept_jobs/src/driver/callers.rs
@@ -73,7 +73,7 @@
         deadline: Timestamp,
         now: Timestamp,
     ) -> CallToken {
-        if group < self.group_count() {
+        if self.group_count().is_some_and(|count| group < count) {
             let call = JobCall::CountPending(queue.into());
             self.call(group as usize, call, deadline, now)
         } else {
--- a/crates/leased/cloverfold_kept_jobs/src/driver/mod.rs
+++ b/crates/leased/cloverfold_kept_jobs/src/driver/mod.rs
@@ -84,9 +84,9 @@
         }
     }
 
-    /// Returns the number of groups, or 0 while it is unknown.
-    pub fn group_count(&self) -> u32 {
-        self.groups.len() as u32
+    /// Returns the number of groups; `None` while it is unknown, when no job can be said not to exist.
+    pub fn group_count(&self) -> Option<u32> {
+        (!self.groups.is_empty()).then_some(self.groups.len() as u32)
     }
 
     /// Takes the actions that have accumulated since the last call.
@@ -194,8 +194,8 @@
 
     /// Returns the index of a job's group, or `None` while the number of groups is unknown.
     pub(super) fn group_index(&self, job: &str) -> Option<usize> {
-        let count = self.group_count();
-        (count > 0).then(|| group_of(job, count) as usize)
+        let count = self.group_count()?;
+        Some(group_of(job, count) as usize)
     }
 
     fn driven_mut(&mut self, job: &str) -> Option<&mut DrivenState> {
--- a/crates/leased/cloverfold_leased_entry/src/kept_requests.rs
+++ b/crates/leased/cloverfold_leased_entry/src/kept_requests.rs
@@ -150,7 +150,7 @@
         }
         let queried_at = self.now();
         let timeout = self.call_timeout(request, QUERY_TIMEOUT);
-        let answers = self.lock().count_kept(queue, timeout);
+        let answers = self.lock().count_kept(queue, timeout)?;
         let mut count = 0;
         for answer in answers {
             let CallAnswer::Pending(pending) = receive(answer).await else {
--- a/crates/leased/cloverfold_leased_entry/src/request_handler.rs
+++ b/crates/leased/cloverfold_leased_entry/src/request_handler.rs
@@ -96,10 +96,10 @@
         if self.lock().is_open(id) {
             return job_state_response(self.protocol.as_ref(), JobState::Running);
         }
-        if self.may_be_kept(id) {
-            return self.show_kept(id, request).await;
+        if !self.protocol.can_be_kept(id) {
+            return no_such_job_response(id, NoSuchJob::NotKept);
         }
-        no_such_job_response(id, NoSuchJob::NotKept)
+        self.show_kept(id, request).await
     }
 
     /// Cancels a job by its ID.
@@ -107,17 +107,14 @@
         if self.lock().cancel_named(id) {
             return json_response(StatusCode::OK, "{}");
         }
-        if self.may_be_kept(id) {
-            return self.cancel_kept(id, request).await;
+        if !self.protocol.can_be_kept(id) {
+            return no_such_job_response(id, NoSuchJob::NotKept);
         }
-        no_such_job_response(id, NoSuchJob::NotKept)
+        self.cancel_kept(id, request).await
     }
 
     /// Responds with the number of jobs of a queue that have not started: the repeatable ones of this entry and all kept ones.
     async fn count(&self, route: &Route, request: &Request) -> Response {
-        if self.lock().is_waiting_for_groups() {
-            return refusal_response("not known: NoGroups\n", RETRY_AFTER);
-        }
         let Some(kept) = self.count_kept(&route.name, request).await else {
             log::info!(route = route.name.as_str(); "cannot count the jobs of the queue");
             return refusal_response("not known\n", RETRY_AFTER);
@@ -126,11 +123,4 @@
         let queued = self.lock().count_queued(is_in_queue);
         json_response(StatusCode::OK, self.protocol.write_count(queued + kept))
     }
-
-    /// Returns whether a group may have a job with this ID. There are none without groups that replicate kept jobs.
-    fn may_be_kept(&self, id: &str) -> bool {
-        let state = self.lock();
-        let has_groups = state.group_count() > 0 || state.is_waiting_for_groups();
-        has_groups && self.protocol.can_be_kept(id)
-    }
 }
--- a/crates/leased/cloverfold_leased_entry/src/state/kept.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/kept.rs
@@ -10,7 +10,7 @@
     StopCause, TaskEnd, TaskIndex,
 };
 use cloverfold_lease::{JobAnswer, JobNumber, JobRefusal, JobRequest, KeptJob};
-use cloverfold_peer::{has_group_link, send_group_call};
+use cloverfold_peer::send_group_call;
 use tokio::sync::oneshot;
 
 use super::EntryState;
@@ -48,26 +48,19 @@
         self.await_group(token)
     }
 
-    /// Queries every group for the number of jobs of a queue that have not started.
-    pub(crate) fn count_kept(&mut self, queue: &str, timeout: Duration) -> Vec<GroupAnswer> {
+    /// Queries every group for the number of jobs of a queue that have not started; `None` while the groups are unknown.
+    pub(crate) fn count_kept(
+        &mut self,
+        queue: &str,
+        timeout: Duration,
+    ) -> Option<Vec<GroupAnswer>> {
         let now = self.clock.now();
-        let groups: std::ops::Range<GroupId> = 0..self.driver.group_count();
-        groups
-            .map(|group| {
-                let token = self.driver.count_pending(group, queue, now + timeout, now);
-                self.await_group(token)
-            })
-            .collect()
-    }
-
-    /// Returns the number of groups; 0 while unknown.
-    pub(crate) fn group_count(&self) -> u32 {
-        self.driver.group_count()
-    }
-
-    /// Returns whether there may be kept jobs although this entry does not know the groups yet.
-    pub(crate) fn is_waiting_for_groups(&self) -> bool {
-        self.driver.group_count() == 0 && has_group_link(&self.links)
+        let groups: std::ops::Range<GroupId> = 0..self.driver.group_count()?;
+        let answers = groups.map(|group| {
+            let token = self.driver.count_pending(group, queue, now + timeout, now);
+            self.await_group(token)
+        });
+        Some(answers.collect())
     }
 
     /// Returns whether this entry drives a kept job with this ID.
--- a/crates/leased/cloverfold_peer/src/group_calls.rs
+++ b/crates/leased/cloverfold_peer/src/group_calls.rs
@@ -18,11 +18,6 @@
     links.send(link, &PeerMessage::JobCall(call))
 }
 
-/// Returns whether a control process is connected whose build supports calls to groups.
-pub fn has_group_link(links: &PeerLinks) -> bool {
-    links.peers().any(is_usable)
-}
-
 fn choose_link(links: &PeerLinks, route: &CallRoute) -> Option<LinkId> {
     let usable = links.identified().filter(|(_, hello)| is_usable(hello));
     let mut usable: Vec<(LinkId, &Hello)> = usable.collect();
--- a/crates/leased/cloverfold_peer/src/lib.rs
+++ b/crates/leased/cloverfold_peer/src/lib.rs
@@ -24,7 +24,7 @@
 pub use assigned_entries::AssignedEntries;
 pub use dialed_peers::{ControlLinks, DialedPeers};
 pub use entry_subsets::{EntrySubsets, GuardAttributes, KnownGuards, choose_entries};
-pub use group_calls::{has_group_link, send_group_call};
+pub use group_calls::send_group_call;
 pub use known_evacuations::KnownEvacuations;
 pub use link_drains::{LinkDrainStep, LinkDrains};
 pub use links::{PeerLinks, SharedMessage};
