Refuse a kept job only if its group says that it is not stored

Callers that sent a job again, after no answer or a 504, got 503 from an entry that had no groups, no lease or no leader to ask. A 503 says that the job never runs; the first submission may have been accepted, and then it does.

Cause: that this submission has no effect was taken for "the job is not kept". The lookup before a refusal did the same with a group that did not answer. Both now have a third result, unknown, which is answered 504: the caller sends the job again. 503 is left for what the group has denied. The log line of unknown outcomes names its cause.

Test: a_resent_job_is_not_refused_while_its_group_cannot_be_asked, at a restarted entry and at one that loses its lease; it got 503 NoGroups before.

--- a/crates/leased/cloverfold_leased_entry/src/kept_requests.rs
+++ b/crates/leased/cloverfold_leased_entry/src/kept_requests.rs
@@ -6,13 +6,11 @@
 //! |---|---|
 //! | the group has stored the job, now or before | 200 |
 //! | the group has stored a different job under this ID | 409 |
-//! | the dispatcher refuses the job (`kept_admission`), and the group does not know it | 503 |
-//! | the submission has no effect: no lease, no leader | 503 |
-//! | the submission has no effect: no capacity or a disk error, and the group does not know the job | 503 |
-//! | the outcome is unknown after [`SUBMIT_TIMEOUT`] or the caller's timeout | 504 |
+//! | this submission has no effect, and the group does not know the job | 503 |
+//! | anything else | 504 |
 //!
-//! After 503 the caller treats the job as not run. After 504 it resends the job, which is idempotent. So a resent job must not get 503 if
-//! the group can tell that it has the job.
+//! After 503 the caller treats the job as not run. After 504 it resends the job, which is idempotent. The caller may have sent the job
+//! before, so that a submission has no effect does not tell that the job never runs; only its group can tell.
 
 use std::time::Duration;
 
@@ -22,7 +20,7 @@
 use cloverfold_kept_jobs::{
     CallAnswer, CallRefusal, CancelOutcome, JobPhase, NewJob, RefusalReason, TerminalState,
 };
-use cloverfold_lease::{JobRefusal, JobRequest, RETRY_AFTER};
+use cloverfold_lease::{JobRequest, RETRY_AFTER};
 use http::StatusCode;
 
 use crate::protocol::JobState;
@@ -40,6 +38,28 @@
 /// Fraction of the caller's timeout within which the entry responds.
 const CALLER_TIMEOUT_FRACTION: f64 = 0.9;
 
+/// The result of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SubmissionResult {
+    /// The group has stored the job, now or before.
+    Stored,
+    /// The group has stored a different job under this ID.
+    Conflict,
+    /// The job is not stored, and the submission never takes effect. Contains the name of the cause.
+    Refused(&'static str),
+    /// The job may be stored, by this submission or an earlier one. Contains the name of the cause.
+    Unknown(&'static str),
+}
+
+/// What is known of whether a group has stored a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum JobLookup {
+    Stored,
+    NotStored,
+    /// The group could not be asked.
+    Unknown,
+}
+
 impl RequestHandler {
     /// Submits a kept job and waits until its group has stored it.
     pub(crate) async fn submit_kept(
@@ -50,67 +70,95 @@
         job: &JobRequest,
     ) -> Response {
         let started_at = self.now();
+        let result = self.try_submit_kept(id, route, request, job).await;
+        let took = self.now().saturating_duration_since(started_at);
+        self.answer_submission(id, route, result, took)
+    }
+
+    async fn try_submit_kept(
+        &self,
+        id: &str,
+        route: &Route,
+        request: &Request,
+        job: &JobRequest,
+    ) -> SubmissionResult {
         let timeout = self.call_timeout(request, SUBMIT_TIMEOUT);
         let refusal = self.lock().find_kept_refusal(job);
-        if let Some(cause) = refusal
-            && !self.is_known(id, timeout).await
-        {
-            return self.refuse_kept(id, route, cause);
+        if let Some(cause) = refusal {
+            match self.look_up(id, timeout).await {
+                // Submitting it again tells whether it is the same job.
+                JobLookup::Stored => {}
+                JobLookup::NotStored => return SubmissionResult::Refused(cause.as_str()),
+                JobLookup::Unknown => return SubmissionResult::Unknown(cause.as_str()),
+            }
         }
         let new_job = build_submission(id, route, request, job);
         let answer = self.lock().submit_kept(new_job, timeout);
-        let mut answer = receive(answer).await;
-        if is_refused_by_reachable_group(answer) && self.is_known(id, timeout).await {
-            answer = CallAnswer::Unknown;
+        match receive(answer).await {
+            CallAnswer::Kept => SubmissionResult::Stored,
+            CallAnswer::Conflict => SubmissionResult::Conflict,
+            CallAnswer::Refused(cause) => self.confirm_refusal(id, cause, timeout).await,
+            _ => SubmissionResult::Unknown("Unanswered"),
         }
-        let took = self.now().saturating_duration_since(started_at);
-        self.answer_submission(id, route, answer, took)
     }
 
-    /// Returns whether a group has a job: the caller of a resent job must not learn that it will not run.
-    async fn is_known(&self, id: &str, timeout: Duration) -> bool {
-        let shown = self.lock().show_kept(id, timeout);
-        matches!(receive(shown).await, CallAnswer::Shown(Some(_)))
+    /// Returns the result of a submission that had no effect, which depends on whether an earlier one of the job had.
+    async fn confirm_refusal(
+        &self,
+        id: &str,
+        cause: RefusalReason,
+        timeout: Duration,
+    ) -> SubmissionResult {
+        let name = cause.as_str();
+        if !is_group_reachable(cause) {
+            return SubmissionResult::Unknown(name);
+        }
+        match self.look_up(id, timeout).await {
+            JobLookup::NotStored => SubmissionResult::Refused(name),
+            JobLookup::Stored | JobLookup::Unknown => SubmissionResult::Unknown(name),
+        }
     }
 
-    fn refuse_kept(&self, id: &str, route: &Route, cause: JobRefusal) -> Response {
-        let cause = cause.as_str();
-        log::info!(job = id, route = route.name.as_str(), cause; "kept job refused");
-        self.metrics.count_answer("kept_refused");
-        refusal_response(&format!("not run: {cause}\n"), RETRY_AFTER)
+    /// Asks the group of a job whether it has stored the job.
+    async fn look_up(&self, id: &str, timeout: Duration) -> JobLookup {
+        let shown = self.lock().show_kept(id, timeout);
+        match receive(shown).await {
+            CallAnswer::Shown(Some(_)) => JobLookup::Stored,
+            CallAnswer::Shown(None) => JobLookup::NotStored,
+            _ => JobLookup::Unknown,
+        }
     }
 
     fn answer_submission(
         &self,
         id: &str,
         route: &Route,
-        answer: CallAnswer,
+        result: SubmissionResult,
         took: Duration,
     ) -> Response {
         let route = route.name.as_str();
         let took_ms = took.as_millis() as u64;
-        match answer {
-            CallAnswer::Kept => {
+        match result {
+            SubmissionResult::Stored => {
                 self.metrics.count_answer("kept");
                 self.metrics.observe_acceptance_time(took);
                 log::debug!(job = id, route, took_ms; "kept job stored");
                 json_response(StatusCode::OK, "{}")
             }
-            CallAnswer::Conflict => {
+            SubmissionResult::Conflict => {
                 self.metrics.count_answer("kept_conflict");
                 log::info!(job = id, route; "submission refused; a different kept job has this ID");
                 conflict_response()
             }
-            CallAnswer::Refused(cause) => {
-                let cause = cause.as_str();
+            SubmissionResult::Refused(cause) => {
                 self.metrics.count_answer("kept_refused");
                 log::info!(job = id, route, cause, took_ms; "kept job refused");
                 refusal_response(&format!("not run: {cause}\n"), RETRY_AFTER)
             }
-            _ => {
+            SubmissionResult::Unknown(cause) => {
                 self.metrics.count_answer("kept_unknown");
-                log::warn!(job = id, route, took_ms; "the outcome of submitting a kept job is unknown");
-                plain_response(StatusCode::GATEWAY_TIMEOUT, "not known\n")
+                log::warn!(job = id, route, cause, took_ms; "the outcome of submitting a kept job is unknown");
+                plain_response(StatusCode::GATEWAY_TIMEOUT, format!("not known: {cause}\n"))
             }
         }
     }
@@ -191,15 +239,13 @@
     answer.await.unwrap_or(CallAnswer::Unknown)
 }
 
-/// Returns whether a submission was refused although the leader of the group can tell whether it has the job.
-fn is_refused_by_reachable_group(answer: CallAnswer) -> bool {
-    let CallAnswer::Refused(cause) = answer else {
-        return false;
-    };
-    let is_disk_or_busy = |refusal| matches!(refusal, CallRefusal::Disk | CallRefusal::Busy);
+/// Returns whether the leader of a group, which can tell whether it has a job, was probably reached by a call that was refused.
+fn is_group_reachable(cause: RefusalReason) -> bool {
     match cause {
         RefusalReason::Full => true,
-        RefusalReason::ByGroup(refusal) => is_disk_or_busy(refusal),
+        RefusalReason::ByGroup(refusal) => {
+            matches!(refusal, CallRefusal::Disk | CallRefusal::Busy)
+        }
         RefusalReason::NoGroups | RefusalReason::NoLease | RefusalReason::Busy => false,
     }
 }
