Operators: do not say that there are no kept jobs while the groups are unknown

A control process whose log has not caught up knows of no groups, which does not mean that there are none. The status, 503, was right; the text was not.

--- a/crates/leased/cloverfold_control/src/operators/jobs.rs
+++ b/crates/leased/cloverfold_control/src/operators/jobs.rs
@@ -43,7 +43,7 @@
     /// Calls the group of a job, with retries.
     async fn call_group(&self, job: &str, call: JobCall) -> Response {
         let Some(count) = self.state.lock().job_group_count() else {
-            return answer_unavailable("this installation keeps no jobs yet\n");
+            return answer_unavailable("the groups of kept jobs are not known here yet\n");
         };
         let group = group_of(job, count);
         match timeout(PROPOSAL_TIMEOUT, self.wait_for_reply(group, &call)).await {
--- a/crates/leased/cloverfold_control/src/state/jobs.rs
+++ b/crates/leased/cloverfold_control/src/state/jobs.rs
@@ -118,7 +118,7 @@
         self.jobs.open_groups()
     }
 
-    /// Returns the number of groups that keep jobs; `None` if there are none yet.
+    /// Returns the number of groups that keep jobs; `None` if this process knows of none, though others may.
     pub(crate) fn job_group_count(&self) -> Option<u32> {
         let groups = self.state.job_groups.as_ref()?;
         (groups.count > 0).then_some(groups.count)
