--- a/crates/leased/cloverfold_leased_entry/src/state/kept.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/kept.rs
@@ -132,6 +132,7 @@
             .driven
             .take_started(|number| dispatcher.has_begun(number))
         {
+            log::debug!(job = id.as_str(); "kept job has begun");
             self.driver.record_begun(&id);
         }
         self.driver.tick(now);
