Count a job as begun once a target has started a task, not once assigned

Cause: an entry reported a job to its group as begun when a task was assigned, and never took it back.

Guards now report, with each heartbeat, the runs whose start their target has confirmed (RunnerMessage::Started, protocol version 4). A job has begun with such a report or an end that proves a start. Whether it may have run, which refusals depend on, is answered as before. From guards of earlier builds an assignment counts as a start. The count of best-effort jobs goes by the same.

--- a/compatibility/tests/leased_messages.rs
+++ b/compatibility/tests/leased_messages.rs
@@ -26,7 +26,7 @@
 };
 use cloverfold_lease::{
     Assignment, DispatcherMessage, FreeCapacity, KeptAssignment, Resources, RunOutcome, RunRefusal,
-    RunnerMessage, TargetDescription, TaskId, UsualSpeed,
+    RunnerMessage, StartedRun, TargetDescription, TaskId, UsualSpeed,
 };
 use cloverfold_link::{decode_frame, encode_frame};
 use cloverfold_peer::{Directory, Hello, PeerDetails, PeerMessage, PeerRole, Trailing};
@@ -226,6 +226,7 @@
             ("no-target", RunnerMessage::Target(None)),
         ]),
         RunnerMessage::Ended { .. } => wrap("ended", run_outcomes(), ended),
+        RunnerMessage::Started(_) => one("started", RunnerMessage::Started(vec![StartedRun { task: task("job-410"), run: 411 }])),
         RunnerMessage::UsualSpeed(_) => one("usual-speed", RunnerMessage::UsualSpeed(UsualSpeed { slowness_permille: 306_000, runs: 307 })),
     })
 }
--- a/crates/leased/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/job.rs
@@ -106,6 +106,8 @@
     pub(crate) is_late_resubmission: bool,
     /// Whether any run has started, or may have started because its end was never reported.
     pub(crate) has_run: bool,
+    /// Whether any run is known to have started.
+    pub(crate) has_begun: bool,
     /// Epoch in which this entry drives it; `None` for a repeatable job.
     pub(crate) epoch: Option<Epoch>,
 }
@@ -132,6 +134,7 @@
             deadlines,
             is_late_resubmission,
             has_run: false,
+            has_begun: false,
             epoch: None,
         }
     }
--- a/crates/leased/cloverfold_lease/src/dispatcher/kept_jobs.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/kept_jobs.rs
@@ -122,9 +122,9 @@
         self.detached_runs.keys().any(|task| task.job == id)
     }
 
-    /// Returns whether any task of an open job has run, is running, or may run because of an assignment that was sent.
+    /// Returns whether any task of an open job is known to have started. A task that is only assigned may still be refused by its target.
     pub fn has_begun(&self, number: JobNumber) -> bool {
-        self.jobs.get(&number).is_some_and(Job::may_have_run)
+        self.jobs.get(&number).is_some_and(|job| job.has_begun)
     }
 
     /// Records that the runner's build can decode assignments of kept jobs.
@@ -133,6 +133,13 @@
             runner.supports_kept_jobs = true;
         }
     }
+
+    /// Records that the runner's build reports the starts of runs. Those of other runners count as begun once they are assigned.
+    pub fn set_reports_starts(&mut self, session: SessionId) {
+        if let Some(runner) = self.sessions.get_mut(&session) {
+            runner.reports_starts = true;
+        }
+    }
 }
 
 /// Builds a job from its recorded progress.
@@ -141,6 +148,7 @@
     let mut job = Job::new(kept.request, false, first_run, now);
     job.epoch = Some(kept.epoch);
     job.has_run = !kept.progress.is_empty();
+    job.has_begun = job.has_run;
     for (index, progress) in kept.progress {
         let Some(task) = job.tasks.get_mut(index as usize) else {
             continue;
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -170,10 +170,10 @@
         self.jobs.len()
     }
 
-    /// Counts the matching open repeatable jobs of which no task can have run.
+    /// Counts the matching open repeatable jobs of which no task is known to have started.
     pub fn count_queued(&self, matches: impl Fn(&JobRequest) -> bool) -> usize {
         let jobs = self.jobs.values().filter(|job| !job.is_kept());
-        jobs.filter(|job| !job.may_have_run() && matches(&job.request))
+        jobs.filter(|job| !job.has_begun && matches(&job.request))
             .count()
     }
 
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -373,6 +373,7 @@
         let task = &job.tasks[position.index];
         let (demand, estimate) = (job.step(task).demand, job.estimate(task));
         let run = job.begin_run(position.index, session, now);
+        job.has_begun |= !runner.reports_starts;
         runner.record_assignment(demand);
         let work = demand.cores() * estimate.as_secs_f64();
         self.shares.record_allocation(&job.request.queue, work, now);
--- a/crates/leased/cloverfold_lease/src/dispatcher/run_ends.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/run_ends.rs
@@ -1,4 +1,4 @@
-//! Consequences of the end of a run.
+//! Consequences of the start and the end of a run.
 //!
 //! - `Done`: the task is done, and the target's health improves.
 //! - `Failed`: the task is retried, preferably on another target. After the last attempt its job fails. Only the first failure of a task
@@ -19,7 +19,7 @@
 use crate::dispatcher::answers::JobAnswer;
 use crate::dispatcher::closing::DetachedRun;
 use crate::dispatcher::job::{Job, JobNumber, TaskPhase, TaskPosition};
-use crate::messages::{RunOutcome, RunRefusal, SessionId, TaskId};
+use crate::messages::{RunOutcome, RunRefusal, SessionId, StartedRun, TaskId};
 
 /// Increment of the run number after a target has seen a later run. Run numbers count tenths of a second, so this exceeds the numbers of
 /// another entry whose wall clock is five seconds ahead.
@@ -48,6 +48,7 @@
         }
         if let Some(job) = self.jobs.get_mut(&position.job) {
             job.has_run |= !matches!(outcome, RunOutcome::NotStarted(_));
+            job.has_begun |= proves_start(outcome, run_duration);
         }
         self.observe_kept_end(position, run, outcome);
         match outcome {
@@ -60,6 +61,16 @@
         }
     }
 
+    /// Records the starts of runs, as reported by their runner.
+    pub(super) fn handle_started_runs(&mut self, session: SessionId, started: &[StartedRun]) {
+        for StartedRun { task, run } in started {
+            let position = self.find_run(task, session, *run);
+            if let Some(job) = position.and_then(|position| self.jobs.get_mut(&position.job)) {
+                job.has_begun = true;
+            }
+        }
+    }
+
     /// Returns the task whose current run is this run in this session.
     fn find_run(
         &self,
@@ -194,3 +205,12 @@
         }
     }
 }
+
+/// Returns whether the end of a run proves that it had started. A lost run may not have, unless its runner saw it run.
+fn proves_start(outcome: RunOutcome, run_duration: Duration) -> bool {
+    match outcome {
+        RunOutcome::Done | RunOutcome::Failed | RunOutcome::Stopped | RunOutcome::Stuck => true,
+        RunOutcome::Lost => !run_duration.is_zero(),
+        RunOutcome::NotStarted(_) => false,
+    }
+}
--- a/crates/leased/cloverfold_lease/src/dispatcher/runner_session.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/runner_session.rs
@@ -41,6 +41,8 @@
     pub(super) is_evacuated: bool,
     /// Whether the runner's build can decode assignments of kept jobs.
     pub(super) supports_kept_jobs: bool,
+    /// Whether the runner's build reports the starts of runs.
+    pub(super) reports_starts: bool,
     /// Usual speed of the target as reported by the runner.
     pub(super) usual_speed: UsualSpeed,
 }
@@ -62,6 +64,7 @@
             data_hall: None,
             is_evacuated: false,
             supports_kept_jobs: false,
+            reports_starts: false,
             usual_speed: UsualSpeed::default(),
         }
     }
--- a/crates/leased/cloverfold_lease/src/dispatcher/sessions.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/sessions.rs
@@ -149,6 +149,7 @@
                 self.handle_run_end(session, &task, run, outcome, run_duration, now);
             }
             RunnerMessage::UsualSpeed(speed) => runner.usual_speed = speed,
+            RunnerMessage::Started(runs) => self.handle_started_runs(session, &runs),
         }
         self.place_unless_catching_up(now);
     }
--- a/crates/leased/cloverfold_lease/src/lib.rs
+++ b/crates/leased/cloverfold_lease/src/lib.rs
@@ -58,7 +58,7 @@
 pub use health::{HealthLimits, TargetHealth};
 pub use messages::{
     Assignment, DispatcherMessage, FreeCapacity, KeptAssignment, RunOutcome, RunRefusal,
-    RunnerMessage, SessionId, TargetDescription, TaskId, UsualSpeed,
+    RunnerMessage, SessionId, StartedRun, TargetDescription, TaskId, UsualSpeed,
 };
 pub use request::{JobRequest, LatencyObjective, StepRequest};
 pub use resources::Resources;
--- a/crates/leased/cloverfold_lease/src/messages.rs
+++ b/crates/leased/cloverfold_lease/src/messages.rs
@@ -204,6 +204,15 @@
     pub labels: Vec<String>,
 }
 
+/// A run whose start the target has confirmed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartedRun {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
+}
+
 /// Message from a runner to a dispatcher. A build that does not know [`RunRefusal::Evacuated`] receives the result of
 /// [`Self::without_evacuated`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -227,13 +236,16 @@
         run: u64,
         /// The outcome of the run.
         outcome: RunOutcome,
-        /// Duration of the run as observed by the runner, in milliseconds.
+        /// Duration of the run as observed by the runner, in milliseconds; 0 if its start was not confirmed.
         ran_ms: u32,
         /// Free capacity after the run.
         free_capacity: FreeCapacity,
     },
     /// Usual speed of its target. Sent only to dispatchers and control processes whose build can decode it.
     UsualSpeed(UsualSpeed),
+    /// Runs of the dispatcher that have started since the last heartbeat and have not ended. Sent only to dispatchers whose build can
+    /// decode it.
+    Started(Vec<StartedRun>),
 }
 
 impl RunnerMessage {
--- a/crates/leased/cloverfold_lease/src/runner/reports.rs
+++ b/crates/leased/cloverfold_lease/src/runner/reports.rs
@@ -1,4 +1,4 @@
-//! Unsolicited messages to dispatchers: heartbeats, free capacity, the usual speed and the target.
+//! Unsolicited messages to dispatchers: heartbeats, started runs, free capacity, the usual speed and the target.
 //!
 //! [`Session`] tracks what was last reported to each dispatcher.
 //!
@@ -6,7 +6,7 @@
 
 use cloverfold_base::Timestamp;
 
-use crate::messages::{FreeCapacity, RunnerMessage, SessionId};
+use crate::messages::{FreeCapacity, RunnerMessage, SessionId, StartedRun};
 use crate::runner::session::Announcement;
 use crate::runner::usual_speed::differs_notably;
 use crate::runner::{Runner, RunnerAction};
@@ -22,10 +22,28 @@
             .map(|(id, _)| *id)
             .collect();
         for session in due {
+            self.report_starts(session);
             self.send_heartbeat(session, now);
         }
     }
 
+    /// Reports the runs of a session whose start the target has confirmed since the last report.
+    fn report_starts(&mut self, session: SessionId) {
+        let runs = self.runs.iter_mut();
+        let of_session = runs.filter(|(_, run)| run.session == Some(session));
+        let unreported = of_session.filter_map(|(task, run)| {
+            run.take_unreported_start().then(|| StartedRun {
+                task: task.clone(),
+                run: run.number,
+            })
+        });
+        let started: Vec<StartedRun> = unreported.collect();
+        if !started.is_empty() {
+            let message = RunnerMessage::Started(started);
+            self.actions.push(RunnerAction::Send(session, message));
+        }
+    }
+
     /// Sends a heartbeat with the clock reading that the dispatcher echoes.
     pub(super) fn send_heartbeat(&mut self, session: SessionId, now: Timestamp) {
         let free_capacity = self.free_capacity_for(session, now);
--- a/crates/leased/cloverfold_lease/src/runner/run.rs
+++ b/crates/leased/cloverfold_lease/src/runner/run.rs
@@ -109,6 +109,8 @@
     pub(super) state: RunState,
     /// When the first start was sent, once the target has confirmed the run.
     started_at: Option<Timestamp>,
+    /// Whether its start was reported to its dispatcher.
+    is_start_reported: bool,
     /// Expected duration, from the assignment.
     pub(super) estimate: Duration,
     pub(super) progress: ProgressTracker,
@@ -146,6 +148,7 @@
             priority: assignment.priority,
             state: RunState::Waiting { until: now + wait },
             started_at: None,
+            is_start_reported: false,
             estimate: Duration::from_millis(u64::from(assignment.estimate_ms)),
             progress: ProgressTracker::default(),
             is_stopped_as_stuck: false,
@@ -192,6 +195,14 @@
         }
     }
 
+    /// Returns whether its start is confirmed and was not reported yet, and marks it as reported.
+    pub(super) fn take_unreported_start(&mut self) -> bool {
+        if self.started_at.is_none() {
+            return false;
+        }
+        !std::mem::replace(&mut self.is_start_reported, true)
+    }
+
     /// Returns the time since the first start was sent; zero for a run that was not confirmed.
     pub(super) fn ran_for(&self, now: Timestamp) -> Duration {
         let span = self
--- a/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod admission;
+mod begun_jobs;
 mod evacuation;
 mod fixture;
 mod grace_period;
--- a/crates/leased/cloverfold_lease/tests/runner/main.rs
+++ b/crates/leased/cloverfold_lease/tests/runner/main.rs
@@ -12,6 +12,7 @@
 mod own_stall;
 mod renewal_pace;
 mod sessions;
+mod start_reports;
 mod starts;
 mod stops;
 mod stuck_runs;
--- a/crates/leased/cloverfold_leased_entry/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/links.rs
@@ -65,6 +65,9 @@
             if hello.supports_kept_jobs() {
                 self.dispatcher.set_supports_kept_jobs(link);
             }
+            if hello.supports_start_reports() {
+                self.dispatcher.set_reports_starts(link);
+            }
             if let Some(hall) = hello.data_hall() {
                 self.dispatcher.set_data_hall(link, hall);
             }
--- a/crates/leased/cloverfold_leased_guard/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/mod.rs
@@ -312,11 +312,14 @@
         }
     }
 
-    /// Returns whether the entry supports a message. Only the target speed, which is a hint, is unsupported by older builds.
+    /// Returns whether the entry supports a message. Older builds do without the target speed, which is a hint, and the reports of starts.
     fn is_supported(&self, session: SessionId, message: &RunnerMessage) -> bool {
-        let is_hint = matches!(message, RunnerMessage::UsualSpeed(_));
         let entry = self.links.hello(session);
-        !is_hint || entry.is_some_and(Hello::supports_kept_jobs)
+        match message {
+            RunnerMessage::UsualSpeed(_) => entry.is_some_and(Hello::supports_kept_jobs),
+            RunnerMessage::Started(_) => entry.is_some_and(Hello::supports_start_reports),
+            _ => true,
+        }
     }
 
     /// Returns a message in a form that the entry supports: for a build without support for evacuations the target is draining instead of
--- a/crates/leased/cloverfold_peer/src/messages.rs
+++ b/crates/leased/cloverfold_peer/src/messages.rs
@@ -23,18 +23,21 @@
 /// | 1 | [`PeerMessage::Evacuations`], [`PeerMessage::EvacuationOrder`], [`cloverfold_lease::RunRefusal::Evacuated`] |
 /// | 2 | [`PeerMessage::JobGroups`] and the variants after it, [`DispatcherMessage::AssignKept`], [`RunnerMessage::UsualSpeed`] |
 /// | 3 | [`PeerMessage::FetchSince`], [`PeerMessage::ConfigurationChange`] |
+/// | 4 | [`RunnerMessage::Started`] |
 ///
 /// Older builds report no version.
 pub type ProtocolVersion = u32;
 
 /// Protocol version of this build.
-pub const PROTOCOL_VERSION: ProtocolVersion = 3;
+pub const PROTOCOL_VERSION: ProtocolVersion = 4;
 /// First version that supports the messages about evacuations.
 const EVACUATIONS_SINCE: ProtocolVersion = 1;
 /// First version that supports the messages about kept jobs, planned upkeep and target speeds.
 const KEPT_JOBS_SINCE: ProtocolVersion = 2;
 /// First version that supports configuration deltas.
 const CONFIGURATION_DELTAS_SINCE: ProtocolVersion = 3;
+/// First version that supports reports of started runs.
+const START_REPORTS_SINCE: ProtocolVersion = 4;
 
 /// The role of a process in its installation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -108,6 +111,11 @@
         self.supports(CONFIGURATION_DELTAS_SINCE)
     }
 
+    /// Returns whether the process supports reports of started runs.
+    pub fn supports_start_reports(&self) -> bool {
+        self.supports(START_REPORTS_SINCE)
+    }
+
     fn supports(&self, version: ProtocolVersion) -> bool {
         let details = self.details.0.as_ref();
         details.is_some_and(|details| details.protocol >= version)
--- a/crates/leased/cloverfold_peer/src/sent_counts.rs
+++ b/crates/leased/cloverfold_peer/src/sent_counts.rs
@@ -41,11 +41,12 @@
     RememberedSpeed,
     FetchSince,
     ConfigurationChange,
+    Started,
 }
 
 impl MessageKind {
     /// All kinds, in the order of their declaration.
-    const ALL: [Self; 32] = [
+    const ALL: [Self; 33] = [
         Self::Hello,
         Self::Echo,
         Self::Assign,
@@ -78,6 +79,7 @@
         Self::RememberedSpeed,
         Self::FetchSince,
         Self::ConfigurationChange,
+        Self::Started,
     ];
 
     pub(crate) fn of(message: &PeerMessage) -> Self {
@@ -90,6 +92,7 @@
             PeerMessage::ToDispatcher(RunnerMessage::FreeCapacity(_)) => Self::FreeCapacity,
             PeerMessage::ToDispatcher(RunnerMessage::Target(_)) => Self::Target,
             PeerMessage::ToDispatcher(RunnerMessage::Ended { .. }) => Self::Ended,
+            PeerMessage::ToDispatcher(RunnerMessage::Started(_)) => Self::Started,
             PeerMessage::VersionNotice { .. } => Self::VersionNotice,
             PeerMessage::Fetch => Self::Fetch,
             PeerMessage::Configuration(_) => Self::Configuration,
@@ -152,6 +155,7 @@
             Self::RememberedSpeed => "remembered_speed",
             Self::FetchSince => "fetch_since",
             Self::ConfigurationChange => "configuration_change",
+            Self::Started => "started",
         }
     }
 }
@@ -164,12 +168,20 @@
 }
 
 /// Messages and bytes that a process has sent since its start, by kind.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct SentCounts {
     /// In the order of [`MessageKind::ALL`].
     by_kind: [KindCount; MessageKind::ALL.len()],
 }
 
+impl Default for SentCounts {
+    fn default() -> Self {
+        Self {
+            by_kind: std::array::from_fn(|_| KindCount::default()),
+        }
+    }
+}
+
 /// Totals of one kind of message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SentTotals {
