Show an open best-effort job as queued until a task has started

GET of an open best-effort job said "running" even if all its tasks waited for a target: that it is open was taken for begun. It goes by the same knowledge as the count now.

Test: an_open_best_effort_job_has_begun_once_a_start_is_reported. The dispatcher had no such answer before, so the test could not fail on it.

--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -182,6 +182,12 @@
         self.find_repeatable(id).is_some()
     }
 
+    /// Returns whether any task of the open repeatable job with this name is known to have started; `None` if none is open.
+    pub fn has_named_begun(&self, id: &str) -> Option<bool> {
+        let job = self.jobs.get(&self.find_repeatable(id)?)?;
+        Some(job.has_begun)
+    }
+
     /// Returns the open repeatable job with this name.
     fn find_repeatable(&self, id: &str) -> Option<JobNumber> {
         let number = *self.open_jobs_by_name.get(id)?;
--- a/crates/leased/cloverfold_lease/tests/dispatcher/begun_jobs.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/begun_jobs.rs
@@ -101,6 +101,24 @@
     assert!(fixture.dispatcher.has_begun(number));
 }
 
+/// Guards against open best-effort jobs that show as running while they only wait.
+#[test]
+fn an_open_best_effort_job_has_begun_once_a_start_is_reported() {
+    let mut fixture = fixture_with_start_reports();
+    fixture.submit(one_task_job("best-effort"));
+    let run = fixture.take_assignments().remove(0);
+    let has_begun = |fixture: &Fixture| fixture.dispatcher.has_named_begun("best-effort");
+
+    let when_assigned = has_begun(&fixture);
+    report_start(&mut fixture, &run);
+    let when_started = has_begun(&fixture);
+    fixture.report_end(&run, RunOutcome::Done);
+
+    assert_eq!(when_assigned, Some(false));
+    assert_eq!(when_started, Some(true));
+    assert_eq!(has_begun(&fixture), None);
+}
+
 /// Guards against best-effort jobs that are left out of the count of waiting jobs before a task has started.
 #[test]
 fn a_best_effort_job_counts_as_queued_until_a_start_is_reported() {
--- a/crates/leased/cloverfold_leased_entry/src/protocol.rs
+++ b/crates/leased/cloverfold_leased_entry/src/protocol.rs
@@ -38,9 +38,9 @@
 /// The state of a job, as callers see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JobState {
-    /// No task has started.
+    /// No task is known to have started.
     Queued,
-    /// A task has started, or the job is repeatable and has no answer yet.
+    /// A task has started.
     Running,
     /// All tasks have succeeded.
     Completed,
--- a/crates/leased/cloverfold_leased_entry/src/request_handler.rs
+++ b/crates/leased/cloverfold_leased_entry/src/request_handler.rs
@@ -12,7 +12,7 @@
 
 use crate::metrics::EntryMetrics;
 use crate::pending_counts::PendingCounts;
-use crate::protocol::{JobProtocol, JobState, QueueCall};
+use crate::protocol::{JobProtocol, QueueCall};
 use crate::responses::{NoSuchJob, job_state_response, no_such_job_response, refusal_response};
 use crate::state::EntryState;
 
@@ -93,8 +93,9 @@
 
     /// Responds with the state of a job: of a repeatable one while it is open here, of a kept one until its retention is over.
     async fn show(&self, id: &str, request: &Request) -> Response {
-        if self.lock().is_open(id) {
-            return job_state_response(self.protocol.as_ref(), JobState::Running);
+        let open = self.lock().open_job_state(id);
+        if let Some(state) = open {
+            return job_state_response(self.protocol.as_ref(), state);
         }
         if !self.protocol.can_be_kept(id) {
             return no_such_job_response(id, NoSuchJob::NotKept);
--- a/crates/leased/cloverfold_leased_entry/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/mod.rs
@@ -27,7 +27,7 @@
 use crate::driven_jobs::DrivenJobs;
 use crate::event_log::log_event;
 use crate::guard_invitations::GuardInvitations;
-use crate::protocol::JobProtocol;
+use crate::protocol::{JobProtocol, JobState};
 use crate::run_numbers::first_run_number;
 pub(crate) use kept::GroupAnswer;
 
@@ -184,9 +184,14 @@
         self.dispatcher.count_open_jobs()
     }
 
-    /// Returns whether a job with this ID has no answer yet.
-    pub(crate) fn is_open(&self, id: &str) -> bool {
-        self.dispatcher.is_open(id)
+    /// Returns the state of the repeatable job with this ID that has no answer yet; `None` if there is none here.
+    pub(crate) fn open_job_state(&self, id: &str) -> Option<JobState> {
+        let has_begun = self.dispatcher.has_named_begun(id)?;
+        Some(if has_begun {
+            JobState::Running
+        } else {
+            JobState::Queued
+        })
     }
 
     /// Returns the number of matching jobs that have not started.
