--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -177,11 +177,6 @@
             .count()
     }
 
-    /// Returns whether a repeatable job with this name is open.
-    pub fn is_open(&self, id: &str) -> bool {
-        self.find_repeatable(id).is_some()
-    }
-
     /// Returns whether any task of the open repeatable job with this name is known to have started; `None` if none is open.
     pub fn has_named_begun(&self, id: &str) -> Option<bool> {
         let job = self.jobs.get(&self.find_repeatable(id)?)?;
--- a/crates/leased/cloverfold_lease/tests/dispatcher/kept_jobs.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/kept_jobs.rs
@@ -142,7 +142,7 @@
     let number = drive(&mut fixture, kept_job(one_task_job("a"), 1));
 
     assert!(!fixture.dispatcher.cancel_named("a"));
-    assert!(!fixture.dispatcher.is_open("a"));
+    assert_eq!(fixture.dispatcher.has_named_begun("a"), None);
     let other = fixture.submit(one_task_job("a"));
 
     assert_eq!(fixture.take_answers(), [(other, JobAnswer::GivenUp)]);
