Count jobs that wait for earlier runs; clearer names of target checks

A job whose waiting tasks all have an earlier run that may be in progress was in no count of waiting jobs. has_target_for_service and has_target_for_step say what they ask for.

--- a/crates/leased/cloverfold_lease/src/dispatcher/admission.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/admission.rs
@@ -46,12 +46,12 @@
         if self.catch_up.is_active(now) || is_starting(now) {
             return None;
         }
-        let has_target = self.has_target_for(&request.service, now);
+        let has_target = self.has_target_for_service(&request.service, now);
         (!has_target).then_some(JobRefusal::NoTarget)
     }
 
     /// Returns whether any target of a service accepts work.
-    pub(super) fn has_target_for(&self, service: &str, now: Timestamp) -> bool {
+    pub(super) fn has_target_for_service(&self, service: &str, now: Timestamp) -> bool {
         let targets = self.targets.find(service, None);
         targets.is_some_and(|targets| self.any_accepts_work(targets, now))
     }
@@ -120,7 +120,7 @@
         let Some(job) = self.jobs.get(&number) else {
             return;
         };
-        let cause = if self.has_target_for(&job.request.service, now) {
+        let cause = if self.has_target_for_service(&job.request.service, now) {
             JobRefusal::NoCapacity
         } else {
             JobRefusal::NoTarget
--- a/crates/leased/cloverfold_lease/src/dispatcher/closing.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/closing.rs
@@ -57,7 +57,6 @@
         let Some(job) = self.jobs.remove(&number) else {
             return;
         };
-        self.kept_jobs -= usize::from(job.is_kept());
         self.waiting.remove(&job.queue_position(number));
         if self.open_jobs_by_name.get(&job.request.id) == Some(&number) {
             self.open_jobs_by_name.remove(&job.request.id);
--- a/crates/leased/cloverfold_lease/src/dispatcher/kept_admission.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/kept_admission.rs
@@ -50,7 +50,7 @@
 
     /// Returns whether each step has a target that accepts work and could run a task of the step when empty.
     fn has_capable_targets(&self, request: &JobRequest, now: Timestamp) -> bool {
-        self.has_target_for(&request.service, now)
+        self.has_target_for_service(&request.service, now)
             && request.steps.iter().all(|step| {
                 let mut runners = self.sessions.values();
                 runners.any(|runner| can_run_step(runner, request, step, now))
@@ -80,7 +80,7 @@
         let work = steps.map(|(index, step)| {
             let tasks = count_tasks_ahead(job, index, other);
             // Without a target for it, the step keeps no other work waiting.
-            if tasks == 0 || !self.has_accepting_target(job, step, now) {
+            if tasks == 0 || !self.has_target_for_step(job, step, now) {
                 return 0.0;
             }
             let expected = self.duration_ratio.expected_duration(step.estimate);
--- a/crates/leased/cloverfold_lease/src/dispatcher/kept_jobs.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/kept_jobs.rs
@@ -53,7 +53,6 @@
             self.waiting.insert(job.queue_position(number));
         }
         self.jobs.insert(number, job);
-        self.kept_jobs += 1;
         self.place_waiting(now);
         number
     }
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -92,8 +92,6 @@
     /// Closed sessions whose runs may not have ended yet.
     lost_sessions: Vec<LostSession>,
     jobs: BTreeMap<JobNumber, Job>,
-    /// Number of kept jobs among `jobs`; if it is 0, checks for kept jobs are skipped.
-    kept_jobs: usize,
     /// Open jobs by the name that the caller chose.
     open_jobs_by_name: HashMap<String, JobNumber>,
     /// Jobs with waiting tasks; `precedence` determines the order in which they are served.
@@ -128,7 +126,6 @@
             targets: TargetIndex::default(),
             lost_sessions: Vec::new(),
             jobs: BTreeMap::new(),
-            kept_jobs: 0,
             open_jobs_by_name: HashMap::new(),
             waiting: BTreeSet::new(),
             waiting_jobs: WaitingJobsReport::default(),
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -107,7 +107,7 @@
     /// Returns the waiting jobs of which a target can run a task now, in the order of precedence, and counts the others.
     fn list_placeable_jobs(&self, pass: &mut PlacementPass, now: Timestamp) -> Vec<QueuePosition> {
         if self.waiting.len() == 1 {
-            // Placing it tells as much.
+            // For one job, the check would only repeat the search for a target.
             return self.waiting.iter().copied().collect();
         }
         let mut placeable = Vec::new();
@@ -173,8 +173,8 @@
         self.targets.find(&job.request.service, label)
     }
 
-    /// Returns whether a target with the service and the label that a step needs accepts work.
-    pub(super) fn has_accepting_target(
+    /// Returns whether a target that a step can use, as far as service and label go, accepts work.
+    pub(super) fn has_target_for_step(
         &self,
         job: &Job,
         step: &StepRequest,
@@ -251,7 +251,11 @@
         {
             return Some(cause);
         }
-        for index in self.list_placeable(number, step) {
+        let placeable = self.list_placeable(number, step);
+        if placeable.is_empty() {
+            return Some(WaitCause::EarlierRunOpen);
+        }
+        for index in placeable {
             let position = TaskPosition { job: number, index };
             let Some(session) = self.choose_target(position, now) else {
                 let job = self.jobs.get(&number)?;
--- a/crates/leased/cloverfold_lease/src/dispatcher/waiting_jobs.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/waiting_jobs.rs
@@ -24,6 +24,8 @@
     NoCapacity,
     /// All targets with free capacity hold as many tasks of the step as allowed.
     LimitPerTarget,
+    /// An earlier run of each waiting task may be in progress.
+    EarlierRunOpen,
 }
 
 /// Jobs with tasks that wait for a target after a pass over the queue, by the cause of the first of their steps that waits.
@@ -35,6 +37,8 @@
     pub no_capacity: usize,
     /// All targets with free capacity hold as many tasks of the step as allowed.
     pub limit_per_target: usize,
+    /// An earlier run of each waiting task may be in progress.
+    pub earlier_run_open: usize,
 }
 
 impl WaitingJobs {
@@ -43,6 +47,7 @@
             WaitCause::NoTarget => &mut self.no_target,
             WaitCause::NoCapacity => &mut self.no_capacity,
             WaitCause::LimitPerTarget => &mut self.limit_per_target,
+            WaitCause::EarlierRunOpen => &mut self.earlier_run_open,
         };
         *count += 1;
     }
--- a/crates/leased/cloverfold_leased_entry/src/event_log.rs
+++ b/crates/leased/cloverfold_leased_entry/src/event_log.rs
@@ -129,7 +129,8 @@
 fn log_jobs_waiting(jobs: &WaitingJobs, oldest: &Duration) {
     log::info!(
         no_target = jobs.no_target, no_capacity = jobs.no_capacity,
-        limit_per_target = jobs.limit_per_target, oldest_ms = millis(oldest);
+        limit_per_target = jobs.limit_per_target, earlier_run_open = jobs.earlier_run_open,
+        oldest_ms = millis(oldest);
         "jobs wait for a target"
     );
 }
--- a/crates/leased/cloverfold_leased_entry/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_entry/src/metrics.rs
@@ -139,6 +139,7 @@
             ("NoTarget", waiting.no_target as u64),
             ("NoRoom", waiting.no_capacity as u64),
             ("LimitPerTarget", waiting.limit_per_target as u64),
+            ("Held", waiting.earlier_run_open as u64),
         ]);
         self.version.set(state.version() as i64);
         self.ready_targets.set(state.ready_targets() as i64);
