Recompute free capacities only after a search that found no target

In a pass that assigns many tasks, the free capacities of a set were computed anew for the first check after each assignment. They only shrink within a pass, so old ones reject nothing wrongly: they are kept until a search for a target that they promised finds none. The benchmark has a form in which no target has more of everything than another, the worst for the check.

--- a/benches/benches/dispatch.rs
+++ b/benches/benches/dispatch.rs
@@ -25,6 +25,8 @@
 const PASS_TARGETS: SessionId = 240;
 /// Label that only the first target has.
 const SINGLE_LABEL: &str = "single";
+/// Name of the form of jobs for which the targets have opposed free capacities.
+const OPPOSED: &str = "on targets of which none has more of everything than another";
 /// Number of passes of one measurement.
 const PASSES: u32 = 20;
 /// Number of repetitions of a measurement of passes. Only the fastest counts.
@@ -54,17 +56,32 @@
     println!("the same with {BACKLOG} jobs waiting: {job_behind_backlog:.3} us");
     println!("runner, one run: {run:.3} us");
     for (form, make_job) in FORMS {
-        let times = (0..PASS_REPETITIONS).map(|_| measure_pass(make_job).as_secs_f64() * 1e6);
+        let free = if form == OPPOSED {
+            opposed_capacity
+        } else {
+            |_| CAPACITY
+        };
+        let measure = |_| measure_pass(make_job, free).as_secs_f64() * 1e6;
+        let times = (0..PASS_REPETITIONS).map(measure);
         let pass = times.fold(f64::INFINITY, f64::min);
         println!("one pass, {WAITING} kept jobs, {PASS_TARGETS} targets, {form}: {pass:.0} us");
     }
 }
 
+/// Returns the free processors and memory of a target when its targets are opposed: no one of them covers another.
+fn opposed_capacity(session: SessionId) -> Resources {
+    Resources {
+        cpu_milli: CAPACITY.cpu_milli - session as i64,
+        memory_mb: session as i64,
+        ..CAPACITY
+    }
+}
+
 /// Returns the job with a number.
 type MakeJob = fn(usize) -> JobRequest;
 
 /// Forms of jobs that find no target.
-const FORMS: [(&str, MakeJob); 7] = [
+const FORMS: [(&str, MakeJob); 8] = [
     ("alike", |number| {
         with_step(number, |step| step.demand.cpu_milli = 16_001)
     }),
@@ -82,6 +99,12 @@
             })
         },
     ),
+    (OPPOSED, |number| {
+        with_step(number, |step| {
+            step.demand.cpu_milli = CAPACITY.cpu_milli - number as i64 % 200;
+            step.demand.memory_mb = 300;
+        })
+    }),
     ("a label of its own", |number| {
         with_step(number, |step| {
             step.required_label = Some(format!("label-{number}"));
@@ -117,10 +140,12 @@
 }
 
 /// Returns the mean time of a message of a runner, each of which causes a pass over the queue.
-fn measure_pass(make_job: MakeJob) -> Duration {
+fn measure_pass(make_job: MakeJob, free: fn(SessionId) -> Resources) -> Duration {
     let mut dispatcher = make_dispatcher(PASS_TARGETS);
     for session in 1..=PASS_TARGETS {
         dispatcher.set_supports_kept_jobs(session);
+        let report = RunnerMessage::FreeCapacity(free_capacity(free(session)));
+        dispatcher.receive(session, report, at(1));
     }
     for number in 0..WAITING {
         let kept = KeptJob {
@@ -133,7 +158,7 @@
     let started_at = Instant::now();
     for pass in 0..PASSES {
         let session = 1 + SessionId::from(pass) % PASS_TARGETS;
-        let report = RunnerMessage::FreeCapacity(free_capacity(CAPACITY));
+        let report = RunnerMessage::FreeCapacity(free_capacity(free(session)));
         dispatcher.receive(session, report, at(2));
         black_box(dispatcher.take_actions());
     }
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -148,11 +148,7 @@
         let Some(targets) = self.find_targets(job, step) else {
             return Some(WaitCause::NoTarget);
         };
-        let key = CapacityKey {
-            targets: targets.id,
-            headroom: self.headroom_of(job, now),
-            is_kept: job.is_kept(),
-        };
+        let key = self.capacity_key(job, targets, now);
         let capacities = pass.capacities(key, || self.list_usable(targets, key, now));
         if capacities.is_empty() {
             return Some(WaitCause::NoTarget);
@@ -167,6 +163,28 @@
         (!can_run).then_some(WaitCause::LimitPerTarget)
     }
 
+    /// Like [`Self::find_wait_cause`], but recomputes the free capacities after a search that found no target.
+    fn find_new_wait_cause(
+        &self,
+        job: &Job,
+        step: usize,
+        pass: &mut PlacementPass,
+        now: Timestamp,
+    ) -> Option<WaitCause> {
+        if let Some(targets) = self.find_targets(job, &job.request.steps[step]) {
+            pass.forget_capacities(&self.capacity_key(job, targets, now));
+        }
+        self.find_wait_cause(job, step, pass, now)
+    }
+
+    fn capacity_key(&self, job: &Job, targets: &TargetSet, now: Timestamp) -> CapacityKey {
+        CapacityKey {
+            targets: targets.id,
+            headroom: self.headroom_of(job, now),
+            is_kept: job.is_kept(),
+        }
+    }
+
     /// Returns the targets with the service and the label that a step needs.
     fn find_targets(&self, job: &Job, step: &StepRequest) -> Option<&TargetSet> {
         let label = step.required_label.as_deref();
@@ -246,7 +264,7 @@
         now: Timestamp,
     ) -> Option<WaitCause> {
         let job = self.jobs.get(&number)?;
-        if pass.has_assignments()
+        if pass.knows_capacities()
             && let Some(cause) = self.find_wait_cause(job, step, pass, now)
         {
             return Some(cause);
@@ -259,10 +277,9 @@
             let position = TaskPosition { job: number, index };
             let Some(session) = self.choose_target(position, now) else {
                 let job = self.jobs.get(&number)?;
-                return self.find_wait_cause(job, step, pass, now);
+                return self.find_new_wait_cause(job, step, pass, now);
             };
             self.assign(position, session, now);
-            pass.record_assignment();
         }
         None
     }
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement_pass.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement_pass.rs
@@ -5,11 +5,10 @@
 //! targets the pass keeps the free capacities that no other one covers. A demand fits a target of the set if and only if one of these covers
 //! it, and there are few of them.
 //!
-//! Free capacity only shrinks during a pass. What found no target need not be tried again in it, and a set is computed anew only if a task
-//! was assigned since.
+//! Free capacity only shrinks during a pass, so what found no target need not be tried again in it. Known capacities of a set may be too
+//! large after an assignment; they are computed anew after a search for a target that they promised has found none.
 
 use std::collections::HashMap;
-use std::collections::hash_map::Entry;
 
 use crate::dispatcher::headroom::Headroom;
 use crate::dispatcher::target_index::TargetSetId;
@@ -72,40 +71,29 @@
 /// State of one pass over the queue.
 #[derive(Debug, Default)]
 pub(super) struct PlacementPass {
-    /// Number of tasks assigned in this pass.
-    assigned: u64,
-    /// Computed capacities, with the number of assigned tasks at that time.
-    capacities: HashMap<CapacityKey, (u64, FreeCapacities)>,
+    capacities: HashMap<CapacityKey, FreeCapacities>,
     waiting: WaitingJobs,
 }
 
 impl PlacementPass {
-    /// Returns the free capacities of a set of targets, which `list` lists if they are unknown or a task was assigned since.
+    /// Returns whether any free capacities are known.
+    pub(super) fn knows_capacities(&self) -> bool {
+        !self.capacities.is_empty()
+    }
+
+    /// Returns the known free capacities of a set of targets, which `list` lists if there are none.
     pub(super) fn capacities(
         &mut self,
         key: CapacityKey,
         list: impl FnOnce() -> Vec<(SessionId, Resources)>,
     ) -> &FreeCapacities {
-        let compute = || (self.assigned, FreeCapacities::new(list()));
-        let known = match self.capacities.entry(key) {
-            Entry::Occupied(known) if known.get().0 == self.assigned => known.into_mut(),
-            Entry::Occupied(mut outdated) => {
-                outdated.insert(compute());
-                outdated.into_mut()
-            }
-            Entry::Vacant(unknown) => unknown.insert(compute()),
-        };
-        &known.1
-    }
-
-    /// Records that a task was assigned, which changes the free capacity of a target.
-    pub(super) fn record_assignment(&mut self) {
-        self.assigned += 1;
+        let known = self.capacities.entry(key);
+        known.or_insert_with(|| FreeCapacities::new(list()))
     }
 
-    /// Returns whether any task was assigned in this pass.
-    pub(super) fn has_assignments(&self) -> bool {
-        self.assigned > 0
+    /// Forgets the free capacities of a set of targets, because tasks were assigned since.
+    pub(super) fn forget_capacities(&mut self, key: &CapacityKey) {
+        self.capacities.remove(key);
     }
 
     /// Counts a job that remains in the queue.
