Move the search for wait causes out of placement

placement.rs chooses targets; wait_causes.rs tells which jobs need no search, and the questions about targets of a service or step stand with their index. Moved functions only.

--- a/crates/leased/cloverfold_lease/src/dispatcher/admission.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/admission.rs
@@ -50,12 +50,6 @@
         (!has_target).then_some(JobRefusal::NoTarget)
     }
 
-    /// Returns whether any target of a service accepts work.
-    pub(super) fn has_target_for_service(&self, service: &str, now: Timestamp) -> bool {
-        let targets = self.targets.find(service, None);
-        targets.is_some_and(|targets| self.any_accepts_work(targets, now))
-    }
-
     /// Refuses a job at its submission.
     pub(super) fn refuse_at_once(
         &mut self,
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -11,7 +11,7 @@
 //!
 //! - `admission`, `kept_admission`: which jobs are refused or given up; `deadlines`, `standing_queues`: when;
 //! - `precedence`, `shares`, `resubmissions`: the order in which waiting jobs are served;
-//! - `placement`, `headroom`: which target a task is assigned to; `placement_pass`, `target_index`: which jobs need not be tried;
+//! - `placement`, `headroom`: which target a task is assigned to; `wait_causes`, `placement_pass`, `target_index`: which jobs need no search;
 //!   `evacuation`: which data halls are excluded;
 //! - `run_ends`: what follows from the end of a run; `late_runs`: which runs take too long;
 //! - `sessions`, `runner_session`: what is known of runners, and when the runs of a lost session have ended;
@@ -47,6 +47,7 @@
 mod stall_recovery;
 mod standing_queues;
 mod target_index;
+mod wait_causes;
 mod waiting_jobs;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -20,13 +20,11 @@
 
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::headroom::{Headroom, usable_capacity};
-use crate::dispatcher::job::{Job, JobNumber, QueuePosition, Task, TaskPhase, TaskPosition};
-use crate::dispatcher::placement_pass::{CapacityKey, PlacementPass};
+use crate::dispatcher::job::{Job, JobNumber, Task, TaskPhase, TaskPosition};
+use crate::dispatcher::placement_pass::PlacementPass;
 use crate::dispatcher::runner_session::RunnerSession;
-use crate::dispatcher::target_index::TargetSet;
-use crate::dispatcher::waiting_jobs::WaitCause;
+use crate::dispatcher::wait_causes::WaitCause;
 use crate::messages::{Assignment, SessionId};
-use crate::request::StepRequest;
 use crate::resources::Resources;
 
 /// Number of random samples among the candidates. Sampling prevents dispatchers that decide at the same time on the same reports from all
@@ -69,7 +67,7 @@
 }
 
 /// Returns the free capacity of a target that a task may use, or `None` if the target accepts no work or no kept runs.
-fn usable_on(
+pub(super) fn usable_on(
     runner: &RunnerSession,
     headroom: Headroom,
     is_kept: bool,
@@ -83,7 +81,11 @@
 }
 
 /// Returns whether a target holds as many tasks of a step as allowed; `assigned` are their numbers.
-fn has_reached_limit(assigned: &HashMap<SessionId, u32>, session: SessionId, limit: u32) -> bool {
+pub(super) fn has_reached_limit(
+    assigned: &HashMap<SessionId, u32>,
+    session: SessionId,
+    limit: u32,
+) -> bool {
     assigned.get(&session).copied().unwrap_or_default() >= limit
 }
 
@@ -104,127 +106,6 @@
         self.record_standing_queues(now);
     }
 
-    /// Returns the waiting jobs of which a target can run a task now, in the order of precedence, and counts the others.
-    fn list_placeable_jobs(&self, pass: &mut PlacementPass, now: Timestamp) -> Vec<QueuePosition> {
-        if self.waiting.len() == 1 {
-            // For one job, the check would only repeat the search for a target.
-            return self.waiting.iter().copied().collect();
-        }
-        let mut placeable = Vec::new();
-        for position in &self.waiting {
-            let job = self.jobs.get(&position.job);
-            match job.and_then(|job| self.find_job_wait_cause(job, pass, now)) {
-                Some(cause) => pass.record_waiting(cause),
-                None => placeable.push(*position),
-            }
-        }
-        self.sort_by_precedence(placeable, now)
-    }
-
-    /// Returns why no target can run any waiting task of a job now, or `None` if one can.
-    fn find_job_wait_cause(
-        &self,
-        job: &Job,
-        pass: &mut PlacementPass,
-        now: Timestamp,
-    ) -> Option<WaitCause> {
-        let mut first = None;
-        for step in job.waiting_steps() {
-            let cause = self.find_wait_cause(job, step, pass, now)?;
-            first.get_or_insert(cause);
-        }
-        first
-    }
-
-    /// Returns why no target can run a task of a step now, or `None` if one can.
-    fn find_wait_cause(
-        &self,
-        job: &Job,
-        step_index: usize,
-        pass: &mut PlacementPass,
-        now: Timestamp,
-    ) -> Option<WaitCause> {
-        let step = &job.request.steps[step_index];
-        let Some(targets) = self.find_targets(job, step) else {
-            return Some(WaitCause::NoTarget);
-        };
-        let key = self.capacity_key(job, targets, now);
-        let capacities = pass.capacities(key, || self.list_usable(targets, key, now));
-        if capacities.is_empty() {
-            return Some(WaitCause::NoTarget);
-        }
-        if !capacities.fit(&step.demand) {
-            return Some(WaitCause::NoCapacity);
-        }
-        let limit = step.max_per_target?;
-        let assigned = job.count_assigned(step_index);
-        let is_at_limit = |session| has_reached_limit(&assigned, session, limit);
-        let can_run = capacities.fit_except(&step.demand, is_at_limit);
-        (!can_run).then_some(WaitCause::LimitPerTarget)
-    }
-
-    /// Like [`Self::find_wait_cause`], but recomputes the free capacities after a search that found no target.
-    fn find_new_wait_cause(
-        &self,
-        job: &Job,
-        step: usize,
-        pass: &mut PlacementPass,
-        now: Timestamp,
-    ) -> Option<WaitCause> {
-        if let Some(targets) = self.find_targets(job, &job.request.steps[step]) {
-            pass.forget_capacities(&self.capacity_key(job, targets, now));
-        }
-        self.find_wait_cause(job, step, pass, now)
-    }
-
-    fn capacity_key(&self, job: &Job, targets: &TargetSet, now: Timestamp) -> CapacityKey {
-        CapacityKey {
-            targets: targets.id,
-            headroom: self.headroom_of(job, now),
-            is_kept: job.is_kept(),
-        }
-    }
-
-    /// Returns the targets with the service and the label that a step needs.
-    fn find_targets(&self, job: &Job, step: &StepRequest) -> Option<&TargetSet> {
-        let label = step.required_label.as_deref();
-        self.targets.find(&job.request.service, label)
-    }
-
-    /// Returns whether a target that a step can use, as far as service and label go, accepts work.
-    pub(super) fn has_target_for_step(
-        &self,
-        job: &Job,
-        step: &StepRequest,
-        now: Timestamp,
-    ) -> bool {
-        let targets = self.find_targets(job, step);
-        targets.is_some_and(|targets| self.any_accepts_work(targets, now))
-    }
-
-    /// Returns whether any target of a set accepts work.
-    pub(super) fn any_accepts_work(&self, targets: &TargetSet, now: Timestamp) -> bool {
-        let sessions = targets.sessions.iter();
-        let mut runners = sessions.filter_map(|session| self.sessions.get(session));
-        runners.any(|runner| runner.accepts_work(now))
-    }
-
-    /// Returns the targets of a set that accept work, with the free capacity that a task may use.
-    fn list_usable(
-        &self,
-        targets: &TargetSet,
-        key: CapacityKey,
-        now: Timestamp,
-    ) -> Vec<(SessionId, Resources)> {
-        let sessions = targets.sessions.iter();
-        let usable = sessions.filter_map(|session| {
-            let runner = self.sessions.get(session)?;
-            let usable = usable_on(runner, key.headroom, key.is_kept, now)?;
-            Some((*session, usable))
-        });
-        usable.collect()
-    }
-
     /// Records which queues have jobs that wait to start.
     fn record_standing_queues(&mut self, now: Timestamp) {
         let jobs = self.waiting.iter();
@@ -323,7 +204,7 @@
     }
 
     /// Returns the headroom that tasks of a job must leave.
-    fn headroom_of(&self, job: &Job, now: Timestamp) -> Headroom {
+    pub(super) fn headroom_of(&self, job: &Job, now: Timestamp) -> Headroom {
         if job.is_late_resubmission || job.is_past_grace(now) {
             Headroom::ForOnTime
         } else if self.shares.has_more_urgent(job.request.priority) {
--- a/crates/leased/cloverfold_lease/src/dispatcher/placement_pass.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement_pass.rs
@@ -12,7 +12,8 @@
 
 use crate::dispatcher::headroom::Headroom;
 use crate::dispatcher::target_index::TargetSetId;
-use crate::dispatcher::waiting_jobs::{WaitCause, WaitingJobs};
+use crate::dispatcher::wait_causes::WaitCause;
+use crate::dispatcher::waiting_jobs::WaitingJobs;
 use crate::messages::SessionId;
 use crate::resources::Resources;
 
--- a/crates/leased/cloverfold_lease/src/dispatcher/target_index.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/target_index.rs
@@ -2,7 +2,12 @@
 
 use std::collections::{BTreeSet, HashMap};
 
+use cloverfold_base::Timestamp;
+
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::job::Job;
 use crate::messages::{SessionId, TargetDescription};
+use crate::request::StepRequest;
 
 /// Identifies a [`TargetSet`]; never reused.
 pub(super) type TargetSetId = u64;
@@ -81,3 +86,35 @@
         }
     }
 }
+
+impl Dispatcher {
+    /// Returns whether any target of a service accepts work.
+    pub(super) fn has_target_for_service(&self, service: &str, now: Timestamp) -> bool {
+        let targets = self.targets.find(service, None);
+        targets.is_some_and(|targets| self.any_accepts_work(targets, now))
+    }
+
+    /// Returns the targets with the service and the label that a step needs.
+    pub(super) fn find_targets(&self, job: &Job, step: &StepRequest) -> Option<&TargetSet> {
+        let label = step.required_label.as_deref();
+        self.targets.find(&job.request.service, label)
+    }
+
+    /// Returns whether a target that a step can use, as far as service and label go, accepts work.
+    pub(super) fn has_target_for_step(
+        &self,
+        job: &Job,
+        step: &StepRequest,
+        now: Timestamp,
+    ) -> bool {
+        let targets = self.find_targets(job, step);
+        targets.is_some_and(|targets| self.any_accepts_work(targets, now))
+    }
+
+    /// Returns whether any target of a set accepts work.
+    fn any_accepts_work(&self, targets: &TargetSet, now: Timestamp) -> bool {
+        let sessions = targets.sessions.iter();
+        let mut runners = sessions.filter_map(|session| self.sessions.get(session));
+        runners.any(|runner| runner.accepts_work(now))
+    }
+}
--- a/crates/leased/cloverfold_lease/src/dispatcher/waiting_jobs.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/waiting_jobs.rs
@@ -9,25 +9,13 @@
 
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::events::DispatcherEvent;
+use crate::dispatcher::wait_causes::WaitCause;
 
 /// Wait of a job from which the counts are reported.
 const REPORTED_WAIT: Duration = Duration::from_secs(1);
 /// Minimum time between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Why no target can run a task of a step now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum WaitCause {
-    /// No target of the service with the required label accepts work.
-    NoTarget,
-    /// No such target has free capacity.
-    NoCapacity,
-    /// All targets with free capacity hold as many tasks of the step as allowed.
-    LimitPerTarget,
-    /// An earlier run of each waiting task may be in progress.
-    EarlierRunOpen,
-}
-
 /// Jobs with tasks that wait for a target after a pass over the queue, by the cause of the first of their steps that waits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WaitingJobs {
