Count waiting kept jobs only as the confirmed leader of their group

Callers could get a count of waiting jobs from a control process that led a group no longer, or not yet for certain: a leader that a cut has deposed leaves out every job that a later one has accepted, and one that was just elected, with the entries of its predecessor not applied yet, leaves out what was accepted before.

Cause: CountPending was answered at once from the leader's table, while Show and Renew wait until a majority has confirmed that this process leads and has committed an entry in its term. It waits for the same round now; rounds are shared by all calls that arrived before they begin. A call that cannot be confirmed is refused with NoLeader, which an entry repeats elsewhere.

--- a/crates/leased/cloverfold_control/src/job_groups/calls.rs
+++ b/crates/leased/cloverfold_control/src/job_groups/calls.rs
@@ -4,8 +4,8 @@
 //! |---|---|---|
 //! | `Submit` | no quorum contact, stuck disks here or on a majority, full queue | after commit |
 //! | `RecordEnds`, `Cancel` | no quorum contact, full queue | after commit |
-//! | `Show`, `Renew` | full queue, leadership not confirmed | after a read barrier |
-//! | `CountPending`, `Release` | never | immediately |
+//! | `Show`, `CountPending`, `Renew` | full queue, leadership not confirmed | after a read barrier |
+//! | `Release` | never | immediately |
 //!
 //! A refusal guarantees that a call has no effect, now or later. A command that was appended may still be committed and is therefore never
 //! refused. A leader with a hanging disk accepts no new jobs, but the other replicas still record the progress of accepted ones.
@@ -62,18 +62,15 @@
             }
             JobCall::Cancel(job) => self.queue_command(caller, &JobCommand::Cancel(job), now),
             JobCall::Show(job) => self.queue_read(caller, ReadRequest::Show(job)),
+            JobCall::CountPending(queue) => {
+                self.queue_read(caller, ReadRequest::CountPending(queue))
+            }
             JobCall::Renew(renewal) => {
                 let driver = renewal.driver;
                 let leader_state = self.leader_state.as_mut().ok_or(CallRefusal::NoLeader)?;
                 leader_state.drivers.renew(renewal, now);
                 self.queue_read(caller, ReadRequest::Renewal(driver))
             }
-            JobCall::CountPending(queue) => {
-                let leader_state = self.leader_state.as_mut().ok_or(CallRefusal::NoLeader)?;
-                let pending = leader_state.count_pending(&self.table, &queue, now);
-                self.answer(caller, JobReply::Pending(pending));
-                Ok(())
-            }
             JobCall::Release { driver, jobs } => {
                 let leader_state = self.leader_state.as_mut().ok_or(CallRefusal::NoLeader)?;
                 leader_state.drivers.release(&self.table, driver, jobs, now);
@@ -145,6 +142,9 @@
                 return;
             }
             ReadRequest::Show(job) => JobReply::Shown(self.show(&job)),
+            ReadRequest::CountPending(queue) => {
+                JobReply::Pending(leader_state.count_pending(&self.table, &queue, now))
+            }
         };
         self.answer(read.caller, reply);
     }
--- a/crates/leased/cloverfold_control/src/job_groups/reads.rs
+++ b/crates/leased/cloverfold_control/src/job_groups/reads.rs
@@ -20,6 +20,8 @@
 pub(super) enum ReadRequest {
     /// The phase of a job.
     Show(JobId),
+    /// The number of jobs of a queue that have not started.
+    CountPending(String),
     /// The reply to the last renewal of a driver.
     Renewal(DriverId),
 }
