Keep reported starts of kept jobs when their driver changes

Callers saw a job fall back from running to queued, and Pending count it again, when its entry released it (a planned stop) or another entry took it over before any of its tasks had ended, until its next start.

Cause: the leader of the group went by the report of the present driver in the present epoch, and a driver that takes a job over knows only its recorded ends. "This driver knows of no start" stood for "there was none".

A start is final, so the leader keeps what any driver has reported of an open job, until the job ends. Reports of an earlier epoch count as little as before.

--- a/crates/leased/cloverfold_control/src/job_groups/apply.rs
+++ b/crates/leased/cloverfold_control/src/job_groups/apply.rs
@@ -114,6 +114,7 @@
         };
         if let Some(leader_state) = &mut self.leader_state {
             leader_state.open_since.remove(&prior.job);
+            leader_state.drivers.remove_ended(&prior.job);
         }
         let level = match ended.how {
             TerminalState::Completed => ROUTINE_LEVEL,
--- a/crates/leased/cloverfold_control/src/job_groups/calls.rs
+++ b/crates/leased/cloverfold_control/src/job_groups/calls.rs
@@ -68,7 +68,7 @@
             JobCall::Renew(renewal) => {
                 let driver = renewal.driver;
                 let leader_state = self.leader_state.as_mut().ok_or(CallRefusal::NoLeader)?;
-                leader_state.drivers.renew(renewal, now);
+                leader_state.drivers.renew(&self.table, renewal, now);
                 self.queue_read(caller, ReadRequest::Renewal(driver))
             }
             JobCall::Release { driver, jobs } => {
--- a/crates/leased/cloverfold_kept_jobs/src/drivers.rs
+++ b/crates/leased/cloverfold_kept_jobs/src/drivers.rs
@@ -17,7 +17,7 @@
 
 use cloverfold_base::Timestamp;
 
-use crate::calls::{JobAssignment, ReleasedJob, Renewal, RenewalReply};
+use crate::calls::{DrivenJob, JobAssignment, ReleasedJob, Renewal, RenewalReply};
 use crate::ids::{DriverId, Epoch, JobId};
 use crate::job::{JobPhase, OpenJob};
 use crate::table::JobTable;
@@ -33,8 +33,8 @@
     pub(crate) entry: String,
     pub(crate) renewed_at: Timestamp,
     pub(crate) takes_jobs: bool,
-    /// The reported jobs: their epochs, and whether a task has started.
-    driving: BTreeMap<JobId, (Epoch, bool)>,
+    /// The reported jobs and their epochs.
+    driving: BTreeMap<JobId, Epoch>,
 }
 
 /// A job that its driver has released.
@@ -52,6 +52,8 @@
     elected_at: Timestamp,
     pub(crate) drivers: BTreeMap<DriverId, DriverState>,
     pub(crate) released: BTreeMap<JobId, Release>,
+    /// Open jobs of which any driver has reported a start. A start is final, but the next driver does not know of it.
+    begun: BTreeSet<JobId>,
     /// Jobs whose handover is proposed but not committed.
     pub(crate) pending_handover: BTreeSet<JobId>,
 }
@@ -64,14 +66,19 @@
             elected_at,
             drivers: BTreeMap::new(),
             released: BTreeMap::new(),
+            begun: BTreeSet::new(),
             pending_handover: BTreeSet::new(),
         }
     }
 
     /// Records a renewal that has just arrived. Answer it only after this process has confirmed that it still led when the renewal arrived.
-    pub fn renew(&mut self, renewal: Renewal, now: Timestamp) {
+    pub fn renew(&mut self, table: &JobTable, renewal: Renewal, now: Timestamp) {
+        let begun = renewal.driving.iter();
+        let begun = begun.filter(|reported| reported.has_begun && is_current(table, reported));
+        self.begun
+            .extend(begun.map(|reported| reported.job.clone()));
         let driving = renewal.driving.into_iter();
-        let driving = driving.map(|reported| (reported.job, (reported.epoch, reported.has_begun)));
+        let driving = driving.map(|reported| (reported.job, reported.epoch));
         let state = DriverState {
             entry: renewal.entry,
             renewed_at: now,
@@ -81,6 +88,11 @@
         self.drivers.insert(renewal.driver, state);
     }
 
+    /// Forgets a job that has ended.
+    pub fn remove_ended(&mut self, job: &str) {
+        self.begun.remove(job);
+    }
+
     /// Records the jobs that a driver releases. Jobs of another driver or epoch are ignored.
     pub fn release(
         &mut self,
@@ -143,7 +155,7 @@
         let Some(state) = self.drivers.get(&driver) else {
             return reply;
         };
-        for (job, (epoch, _)) in &state.driving {
+        for (job, epoch) in &state.driving {
             if !self.should_drive(table, driver, job, *epoch) {
                 reply.drop.push((job.clone(), *epoch));
             }
@@ -154,8 +166,8 @@
             let Some(open) = table.open().get(job) else {
                 continue;
             };
-            let reported = state.driving.get(job).map(|(epoch, _)| *epoch);
-            if reported == Some(open.epoch()) || self.is_leaving_driver(job, open) {
+            let reported = state.driving.get(job);
+            if reported == Some(&open.epoch()) || self.is_leaving_driver(job, open) {
                 continue;
             }
             bytes += open.submission().body.len();
@@ -179,12 +191,9 @@
         is_released || self.pending_handover.contains(job)
     }
 
-    /// Returns the phase of an open job: `Running` if a task has a recorded end or the driver reported a start, otherwise `Queued`.
+    /// Returns the phase of an open job: `Running` if a task has a recorded end or a driver reported a start, otherwise `Queued`.
     pub fn phase(&self, job: &str, open: &OpenJob) -> JobPhase {
-        let state = self.drivers.get(&open.driver());
-        let reported = state.and_then(|state| state.driving.get(job));
-        let has_begun = reported.is_some_and(|(epoch, begun)| *epoch == open.epoch() && *begun);
-        if has_begun || !open.progress().is_empty() {
+        if self.begun.contains(job) || !open.progress().is_empty() {
             JobPhase::Running
         } else {
             JobPhase::Queued
@@ -210,6 +219,12 @@
     }
 }
 
+/// Returns whether a driver reports a job in its current epoch. An earlier job of the same ID may have had a lower one.
+fn is_current(table: &JobTable, reported: &DrivenJob) -> bool {
+    let open = table.open().get(&reported.job);
+    open.is_some_and(|open| open.epoch() == reported.epoch)
+}
+
 /// Returns the assignment of a job in its current epoch.
 pub fn job_assignment(job: &str, open: &OpenJob) -> JobAssignment {
     let progress = open.progress().iter();
--- a/crates/leased/cloverfold_kept_jobs/tests/drivers.rs
+++ b/crates/leased/cloverfold_kept_jobs/tests/drivers.rs
@@ -74,9 +74,9 @@
     let table = table(&[("job", 1)]);
     let mut drivers = drivers();
     let renewed = ELECTED + 500 * MS;
-    drivers.renew(renewal(1, "entry-1", &[("job", 1, true)]), renewed);
+    drivers.renew(&table, renewal(1, "entry-1", &[("job", 1, true)]), renewed);
     let due = renewed + handover_delay();
-    drivers.renew(renewal(2, "entry-2", &[]), due - 2 * MS);
+    drivers.renew(&table, renewal(2, "entry-2", &[]), due - 2 * MS);
 
     assert!(drivers.plan_handover(&table, due - MS).is_empty());
     assert_eq!(drivers.plan_handover(&table, due), [reassignment("job", 2)]);
@@ -91,7 +91,7 @@
     let table = table(&[("job", 1)]);
     let mut drivers = drivers();
     let due = ELECTED + handover_delay();
-    drivers.renew(renewal(2, "entry-2", &[]), due - 2 * MS);
+    drivers.renew(&table, renewal(2, "entry-2", &[]), due - 2 * MS);
 
     assert!(drivers.plan_handover(&table, due - MS).is_empty());
     assert_eq!(drivers.plan_handover(&table, due), [reassignment("job", 2)]);
@@ -101,10 +101,10 @@
 fn a_newer_driver_of_the_same_entry_does_not_shorten_a_lease() {
     let table = table(&[("job", 1)]);
     let mut drivers = drivers();
-    drivers.renew(renewal(1, "entry", &[("job", 1, true)]), ELECTED);
-    drivers.renew(renewal(2, "entry", &[]), ELECTED + 10 * MS);
+    drivers.renew(&table, renewal(1, "entry", &[("job", 1, true)]), ELECTED);
+    drivers.renew(&table, renewal(2, "entry", &[]), ELECTED + 10 * MS);
     let due = ELECTED + handover_delay();
-    drivers.renew(renewal(2, "entry", &[]), due - 2 * MS);
+    drivers.renew(&table, renewal(2, "entry", &[]), due - 2 * MS);
 
     assert!(drivers.plan_handover(&table, due - MS).is_empty());
     assert_eq!(drivers.plan_handover(&table, due), [reassignment("job", 2)]);
@@ -115,8 +115,8 @@
     let table = table(&[("clean", 1), ("running", 1)]);
     let mut drivers = drivers();
     let now = ELECTED + 100 * MS;
-    drivers.renew(renewal(1, "entry-1", &[]), now);
-    drivers.renew(renewal(2, "entry-2", &[]), now);
+    drivers.renew(&table, renewal(1, "entry-1", &[]), now);
+    drivers.renew(&table, renewal(2, "entry-2", &[]), now);
     drivers.release(&table, 1, release("clean", true), now);
     drivers.release(&table, 1, release("running", false), now);
     drivers.release(&table, 2, release("running", true), now);
@@ -124,7 +124,7 @@
     let answered = drivers.renewal_reply(&table, 1);
     let first = drivers.plan_handover(&table, now);
     let runs_over = now + KeptJobTimings::default().run_termination_bound;
-    drivers.renew(renewal(2, "entry-2", &[]), runs_over - MS);
+    drivers.renew(&table, renewal(2, "entry-2", &[]), runs_over - MS);
     let early = drivers.plan_handover(&table, runs_over - MS);
     let second = drivers.plan_handover(&table, runs_over);
 
@@ -140,11 +140,11 @@
     let table = table(&[("a", 1), ("b", 1), ("c", 1), ("held", 2)]);
     let mut drivers = drivers();
     let now = ELECTED + handover_delay();
-    drivers.renew(renewal(2, "entry-2", &[("held", 1, true)]), now);
-    drivers.renew(renewal(3, "entry-3", &[]), now);
+    drivers.renew(&table, renewal(2, "entry-2", &[("held", 1, true)]), now);
+    drivers.renew(&table, renewal(3, "entry-3", &[]), now);
     let mut leaving = renewal(4, "entry-4", &[]);
     leaving.takes_jobs = false;
-    drivers.renew(leaving, now);
+    drivers.renew(&table, leaving, now);
 
     let planned = drivers.plan_handover(&table, now);
 
@@ -168,7 +168,7 @@
         ("over", 1, true),
         ("older", 1, true),
     ];
-    drivers.renew(renewal(1, "entry-1", &reported), ELECTED);
+    drivers.renew(&table, renewal(1, "entry-1", &reported), ELECTED);
 
     let answer = drivers.renewal_reply(&table, 1);
 
@@ -188,17 +188,55 @@
     let jobs: Vec<(&str, DriverId)> = names.iter().map(|name| (&name[..], 1)).collect();
     let table = table(&jobs);
     let mut drivers = drivers();
-    drivers.renew(renewal(1, "entry-1", &[]), ELECTED);
+    drivers.renew(&table, renewal(1, "entry-1", &[]), ELECTED);
 
     assert_eq!(drivers.renewal_reply(&table, 1).drive.len(), 3);
 }
 
+/// Guards against a job that shows as queued again, and counts as pending, because its next driver does not know that it has begun.
+#[test]
+fn a_job_that_has_begun_stays_running_under_its_next_driver() {
+    let mut table = table(&[("job", 1)]);
+    let mut drivers = drivers();
+    drivers.renew(&table, renewal(1, "entry-1", &[("job", 1, true)]), ELECTED);
+    drivers.renew(&table, renewal(1, "entry-1", &[]), ELECTED + MS);
+    drivers.release(&table, 1, release("job", true), ELECTED + MS);
+
+    let released = drivers.phase("job", &table.open()["job"]);
+    table.apply(JobCommand::Assign(vec![reassignment("job", 2)]));
+    let reassigned = [("job", 2, false)];
+    drivers.renew(&table, renewal(2, "entry-2", &reassigned), ELECTED + 2 * MS);
+
+    assert_eq!(released, JobPhase::Running);
+    assert_eq!(
+        drivers.phase("job", &table.open()["job"]),
+        JobPhase::Running
+    );
+    assert!(drivers.count_pending(&table).is_empty());
+}
+
+/// Guards against a new job that shows as running because an ended one of the same ID had begun.
+#[test]
+fn a_late_report_of_an_ended_job_does_not_start_a_new_one_of_its_id() {
+    let mut table = table(&[("job", 1)]);
+    let mut drivers = drivers();
+    let reported = [("job", 1, true)];
+    drivers.renew(&table, renewal(1, "entry-1", &reported), ELECTED);
+    table.apply(JobCommand::Cancel("job".into()));
+    drivers.remove_ended("job");
+
+    drivers.renew(&table, renewal(1, "entry-1", &reported), ELECTED + MS);
+    let table = self::table(&[("job", 1)]);
+
+    assert_eq!(drivers.phase("job", &table.open()["job"]), JobPhase::Queued);
+}
+
 #[test]
 fn a_job_is_running_once_its_current_driver_reports_a_start() {
     let table = table(&[("begun", 1), ("waiting", 1)]);
     let mut drivers = drivers();
     let reported = [("begun", 1, true), ("waiting", 1, false)];
-    drivers.renew(renewal(1, "entry-1", &reported), ELECTED);
+    drivers.renew(&table, renewal(1, "entry-1", &reported), ELECTED);
 
     let phase = |job: &str| drivers.phase(job, &table.open()[job]);
     assert_eq!(phase("begun"), JobPhase::Running);
--- a/crates/leased/cloverfold_kept_jobs/tests/world/simulation.rs
+++ b/crates/leased/cloverfold_kept_jobs/tests/world/simulation.rs
@@ -310,7 +310,7 @@
             }
             Event::Renew(index, sent_at, renewal) => {
                 let driver = renewal.driver;
-                self.drivers.renew(renewal, self.now);
+                self.drivers.renew(&self.table, renewal, self.now);
                 let confirmed_at = self.now + self.rng.millis(5, 100);
                 let confirmation = Event::LeadershipConfirmed(self.term, index, sent_at, driver);
                 self.in_flight.push((confirmed_at, confirmation));
