Do not call jobs queued before their driver has reported to a new leader

After an election of a group's leader, callers saw jobs that were running as queued, and Pending rose to all jobs without a recorded end, until their entries had renewed with the new leader, 0.3 s later.

Cause: a new leader begins with an empty table of drivers, and "no driver has reported a start" stood for "none has started".

DriverTable::phase and count_pending return an Option: None while the driver may be running the job, its lease not being over, and has not reported to this leader. Show and CountPending are then refused with NoLeader, which an entry repeats after 0.1 s; its caller waits that long instead.

Tests: a_new_leader_does_not_know_a_phase_before_the_driver_reports (the code before has no answer but Queued, shown by the test before it) and a_new_leader_knows_that_a_job_with_a_recorded_end_has_begun.

--- a/crates/leased/cloverfold_control/src/job_groups/apply.rs
+++ b/crates/leased/cloverfold_control/src/job_groups/apply.rs
@@ -55,7 +55,7 @@
             return;
         }
         for prior in &before {
-            self.notify_if_ended(prior);
+            self.notify_if_ended(prior, now);
         }
         match (command, outcome) {
             (JobCommand::Submit(job), CommandOutcome::Submit(outcome)) => {
@@ -108,7 +108,7 @@
         open.collect()
     }
 
-    fn notify_if_ended(&mut self, prior: &PriorAssignment) {
+    fn notify_if_ended(&mut self, prior: &PriorAssignment, now: Timestamp) {
         let Some(ended) = self.table.ended(&prior.job) else {
             return;
         };
@@ -130,7 +130,7 @@
             drop: vec![(prior.job.clone(), prior.epoch)],
         };
         self.push_to_driver(reply);
-        self.answer_watches(&prior.job);
+        self.answer_watches(&prior.job, now);
     }
 
     /// Replies to a submission. A driver without a lease from this leader is not told that it drives the job, because the job may be
--- a/crates/leased/cloverfold_control/src/job_groups/calls.rs
+++ b/crates/leased/cloverfold_control/src/job_groups/calls.rs
@@ -141,21 +141,22 @@
                 leader_state.watches.add(&job, read.caller, now);
                 return;
             }
-            ReadRequest::Show(job) => JobReply::Shown(self.show(&job)),
+            ReadRequest::Show(job) => self.show(&job, now),
             ReadRequest::CountPending(queue) => {
-                JobReply::Pending(leader_state.count_pending(&self.table, &queue, now))
+                let count = leader_state.count_pending(&self.table, &queue, now);
+                reply_if_known(count.map(JobReply::Pending))
             }
         };
         self.answer(read.caller, reply);
     }
 
     /// Replies to the calls that wait for a job which has just ended.
-    pub(super) fn answer_watches(&mut self, job: &str) {
+    pub(super) fn answer_watches(&mut self, job: &str, now: Timestamp) {
         let leader_state = self.leader_state.as_mut();
         let callers =
             leader_state.map_or(Vec::new(), |leader_state| leader_state.watches.take(job));
         for caller in callers {
-            self.answer(caller, JobReply::Shown(self.show(job)));
+            self.answer(caller, self.show(job, now));
         }
     }
 
@@ -167,23 +168,28 @@
         });
         for (job, callers) in due {
             for caller in callers {
-                self.answer(caller, JobReply::Shown(self.show(&job)));
+                self.answer(caller, self.show(&job, now));
             }
         }
     }
 
-    /// Returns the phase of a job as known to this replica; `None` if the job is unknown.
-    pub(crate) fn show(&self, job: &str) -> Option<JobPhase> {
+    /// Returns the reply to a call that shows a job.
+    fn show(&self, job: &str, now: Timestamp) -> JobReply {
         if let Some(open) = self.table.open().get(job) {
             let leader_state = self.leader_state.as_ref();
-            let phase = leader_state.map(|leader_state| leader_state.drivers.phase(job, open));
-            return Some(phase.unwrap_or(JobPhase::Queued));
+            let phase = leader_state.and_then(|l| l.drivers.phase(job, open, now));
+            return reply_if_known(phase.map(|phase| JobReply::Shown(Some(phase))));
         }
-        let ended = self.table.ended(job)?;
-        Some(JobPhase::Ended(ended.how))
+        let ended = self.table.ended(job);
+        JobReply::Shown(ended.map(|ended| JobPhase::Ended(ended.how)))
     }
 
     pub(super) fn answer(&mut self, caller: Caller, reply: JobReply) {
         self.effects.push(GroupEffect::Answer(caller, reply));
     }
 }
+
+/// Refuses a call whose reply this leader does not know yet; the caller asks again.
+fn reply_if_known(reply: Option<JobReply>) -> JobReply {
+    reply.unwrap_or(JobReply::Refused(CallRefusal::NoLeader))
+}
--- a/crates/leased/cloverfold_control/src/job_groups/leader.rs
+++ b/crates/leased/cloverfold_control/src/job_groups/leader.rs
@@ -76,13 +76,18 @@
         }
     }
 
-    /// Returns the number of jobs of a queue that have not started.
-    pub(super) fn count_pending(&mut self, table: &JobTable, queue: &str, now: Timestamp) -> u64 {
+    /// Returns the number of jobs of a queue that have not started; `None` while it is unknown.
+    pub(super) fn count_pending(
+        &mut self,
+        table: &JobTable,
+        queue: &str,
+        now: Timestamp,
+    ) -> Option<u64> {
         let is_old = |at: Timestamp| now >= at + PENDING_COUNT_MAX_AGE;
         if self.pending_at.is_none_or(is_old) {
-            self.pending = self.drivers.count_pending(table);
+            self.pending = self.drivers.count_pending(table, now)?;
             self.pending_at = Some(now);
         }
-        self.pending.get(queue).copied().unwrap_or(0)
+        Some(self.pending.get(queue).copied().unwrap_or(0))
     }
 }
--- a/crates/leased/cloverfold_kept_jobs/src/calls.rs
+++ b/crates/leased/cloverfold_kept_jobs/src/calls.rs
@@ -111,7 +111,7 @@
 /// The reason why a group refused a call. A refused call never takes effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum CallRefusal {
-    /// The group has no known leader, or the leader has lost its quorum.
+    /// The group has no known leader, or the leader has lost its quorum, or it was elected too recently to know the answer.
     NoLeader,
     /// Disk writes fail, or are too slow to accept new jobs.
     Disk,
--- a/crates/leased/cloverfold_kept_jobs/src/drivers.rs
+++ b/crates/leased/cloverfold_kept_jobs/src/drivers.rs
@@ -8,6 +8,9 @@
 //! The reply to a renewal assigns the jobs that the driver should drive and did not report, and drops those that it reported and must not
 //! drive. `handover` decides which driver gets a job next.
 //!
+//! A new leader does not know which jobs have started before their drivers report: their phase is unknown until then, or until the lease of
+//! the driver has expired.
+//!
 //! The leader never considers a lease expired before its driver does. A driver counts its lease from the sending of the renewal, which
 //! precedes its arrival. A renewal that an earlier leader answered was sent before this leader's election, since the quorum that confirmed
 //! the earlier leader had not elected this one yet. A newer driver of the same entry does not shorten the lease of the older one, because
@@ -191,13 +194,16 @@
         is_released || self.pending_handover.contains(job)
     }
 
-    /// Returns the phase of an open job: `Running` if a task has a recorded end or a driver reported a start, otherwise `Queued`.
-    pub fn phase(&self, job: &str, open: &OpenJob) -> JobPhase {
+    /// Returns the phase of an open job: `Running` if a task has a recorded end or a driver reported a start, otherwise `Queued`. `None` while
+    /// the driver may be running the job and has not reported to this leader yet.
+    pub fn phase(&self, job: &str, open: &OpenJob, now: Timestamp) -> Option<JobPhase> {
         if self.begun.contains(job) || !open.progress().is_empty() {
-            JobPhase::Running
-        } else {
-            JobPhase::Queued
+            return Some(JobPhase::Running);
         }
+        let driver = open.driver();
+        let has_reported = self.drivers.contains_key(&driver);
+        let is_known = has_reported || now >= self.lease_expires_at(driver);
+        is_known.then_some(JobPhase::Queued)
     }
 
     /// Returns the number of open jobs whose driver has no valid lease.
@@ -207,15 +213,15 @@
         without_lease.map(|(_, jobs)| jobs.len()).sum()
     }
 
-    /// Returns the number of open jobs that have not started, by queue.
-    pub fn count_pending(&self, table: &JobTable) -> BTreeMap<String, u64> {
+    /// Returns the number of open jobs that have not started, by queue; `None` while the phase of any is unknown.
+    pub fn count_pending(&self, table: &JobTable, now: Timestamp) -> Option<BTreeMap<String, u64>> {
         let mut pending = BTreeMap::new();
         for (job, open) in table.open() {
-            if self.phase(job, open) == JobPhase::Queued {
+            if self.phase(job, open, now)? == JobPhase::Queued {
                 *pending.entry(open.submission().queue.clone()).or_default() += 1;
             }
         }
-        pending
+        Some(pending)
     }
 }
 
--- a/crates/leased/cloverfold_kept_jobs/tests/drivers.rs
+++ b/crates/leased/cloverfold_kept_jobs/tests/drivers.rs
@@ -6,8 +6,8 @@
 
 use cloverfold_base::Timestamp;
 use cloverfold_kept_jobs::{
-    DrivenJob, DriverId, DriverTable, JobCommand, JobPhase, JobReassignment, JobSubmission,
-    JobTable, KeptJobTimings, ReleasedJob, Renewal,
+    DrivenJob, DriverId, DriverTable, EndOutcome, JobCommand, JobPhase, JobReassignment,
+    JobSubmission, JobTable, KeptJobTimings, ReleasedJob, Renewal, TaskEnd,
 };
 
 const ELECTED: Timestamp = Timestamp::from_start(Duration::from_secs(100));
@@ -32,7 +32,7 @@
             digest: [0; 16],
             body: vec![0; 300_000],
             tasks: 1,
-            max_attempts: 1,
+            max_attempts: 2,
             driver: *driver,
         }));
     }
@@ -202,17 +202,16 @@
     drivers.renew(&table, renewal(1, "entry-1", &[]), ELECTED + MS);
     drivers.release(&table, 1, release("job", true), ELECTED + MS);
 
-    let released = drivers.phase("job", &table.open()["job"]);
+    let now = ELECTED + 2 * MS;
+    let released = drivers.phase("job", &table.open()["job"], now);
     table.apply(JobCommand::Assign(vec![reassignment("job", 2)]));
     let reassigned = [("job", 2, false)];
-    drivers.renew(&table, renewal(2, "entry-2", &reassigned), ELECTED + 2 * MS);
+    drivers.renew(&table, renewal(2, "entry-2", &reassigned), now);
 
-    assert_eq!(released, JobPhase::Running);
-    assert_eq!(
-        drivers.phase("job", &table.open()["job"]),
-        JobPhase::Running
-    );
-    assert!(drivers.count_pending(&table).is_empty());
+    let reassigned = drivers.phase("job", &table.open()["job"], now);
+    assert_eq!(released, Some(JobPhase::Running));
+    assert_eq!(reassigned, Some(JobPhase::Running));
+    assert!(drivers.count_pending(&table, now).unwrap().is_empty());
 }
 
 /// Guards against a new job that shows as running because an ended one of the same ID had begun.
@@ -228,7 +227,8 @@
     drivers.renew(&table, renewal(1, "entry-1", &reported), ELECTED + MS);
     let table = self::table(&[("job", 1)]);
 
-    assert_eq!(drivers.phase("job", &table.open()["job"]), JobPhase::Queued);
+    let phase = drivers.phase("job", &table.open()["job"], ELECTED + MS);
+    assert_eq!(phase, Some(JobPhase::Queued));
 }
 
 #[test]
@@ -238,8 +238,43 @@
     let reported = [("begun", 1, true), ("waiting", 1, false)];
     drivers.renew(&table, renewal(1, "entry-1", &reported), ELECTED);
 
-    let phase = |job: &str| drivers.phase(job, &table.open()[job]);
-    assert_eq!(phase("begun"), JobPhase::Running);
-    assert_eq!(phase("waiting"), JobPhase::Queued);
-    assert_eq!(drivers.count_pending(&table)["queue"], 1);
+    let phase = |job: &str| drivers.phase(job, &table.open()[job], ELECTED);
+    assert_eq!(phase("begun"), Some(JobPhase::Running));
+    assert_eq!(phase("waiting"), Some(JobPhase::Queued));
+    assert_eq!(drivers.count_pending(&table, ELECTED).unwrap()["queue"], 1);
+}
+
+/// Guards against a new leader that says that jobs have not started because it has not heard of any start.
+#[test]
+fn a_new_leader_does_not_know_a_phase_before_the_driver_reports() {
+    let table = table(&[("heard", 1), ("unheard", 2)]);
+    let mut drivers = drivers();
+    let reported = [("heard", 1, false)];
+    drivers.renew(&table, renewal(1, "entry-1", &reported), ELECTED);
+    let lapsed = ELECTED + KeptJobTimings::default().driver_lease;
+
+    let phase = |job: &str, now| drivers.phase(job, &table.open()[job], now);
+    assert_eq!(phase("heard", ELECTED), Some(JobPhase::Queued));
+    assert_eq!(phase("unheard", lapsed - MS), None);
+    assert_eq!(drivers.count_pending(&table, lapsed - MS), None);
+    assert_eq!(phase("unheard", lapsed), Some(JobPhase::Queued));
+    assert_eq!(drivers.count_pending(&table, lapsed).unwrap()["queue"], 2);
+}
+
+/// Guards against an unknown phase of a job whose progress the log has.
+#[test]
+fn a_new_leader_knows_that_a_job_with_a_recorded_end_has_begun() {
+    let mut table = table(&[("job", 1)]);
+    let drivers = drivers();
+    table.apply(JobCommand::RecordEnds(vec![TaskEnd {
+        job: "job".into(),
+        epoch: 1,
+        task: 0,
+        run: 1,
+        outcome: EndOutcome::Failed,
+    }]));
+
+    let phase = drivers.phase("job", &table.open()["job"], ELECTED);
+
+    assert_eq!(phase, Some(JobPhase::Running));
 }
