Skip start reports of jobs that have begun

A reported start searched the tasks of its job, though only the first start of a job changes anything; a job of many tasks was searched once for each.

--- a/crates/leased/cloverfold_lease/src/dispatcher/run_ends.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/run_ends.rs
@@ -61,9 +61,12 @@
         }
     }
 
-    /// Records the starts of runs, as reported by their runner.
+    /// Records the starts of runs, as reported by their runner. Only the first one of a job changes anything.
     pub(super) fn handle_started_runs(&mut self, session: SessionId, started: &[StartedRun]) {
         for StartedRun { task, run } in started {
+            if self.is_begun(&task.job) {
+                continue;
+            }
             let position = self.find_run(task, session, *run);
             if let Some(job) = position.and_then(|position| self.jobs.get_mut(&position.job)) {
                 job.has_begun = true;
@@ -71,6 +74,13 @@
         }
     }
 
+    /// Returns whether an open job with this name is known to have begun.
+    fn is_begun(&self, name: &str) -> bool {
+        let number = self.open_jobs_by_name.get(name);
+        let job = number.and_then(|number| self.jobs.get(number));
+        job.is_some_and(|job| job.has_begun)
+    }
+
     /// Returns the task whose current run is this run in this session.
     fn find_run(
         &self,
