Compute the free capacity of a candidate once

The search for a target subtracted the unreported assignments of each candidate twice, for whether a task fits and for the share that stays free.

--- a/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement.rs
@@ -66,18 +66,28 @@
     least_loaded.map(|candidate| candidate.session)
 }
 
-/// Returns the free capacity of a target that a task may use, or `None` if the target accepts no work or no kept runs.
-pub(super) fn usable_on(
+/// Free capacity of a target that accepts work.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Capacity {
+    free: Resources,
+    /// What a task may use of it.
+    pub(super) usable: Resources,
+}
+
+/// Returns the free capacity of a target, or `None` if it accepts no work or no kept runs.
+pub(super) fn capacity_on(
     runner: &RunnerSession,
     headroom: Headroom,
     is_kept: bool,
     now: Timestamp,
-) -> Option<Resources> {
+) -> Option<Capacity> {
     if !runner.accepts_work(now) || (is_kept && !runner.supports_kept_jobs) {
         return None;
     }
     let target = runner.description.as_ref()?;
-    Some(usable_capacity(&runner.free(), &target.capacity, headroom))
+    let free = runner.free();
+    let usable = usable_capacity(&free, &target.capacity, headroom);
+    Some(Capacity { free, usable })
 }
 
 /// Returns whether a target holds as many tasks of a step as allowed; `assigned` are their numbers.
@@ -232,22 +242,23 @@
         let sessions = targets.sessions.iter();
         let candidates = sessions.filter_map(|&session| {
             let runner = self.sessions.get(&session)?;
-            let usable = usable_on(runner, headroom, job.is_kept(), now)?;
-            if !usable.covers(&step.demand) || is_at_limit(session) {
+            let capacity = capacity_on(runner, headroom, job.is_kept(), now)?;
+            if !capacity.usable.covers(&step.demand) || is_at_limit(session) {
                 return None;
             }
-            Some(self.describe_candidate(job, task, session, runner))
+            Some(self.describe_candidate(job, task, session, runner, capacity.free))
         });
         candidates.collect()
     }
 
-    /// Returns a target that can run a task as a candidate.
+    /// Returns a target that can run a task as a candidate; `free` is its free capacity.
     fn describe_candidate(
         &self,
         job: &Job,
         task: &Task,
         session: SessionId,
         runner: &RunnerSession,
+        free: Resources,
     ) -> Candidate {
         let step = job.step(task);
         let has_label = |label: &String| runner.has_label(label);
@@ -256,7 +267,7 @@
             is_preferred: step.preferred_label.as_ref().is_some_and(has_label),
             is_slow: runner.is_slow(self.duration_ratio.value()),
             is_avoided: task.avoided_session == Some(session),
-            free_share: runner.cpu_share(&runner.free().minus(&step.demand)),
+            free_share: runner.cpu_share(&free.minus(&step.demand)),
         }
     }
 
--- a/crates/leased/cloverfold_lease/src/dispatcher/wait_causes.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/wait_causes.rs
@@ -7,7 +7,7 @@
 
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::job::{Job, QueuePosition};
-use crate::dispatcher::placement::{has_reached_limit, usable_on};
+use crate::dispatcher::placement::{capacity_on, has_reached_limit};
 use crate::dispatcher::placement_pass::{CapacityKey, PlacementPass};
 use crate::dispatcher::target_index::TargetSet;
 use crate::messages::SessionId;
@@ -122,8 +122,8 @@
         let sessions = targets.sessions.iter();
         let usable = sessions.filter_map(|session| {
             let runner = self.sessions.get(session)?;
-            let usable = usable_on(runner, key.headroom, key.is_kept, now)?;
-            Some((*session, usable))
+            let capacity = capacity_on(runner, key.headroom, key.is_kept, now)?;
+            Some((*session, capacity.usable))
         });
         usable.collect()
     }
