--- a/benches/benches/dispatch.rs
+++ b/benches/benches/dispatch.rs
@@ -1,6 +1,7 @@
 //! Measures the time that a dispatcher with many targets takes for one best-effort job, and a runner for one run.
 //!
-//! Also measures one pass over a queue of kept jobs that find no target, for several forms of jobs.
+//! Also measures one pass over a queue of kept jobs that find no target, and the admission of a kept job behind them, for several forms of
+//! jobs.
 //!
 //! Calls `cloverfold_lease` directly and starts no process. To compare two builds, run them alternately.
 
@@ -61,10 +62,11 @@
         } else {
             |_| CAPACITY
         };
-        let measure = |_| measure_pass(make_job, free).as_secs_f64() * 1e6;
-        let times = (0..PASS_REPETITIONS).map(measure);
-        let pass = times.fold(f64::INFINITY, f64::min);
+        let queue = || make_queue(make_job, free);
+        let pass = min_micros(PASS_REPETITIONS, || measure_pass(queue(), free));
+        let admission = min_micros(PASS_REPETITIONS, || measure_admission(&queue()));
         println!("one pass, {WAITING} kept jobs, {PASS_TARGETS} targets, {form}: {pass:.0} us");
+        println!("the admission of one behind them: {admission:.0} us");
     }
 }
 
@@ -139,8 +141,8 @@
     request
 }
 
-/// Returns the mean time of a message of a runner, each of which causes a pass over the queue.
-fn measure_pass(make_job: MakeJob, free: fn(SessionId) -> Resources) -> Duration {
+/// Returns a dispatcher with waiting kept jobs.
+fn make_queue(make_job: MakeJob, free: fn(SessionId) -> Resources) -> Dispatcher {
     let mut dispatcher = make_dispatcher(PASS_TARGETS);
     for session in 1..=PASS_TARGETS {
         dispatcher.set_supports_kept_jobs(session);
@@ -155,6 +157,21 @@
         };
         dispatcher.drive(kept, at(1));
     }
+    dispatcher
+}
+
+/// Returns the mean time of the admission of a kept job.
+fn measure_admission(dispatcher: &Dispatcher) -> Duration {
+    let request = job(WAITING);
+    let started_at = Instant::now();
+    for _ in 0..PASSES {
+        black_box(dispatcher.find_kept_refusal(&request, at(2)));
+    }
+    started_at.elapsed() / PASSES
+}
+
+/// Returns the mean time of a message of a runner, each of which causes a pass over the queue.
+fn measure_pass(mut dispatcher: Dispatcher, free: fn(SessionId) -> Resources) -> Duration {
     let started_at = Instant::now();
     for pass in 0..PASSES {
         let session = 1 + SessionId::from(pass) % PASS_TARGETS;
@@ -165,9 +182,14 @@
     started_at.elapsed() / PASSES
 }
 
+/// Returns the shortest of [`REPETITIONS`] means, in microseconds.
+fn min_mean_micros(measure: impl FnMut() -> Duration) -> f64 {
+    min_micros(REPETITIONS, measure)
+}
+
 /// Returns the shortest of several means, in microseconds.
-fn min_mean_micros(mut measure: impl FnMut() -> Duration) -> f64 {
-    let times = (0..REPETITIONS).map(|_| measure().as_secs_f64() * 1e6);
+fn min_micros(repetitions: usize, mut measure: impl FnMut() -> Duration) -> f64 {
+    let times = (0..repetitions).map(|_| measure().as_secs_f64() * 1e6);
     times.fold(f64::INFINITY, f64::min)
 }
 
