Do not refuse a kept job for a backlog that other targets must serve

Callers got 503 NoRoom for a kept job while targets that could run it stood idle, if enough work waited for the few targets with some label.

The work ahead was divided by the processors of all targets of the service, whatever label it required; leaving out only what no target can do was the extreme case of it.

Work with a label that the job does not require now occupies only the targets with it. Where it takes longer there than the rest takes on the others, it and those targets are left out. The estimate only falls, and not for a job that requires that label. Each set of targets is looked at once per submission, not once for each waiting step.

--- a/crates/leased/cloverfold_lease/src/dispatcher/kept_admission.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/kept_admission.rs
@@ -6,23 +6,27 @@
 //! 2. `NoTarget`: no target of the service accepts work, or some step has no target that could run one of its tasks even when empty,
 //!    because the targets are too small or lack the required label.
 //! 3. `NoRoom`: the expected latency is more than [`MAX_OBJECTIVE_FACTOR`] times the latency objective of the job. The expected latency is
-//!    the work that is served first, divided by the processors of the targets of the service, plus the critical path of the job.
+//!    the time that the targets of the service take for the work that is served first, plus the critical path of the job.
 //!
 //! Work that is served first consists of the unfinished tasks of kept jobs of the same service with the same or a more urgent priority, and
 //! the waiting tasks of repeatable jobs with a more urgent one, except tasks for which no target with the required label accepts work. It
-//! is the product of demand in cores, estimated duration and the ratio of durations to estimates.
+//! is the product of demand in cores, estimated duration and the ratio of durations to estimates. Tasks with a label that the job does not
+//! require occupy only the targets with that label (`backlog`).
 //!
 //! An accepted kept job is never given up, so a backlog that takes longer than callers find useful must not be accepted. Other entries use
 //! the same targets, so the estimate tends to be too low: a job that is refused here could not have been answered in time.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cloverfold_base::Timestamp;
 
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::answers::JobRefusal;
+use crate::dispatcher::backlog::Backlog;
 use crate::dispatcher::job::Job;
 use crate::dispatcher::runner_session::RunnerSession;
+use crate::dispatcher::target_index::{TargetSet, TargetSetId};
 use crate::request::{JobRequest, StepRequest};
 
 /// Multiple of the latency objective beyond which an answer has no value for callers.
@@ -59,34 +63,65 @@
 
     /// Estimates how long the work takes that is served before a job.
     fn estimate_queue_time(&self, request: &JobRequest, now: Timestamp) -> Duration {
-        let jobs = self.jobs.values();
-        let backlog: f64 = jobs.map(|job| self.work_ahead_of(job, request, now)).sum();
-        let runners = self.sessions.values();
-        let eligible =
-            runners.filter(|runner| runner.accepts_work(now) && runner.serves(&request.service));
-        let cores: f64 = eligible.map(RunnerSession::cores).sum();
-        if backlog == 0.0 {
-            return Duration::ZERO;
+        let mut parts = self.list_work_ahead(request, now);
+        let total = Backlog {
+            core_seconds: parts.values().map(|part| part.core_seconds).sum(),
+            cores: self.cores_of_service(&request.service, now),
+        };
+        for step in &request.steps {
+            let label = step.required_label.as_deref();
+            if let Some(required) = self.targets.find(&request.service, label) {
+                parts.remove(&required.id);
+            }
         }
-        Duration::try_from_secs_f64(backlog / cores).unwrap_or(Duration::MAX)
+        let seconds = total.seconds_ahead(parts.into_values().collect());
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 
-    /// Returns the work of a job that is served before another job, in core-seconds.
-    fn work_ahead_of(&self, job: &Job, other: &JobRequest, now: Timestamp) -> f64 {
-        if job.request.service != other.service {
-            return 0.0;
-        }
-        let steps = job.request.steps.iter().enumerate();
-        let work = steps.map(|(index, step)| {
-            let tasks = count_tasks_ahead(job, index, other);
-            // Without a target for it, the step keeps no other work waiting.
-            if tasks == 0 || !self.has_target_for_step(job, step, now) {
-                return 0.0;
+    /// Returns the work that is served before a job, by the set of targets that can do it. Without such a target, work keeps nothing waiting.
+    fn list_work_ahead(
+        &self,
+        request: &JobRequest,
+        now: Timestamp,
+    ) -> BTreeMap<TargetSetId, Backlog> {
+        let mut parts = BTreeMap::new();
+        let jobs = self.jobs.values();
+        for job in jobs.filter(|job| job.request.service == request.service) {
+            for (index, step) in job.request.steps.iter().enumerate() {
+                let tasks = count_tasks_ahead(job, index, request);
+                let targets = self.find_targets(job, step);
+                let Some(targets) = targets.filter(|_| tasks > 0) else {
+                    continue;
+                };
+                let part = parts.entry(targets.id).or_insert_with(|| Backlog {
+                    core_seconds: 0.0,
+                    cores: self.cores_of(targets, now),
+                });
+                part.core_seconds += f64::from(tasks) * self.expected_work(step);
             }
-            let expected = self.duration_ratio.expected_duration(step.estimate);
-            f64::from(tasks) * step.demand.cores() * expected.as_secs_f64()
-        });
-        work.sum()
+        }
+        parts.retain(|_, part| part.cores > 0.0);
+        parts
+    }
+
+    /// Returns the expected work of a task of a step, in core-seconds.
+    fn expected_work(&self, step: &StepRequest) -> f64 {
+        let expected = self.duration_ratio.expected_duration(step.estimate);
+        step.demand.cores() * expected.as_secs_f64()
+    }
+
+    /// Returns the number of processors of the targets of a service that accept work.
+    fn cores_of_service(&self, service: &str, now: Timestamp) -> f64 {
+        let targets = self.targets.find(service, None);
+        targets.map_or(0.0, |targets| self.cores_of(targets, now))
+    }
+
+    /// Returns the number of processors of the targets of a set that accept work.
+    fn cores_of(&self, targets: &TargetSet, now: Timestamp) -> f64 {
+        let sessions = targets.sessions.iter();
+        let runners = sessions.filter_map(|session| self.sessions.get(session));
+        let accepting = runners.filter(|runner| runner.accepts_work(now));
+        accepting.map(RunnerSession::cores).sum()
     }
 }
 
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -24,6 +24,7 @@
 mod actions;
 mod admission;
 mod answers;
+mod backlog;
 mod closing;
 mod counts;
 mod deadlines;
--- a/crates/leased/cloverfold_lease/src/dispatcher/target_index.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/target_index.rs
@@ -100,17 +100,6 @@
         self.targets.find(&job.request.service, label)
     }
 
-    /// Returns whether a target that a step can use, as far as service and label go, accepts work.
-    pub(super) fn has_target_for_step(
-        &self,
-        job: &Job,
-        step: &StepRequest,
-        now: Timestamp,
-    ) -> bool {
-        let targets = self.find_targets(job, step);
-        targets.is_some_and(|targets| self.any_accepts_work(targets, now))
-    }
-
     /// Returns whether any target of a set accepts work.
     fn any_accepts_work(&self, targets: &TargetSet, now: Timestamp) -> bool {
         let sessions = targets.sessions.iter();
