--- a/crates/leased/cloverfold_lease/src/dispatcher/backlog.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/backlog.rs
@@ -4,7 +4,7 @@
 //! that can use those does not wait for it.
 
 /// Work, and the processors of the targets that can do it.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Backlog {
     pub(super) core_seconds: f64,
     pub(super) cores: f64,
