--- a/review/stands/src/callers.rs
+++ b/review/stands/src/callers.rs
@@ -101,6 +101,17 @@
 impl Caller {
     /// Sends a job once; returns the answer.
     pub fn send(&self, job: &Job, entry: SocketAddr, deadline: u64) -> Outcome {
+        self.send_and_leave(job, entry, deadline, deadline)
+    }
+
+    /// Sends a job once, and leaves after `patience` without an answer.
+    pub fn send_and_leave(
+        &self,
+        job: &Job,
+        entry: SocketAddr,
+        deadline: u64,
+        patience: u64,
+    ) -> Outcome {
         let cpus = job.steps.iter().map(|step| step.cpu).collect();
         lock(&self.demands.0).insert(job.id.clone(), cpus);
         let now = self.record.now();
@@ -115,7 +126,7 @@
             known.sends += 1;
         }
         let headers = [("Deadline-Ms", deadline.to_string())];
-        let limit = Duration::from_millis(deadline);
+        let limit = Duration::from_millis(patience);
         let body = job.body();
         let outcome = http::call(entry, "POST", &job.path(), HOST, &headers, &body, limit);
         self.record.write(&format!(
--- a/review/stands/src/installation.rs
+++ b/review/stands/src/installation.rs
@@ -289,6 +289,26 @@
         ended.collect()
     }
 
+    /// The control process that leads the group of kept jobs, by its log lines.
+    pub fn group_leader(&self) -> Option<Role> {
+        let mut newest: Option<(String, Role)> = None;
+        for control in 0..self.controls {
+            let role = Role::Control(control);
+            let log = fs::read_to_string(self.log_file(role)).unwrap_or_default();
+            let mut lines = log.lines().rev();
+            let line = lines.find(|line| line.contains("became leader of a group of kept jobs"));
+            // A line begins with its time, which sorts as text.
+            if let Some(line) = line
+                && newest
+                    .as_ref()
+                    .is_none_or(|(before, _)| line > before.as_str())
+            {
+                newest = Some((line.to_owned(), role));
+            }
+        }
+        newest.map(|(_, role)| role)
+    }
+
     /// Loses the disk of a control process that does not run.
     pub fn lose_disk(&self, control: usize) {
         let folder = self.data_folder(Role::Control(control));
--- a/review/stands/src/main.rs
+++ b/review/stands/src/main.rs
@@ -5,8 +5,10 @@
 
 mod balancer;
 mod callers;
+mod cancelled;
 mod configuration;
 mod executor;
+mod handed_over;
 mod http;
 mod installation;
 mod json;
@@ -27,6 +29,8 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let (programs, folder) = (Path::new("target/release"), Path::new(folder));
     let outcome = match case.as_str() {
+        "cancelled" => cancelled::play(programs, folder, trouble),
+        "handed-over" => handed_over::play(programs, folder, trouble),
         "moved" => moved::play(programs, folder, trouble),
         "poison" => poison::play(programs, folder, trouble),
         _ => {
