--- a/review/stands/src/handed_over.rs
+++ b/review/stands/src/handed_over.rs
@@ -12,7 +12,9 @@
 /// `finish_s` of the small sites.
 const FINISH: Duration = Duration::from_secs(14);
 const ENTRIES: usize = 8;
-const EXECUTORS: usize = 24;
+/// Three a rack, as in the small sites, so that the ninth rack has one.
+const EXECUTORS: usize = 25;
+const RACK: &str = "r1-8";
 const JOBS: u64 = 21;
 
 fn job(n: u64) -> Job {
@@ -28,7 +30,7 @@
         id: format!("1{n:015x}"),
         prefix: "/one/".into(),
         spec: "4000,200".into(),
-        steps: vec![step(1, 4_000, &[], ""), step(1, 200, &[0], "gpu-a")],
+        steps: vec![step(1, 4_000, &[], ""), step(1, 200, &[0], RACK)],
         best_effort: false,
     }
 }
@@ -36,13 +38,10 @@
 pub fn play(programs: &Path, folder: &Path, trouble: bool) -> std::io::Result<i32> {
     let services = ["alpha"; EXECUTORS];
     let first = first_configuration();
-    let Some(setup) = Setup::start_labelled(programs, folder, ENTRIES, &services, &first, |i| {
-        (i == 5).then(|| "gpu-a".to_owned())
-    })?
-    else {
+    let Some(setup) = Setup::start(programs, folder, ENTRIES, &services, &first)? else {
         return Ok(2);
     };
-    // The entry of the balancer's choice: one that takes such jobs.
+    // The balancer's choice falls on an entry that takes such jobs.
     let mut taken: Vec<Job> = Vec::new();
     let mut at = None;
     for entry in 0..ENTRIES {
--- a/review/stands/src/main.rs
+++ b/review/stands/src/main.rs
@@ -17,6 +17,7 @@
 mod random;
 mod record;
 mod setup;
+mod two_queues;
 
 use std::path::Path;
 
@@ -32,6 +33,7 @@
         "cancelled" => cancelled::play(programs, folder, trouble),
         "handed-over" => handed_over::play(programs, folder, trouble),
         "moved" => moved::play(programs, folder, trouble),
+        "two-queues" => two_queues::play(programs, folder, trouble),
         "poison" => poison::play(programs, folder, trouble),
         _ => {
             eprintln!("no such case: {case}");
--- a/review/stands/src/setup.rs
+++ b/review/stands/src/setup.rs
@@ -27,18 +27,6 @@
         entries: usize,
         services: &[&str],
         first: &str,
-    ) -> std::io::Result<Option<Self>> {
-        Self::start_labelled(programs, folder, entries, services, first, |_| None)
-    }
-
-    /// The same with one more label on some executors.
-    pub fn start_labelled(
-        programs: &Path,
-        folder: &Path,
-        entries: usize,
-        services: &[&str],
-        first: &str,
-        label: impl Fn(usize) -> Option<String>,
     ) -> std::io::Result<Option<Self>> {
         let record = Arc::new(Record::create(&folder.join("record.txt"))?);
         let guards = services.len();
@@ -51,13 +39,10 @@
             let config = Config {
                 index: i,
                 service: (*service).into(),
-                labels: [
+                labels: vec![
                     if i % 3 == 2 { "b" } else { "a" }.into(),
                     format!("r1-{}", i / 3),
-                ]
-                .into_iter()
-                .chain(label(i))
-                .collect(),
+                ],
                 zone: HALLS[i % 3].into(),
                 address: installation.executor(i),
                 registration: installation.interface(Role::Guard(i)),
