--- a/review/stands/src/callers.rs
+++ b/review/stands/src/callers.rs
@@ -76,17 +76,10 @@
 /// What the clients know of a job.
 #[derive(Clone, Debug, Default)]
 pub struct Known {
-    pub job: Job,
-    pub first_sent: u64,
     /// When the first 2xx came.
     pub accepted: Option<u64>,
-    /// Whether every send was refused.
-    pub only_refused: bool,
-    pub sends: u32,
-    pub cancel_sent: Option<u64>,
+    /// When its cancelling was acknowledged.
     pub cancel_acked: Option<u64>,
-    /// Answers about the state: when asked, when answered, what.
-    pub states: Vec<(u64, u64, String)>,
 }
 
 #[derive(Default)]
@@ -115,44 +108,27 @@
         let cpus = job.steps.iter().map(|step| step.cpu).collect();
         lock(&self.demands.0).insert(job.id.clone(), cpus);
         let now = self.record.now();
-        {
-            let mut ledger = lock(&self.ledger.0);
-            let known = ledger.entry(job.id.clone()).or_insert_with(|| Known {
-                job: job.clone(),
-                first_sent: now,
-                only_refused: true,
-                ..Known::default()
-            });
-            known.sends += 1;
-        }
+        lock(&self.ledger.0).entry(job.id.clone()).or_default();
         let headers = [("Deadline-Ms", deadline.to_string())];
         let limit = Duration::from_millis(patience);
         let body = job.body();
         let outcome = http::call(entry, "POST", &job.path(), HOST, &headers, &body, limit);
         self.record.write(&format!(
             "POST {} to {entry} at {:.3} s: {}",
-            job.id,
+            job.path(),
             now as f64 / 1000.0,
             outcome.show()
         ));
-        let mut ledger = lock(&self.ledger.0);
-        if let Some(known) = ledger.get_mut(&job.id) {
-            match outcome.status() {
-                200..=299 => {
-                    known.accepted.get_or_insert(self.record.now());
-                    known.only_refused = false;
-                }
-                429 | 503 | 404 => {}
-                _ if matches!(outcome, Outcome::NotSent) => {}
-                _ => known.only_refused = false,
-            }
+        if matches!(outcome.status(), 200..=299)
+            && let Some(known) = lock(&self.ledger.0).get_mut(&job.id)
+        {
+            known.accepted.get_or_insert(self.record.now());
         }
         outcome
     }
 
     /// Asks for the state of a job; 410 is told as `gone`, anything else without a state as `?`.
     pub fn state(&self, job: &Job, entry: SocketAddr, limit_ms: u64) -> String {
-        let asked = self.record.now();
         let headers = [("Deadline-Ms", limit_ms.to_string())];
         let limit = Duration::from_millis(limit_ms);
         let outcome = http::call(entry, "GET", &job.path(), HOST, &headers, "", limit);
@@ -163,20 +139,12 @@
             Outcome::Answered(410, _) => "gone".into(),
             _ => format!("? {}", outcome.show()),
         };
-        let answered = self.record.now();
         self.record
-            .write(&format!("GET {} at {entry}: {state}", job.id));
-        if let Some(known) = lock(&self.ledger.0).get_mut(&job.id) {
-            known.states.push((asked, answered, state.clone()));
-        }
+            .write(&format!("GET {} at {entry}: {state}", job.path()));
         state
     }
 
     pub fn cancel(&self, job: &Job, entry: SocketAddr) -> Outcome {
-        let sent = self.record.now();
-        if let Some(known) = lock(&self.ledger.0).get_mut(&job.id) {
-            known.cancel_sent.get_or_insert(sent);
-        }
         let headers = [("Deadline-Ms", "1500".to_owned())];
         let limit = Duration::from_millis(1_500);
         let outcome = http::call(entry, "DELETE", &job.path(), HOST, &headers, "", limit);
--- a/review/stands/src/executor.rs
+++ b/review/stands/src/executor.rs
@@ -23,17 +23,10 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub task: String,
-    pub run: u64,
     pub executor: usize,
-    pub life: u64,
-    pub spec: String,
     pub started: u64,
     /// When and how it ended.
     pub ended: Option<(u64, &'static str)>,
-    /// When `LastSeen` reached its end.
-    pub seen: Option<u64>,
-    /// Whether the lease lapsed between its end and then.
-    pub lapsed_unseen: bool,
 }
 
 /// All runs of a play.
@@ -46,23 +39,10 @@
     }
 }
 
-/// What an executor is told to do wrong. The pages name each.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Faults {
-    /// `srv_grey errors`: runs that start now fail.
-    pub fails: bool,
-    /// `srv_grey hang`: runs stand still.
-    pub hangs: bool,
-    /// `srv_slow`: work takes so many times as long; 0 is as usual.
-    pub slow: u64,
-}
-
 struct Active {
     index: usize,
     began: Instant,
     work: Duration,
-    fails: bool,
-    hangs: bool,
     stopping: Option<Instant>,
     cpu: i64,
 }
@@ -75,8 +55,8 @@
     /// End of the lease on the executor's clock.
     lease: u64,
     running: BTreeMap<(String, u64), Active>,
-    /// Number, task, run, how, index of the record.
-    ended: Vec<(u64, String, u64, &'static str, usize)>,
+    /// Number, task, run, how.
+    ended: Vec<(u64, String, u64, &'static str)>,
     last_end: u64,
     highest: BTreeMap<String, u64>,
     draining: bool,
@@ -114,13 +94,6 @@
     figures.get(step).or(figures.last()).copied().unwrap_or(100)
 }
 
-/// How many runs of each task fail, by the job's `Spec`: `ms,ms;N`.
-fn failing_runs(spec: &str) -> usize {
-    spec.split_once(';')
-        .and_then(|(_, n)| n.parse().ok())
-        .unwrap_or(0)
-}
-
 pub struct Config {
     pub index: usize,
     pub service: String,
@@ -155,7 +128,6 @@
 pub struct Executor {
     config: Config,
     life: Mutex<Life>,
-    pub faults: Mutex<Faults>,
     runs: Arc<Runs>,
     record: Arc<Record>,
 }
@@ -170,7 +142,6 @@
         let executor = Arc::new(Self {
             config,
             life: Mutex::new(Life::new(1)),
-            faults: Mutex::default(),
             runs,
             record,
         });
@@ -214,21 +185,6 @@
         life.alive = false;
     }
 
-    /// It comes back under a new id and runs nothing.
-    pub fn restart(&self) {
-        let mut life = lock(&self.life);
-        let number = life.number;
-        *life = Life::new(number);
-        self.record
-            .write(&format!("executor {} starts", self.id(number)));
-        drop(life);
-        self.beat();
-    }
-
-    pub fn is_alive(&self) -> bool {
-        lock(&self.life).alive
-    }
-
     /// Sends one heartbeat.
     pub fn beat(&self) -> bool {
         let (id, body) = {
@@ -331,26 +287,15 @@
         if self.config.guards_room && used + cpu > self.config.cpu {
             return (409, self.refusal(life, "room"));
         }
-        let faults = *lock(&self.faults);
         let step = task.split('.').nth(2).and_then(|s| s.parse().ok());
-        let work = work_of(&spec, step.unwrap_or(0)) * faults.slow.max(1);
+        let work = work_of(&spec, step.unwrap_or(0));
         let mut runs = lock(&self.runs.0);
-        let failed_before = runs
-            .iter()
-            .filter(|known| known.task == task && known.ended.is_some_and(|(_, h)| h == "failed"))
-            .count();
-        let fails = faults.fails || failed_before < failing_runs(&spec);
         let index = runs.len();
         runs.push(Run {
             task: task.clone(),
-            run,
             executor: self.config.index,
-            life: life.number,
-            spec,
             started: self.record.now(),
             ended: None,
-            seen: None,
-            lapsed_unseen: false,
         });
         drop(runs);
         self.record.write(&format!(
@@ -361,8 +306,6 @@
             index,
             began: Instant::now(),
             work: Duration::from_millis(work),
-            fails,
-            hangs: faults.hangs,
             stopping: None,
             cpu,
         };
@@ -393,14 +336,6 @@
             }
             self.extend(&mut life, body);
             let last_seen = body.number("LastSeen").unwrap_or(0);
-            let now = self.record.now();
-            let mut runs = lock(&self.runs.0);
-            for (end, _, _, _, index) in &life.ended {
-                if *end <= last_seen {
-                    runs[*index].seen.get_or_insert(now);
-                }
-            }
-            drop(runs);
             life.ended.retain(|(end, ..)| *end > last_seen);
         }
         loop {
@@ -420,17 +355,13 @@
 
     fn lists(&self, life: &Life) -> String {
         let running = life.running.iter().map(|((task, run), active)| {
-            let share = if active.hangs {
-                0.0
-            } else {
-                let work = active.work.as_secs_f64().max(0.001);
-                100.0 * active.began.elapsed().as_secs_f64() / work
-            };
+            let work = active.work.as_secs_f64().max(0.001);
+            let share = 100.0 * active.began.elapsed().as_secs_f64() / work;
             format!("[\"{task}\",{run},\"\",{}]", share.min(100.0) as u64)
         });
         let ended = life.ended.iter().take(500);
         let ended =
-            ended.map(|(n, task, run, how, _)| format!("[{n},\"{task}\",{run},\"{how}\",\"\"]"));
+            ended.map(|(n, task, run, how)| format!("[{n},\"{task}\",{run},\"{how}\",\"\"]"));
         format!(
             "{{\"ClockMs\":{},\"Running\":[{}],\"EndedAt\":[{}]}}",
             life.clock_ms(),
@@ -445,18 +376,10 @@
             return;
         }
         let is_lapsed = life.clock_ms() > life.lease;
-        if is_lapsed && !life.ended.is_empty() {
-            let mut runs = lock(&self.runs.0);
-            for (_, _, _, _, index) in &life.ended {
-                runs[*index].lapsed_unseen = true;
-            }
-        }
         let mut over = Vec::new();
         for (key, active) in &life.running {
-            let is_done = !active.hangs && active.began.elapsed() >= active.work;
-            let how = if is_done && active.fails {
-                "failed"
-            } else if is_done {
+            let is_done = active.began.elapsed() >= active.work;
+            let how = if is_done {
                 "done"
             } else if active.stopping.is_some_and(|at| Instant::now() >= at) {
                 "stopped"
@@ -481,8 +404,7 @@
             ));
             let highest = life.highest.entry(task.clone()).or_default();
             *highest = run.max(*highest);
-            life.ended
-                .push((life.last_end, task, run, how, active.index));
+            life.ended.push((life.last_end, task, run, how));
         }
     }
 }
--- a/review/stands/src/http.rs
+++ b/review/stands/src/http.rs
@@ -8,7 +8,6 @@
 
 /// A request as the server reads it.
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -183,14 +182,13 @@
     let body = buf.get(end + 4..end + 4 + len)?.to_vec();
     let mut lines = head.lines();
     let mut first = lines.next()?.split(' ');
-    let method = first.next()?.to_owned();
+    first.next()?;
     let path = first.next()?.to_owned();
     let headers = lines.filter_map(|line| {
         let (name, value) = line.split_once(':')?;
         Some((name.trim().to_owned(), value.trim().to_owned()))
     });
     let request = Request {
-        method,
         path,
         headers: headers.collect(),
         body,
--- a/review/stands/src/installation.rs
+++ b/review/stands/src/installation.rs
@@ -21,11 +21,7 @@
 /// `PR_SET_PDEATHSIG`: the signal that a process gets when the thread that started it ends.
 const SIGNAL_ON_PARENTS_END: i32 = 1;
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Role {
@@ -104,12 +100,6 @@
         IpAddr::V4(Ipv4Addr::new(127, self.block[0], self.block[1], last as u8))
     }
 
-    /// The address on an otherwise unused address of the installation.
-    pub fn spare(&self, last: u8) -> SocketAddr {
-        let ip = Ipv4Addr::new(127, self.block[0], self.block[1], last);
-        SocketAddr::new(IpAddr::V4(ip), self.port)
-    }
-
     /// `Listen.Front` of an entry, `Listen.Control` of a control process or a guard.
     pub fn interface(&self, role: Role) -> SocketAddr {
         SocketAddr::new(self.ip(role), self.port + 1)
@@ -124,10 +114,6 @@
         SocketAddr::new(self.ip(Role::Guard(guard)), self.port + 4)
     }
 
-    pub fn metrics(&self, role: Role) -> SocketAddr {
-        SocketAddr::new(self.ip(role), self.port + 3)
-    }
-
     fn settings(&self, role: Role, may_found: bool) -> io::Result<PathBuf> {
         let seeds: Vec<String> = (0..self.controls.min(3))
             .map(|i| format!("\"{}\"", self.interface(Role::Control(i))))
@@ -182,10 +168,6 @@
         self.folder.join(format!("{}.log", role.name()))
     }
 
-    pub fn folder(&self) -> &Path {
-        &self.folder
-    }
-
     /// Starts a process with the command of the deploy file.
     pub fn start(&self, role: Role, may_found: bool) -> io::Result<()> {
         let settings = self.settings(role, may_found)?;
@@ -244,13 +226,6 @@
         }
     }
 
-    /// The id of a process that runs; 0 if it doesn't.
-    pub fn pid(&self, role: Role) -> u32 {
-        let children = lock(&self.children);
-        let found = children.iter().find(|(known, _)| *known == role);
-        found.map_or(0, |(_, child)| child.id())
-    }
-
     /// Waits until a process has ended; `None` if it has not in time.
     pub fn wait(&self, role: Role, limit: Duration) -> Option<i32> {
         let until = Instant::now() + limit;
@@ -272,14 +247,6 @@
         }
     }
 
-    /// Kills a process and starts it again.
-    pub fn kill_and_restart(&self, role: Role, away: Duration) {
-        self.signal(role, SIGKILL);
-        self.wait(role, Duration::from_secs(5));
-        thread::sleep(away);
-        let _ = self.start(role, false);
-    }
-
     /// Processes that have ended by themselves.
     pub fn ended(&self) -> Vec<Role> {
         let mut children = lock(&self.children);
@@ -309,14 +276,6 @@
         newest.map(|(_, role)| role)
     }
 
-    /// Loses the disk of a control process that does not run.
-    pub fn lose_disk(&self, control: usize) {
-        let folder = self.data_folder(Role::Control(control));
-        self.record
-            .write(&format!("control-{} loses its disk", control + 1));
-        let _ = fs::remove_dir_all(folder);
-    }
-
     /// Whether an entry is ready.
     pub fn is_ready(&self, entry: usize) -> bool {
         let limit = Duration::from_millis(500);
@@ -334,25 +293,6 @@
         }
         false
     }
-
-    /// A figure of a process's metrics; the sum over all lines with this name.
-    pub fn metric(&self, role: Role, name: &str) -> Option<f64> {
-        let limit = Duration::from_millis(800);
-        let address = self.metrics(role);
-        let outcome = http::call(address, "GET", "/metrics", "x", &[], "", limit);
-        let http::Outcome::Answered(200, body) = outcome else {
-            return None;
-        };
-        let text = String::from_utf8_lossy(&body).into_owned();
-        let lines = text.lines().filter(|line| {
-            let rest = line.strip_prefix(name);
-            rest.is_some_and(|rest| rest.starts_with([' ', '{']))
-        });
-        let values: Vec<f64> = lines
-            .filter_map(|line| line.rsplit(' ').next()?.parse().ok())
-            .collect();
-        (!values.is_empty()).then(|| values.iter().sum())
-    }
 }
 
 impl Drop for Installation {
--- a/review/stands/src/main.rs
+++ b/review/stands/src/main.rs
@@ -1,8 +1,5 @@
 //! Stand-ins and checks for the cases of the second review. `review/build-2.sh` builds it, `review/N/run.sh` starts it.
 
-// What only some cases use stays beside what all use.
-#![allow(dead_code)]
-
 mod balancer;
 mod callers;
 mod cancelled;
--- a/review/stands/src/random.rs
+++ b/review/stands/src/random.rs
@@ -18,8 +18,4 @@
     pub fn range(&mut self, low: u64, high: u64) -> u64 {
         low + self.next() % (high - low + 1)
     }
-
-    pub fn chance(&mut self, percent: u64) -> bool {
-        self.next() % 100 < percent
-    }
 }
