--- a/review/stands/src/cancelled.rs
+++ b/review/stands/src/cancelled.rs
@@ -14,7 +14,7 @@
 const CANCEL_MS: u64 = 3_000;
 /// `ContactMs` of the small sites.
 const CONTACT_MS: u64 = 3_000;
-/// How long the control process is away; the sites list `node_kill` on core, how `leader`, with 3.5 s.
+/// How long the control process is away; the site lists `node_kill` on core with 3.5 s (how `seed`), and with how `leader race drain`.
 const AWAY: Duration = Duration::from_millis(2_500);
 /// `deadline ms` of the small sites.
 const DEADLINE_MS: u64 = 1_500;
--- a/review/stands/src/moved.rs
+++ b/review/stands/src/moved.rs
@@ -1,4 +1,5 @@
-//! The only executor of a queue's service is lost for good, and the operator moves the queue to another service.
+//! Of a service's eight executors the one with the label that jobs need is lost for good, and the operator moves their queue to a service
+//! that has two of that label.
 
 use std::path::Path;
 use std::thread;
@@ -12,6 +13,11 @@
 
 /// `finish_s` of the small sites.
 const FINISH: Duration = Duration::from_secs(14);
+/// The label of three executors: `LOST` of the first service, and two of the second.
+const RACK: &str = "r1-2";
+const LOST: usize = 6;
+/// The executors of the first service: eight, of which one is lost (0.125; the site lists `srv_crash` with a share of 0.14).
+const FIRST_SERVICE: [usize; 8] = [0, 1, 2, 3, 4, 5, LOST, 9];
 
 fn job(n: u64) -> Job {
     Job {
@@ -23,6 +29,7 @@
                 count: 1,
                 cpu: 1_600,
                 estimate_ms: 3_000,
+                constraint: RACK.into(),
                 ..Step::default()
             },
             Step {
@@ -30,6 +37,7 @@
                 cpu: 1_600,
                 estimate_ms: 200,
                 depends_on: vec![0],
+                constraint: RACK.into(),
                 ..Step::default()
             },
         ],
@@ -38,8 +46,10 @@
 }
 
 pub fn play(programs: &Path, folder: &Path, trouble: bool) -> std::io::Result<i32> {
-    let mut services = ["beta"; 8];
-    services[0] = "alpha";
+    let mut services = ["beta"; 16];
+    for executor in FIRST_SERVICE {
+        services[executor] = "alpha";
+    }
     let Some(setup) = Setup::start(programs, folder, 3, &services, &first_configuration())? else {
         return Ok(2);
     };
@@ -50,7 +60,7 @@
     }
     thread::sleep(Duration::from_millis(1_000));
     if trouble {
-        setup.executors[0].crash();
+        setup.executors[LOST].crash();
         thread::sleep(Duration::from_secs(4));
         let second = configuration(2, ["beta", "alpha", "beta"]);
         if !configure(
@@ -84,14 +94,14 @@
         });
         let in_use = runs
             .iter()
-            .filter(|run| run.executor > 0 && run.ended.is_none())
+            .filter(|run| services[run.executor] == "beta" && run.ended.is_none())
             .count();
         let is_ended = matches!(state.as_str(), "completed" | "failed" | "cancelled");
         whole += u32::from(state == "completed");
         if is_accepted && !is_ended && !has_run_lately {
             stuck += 1;
             let line = format!(
-                "LOST {}: {state}, nothing running for 3 s; {in_use} runs on the 7 executors of the queue's service, which hold 70",
+                "LOST {}: {state}, nothing running for 3 s; {in_use} runs on the 8 executors of the queue's service, which hold 80; two of them have the label and hold 20",
                 job.id
             );
             println!("{line}");
