--- a/review/stands/src/installation.rs
+++ b/review/stands/src/installation.rs
@@ -201,6 +201,18 @@
         Ok(())
     }
 
+    /// Ends all processes and removes the folder.
+    pub fn end(&self) {
+        let mut children = std::mem::take(&mut *lock(&self.children));
+        for (_, child) in &mut children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if std::env::var_os("KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+
     pub fn start_all(&self) -> io::Result<()> {
         for role in self.roles() {
             self.start(role, true)?;
@@ -297,13 +309,6 @@
 
 impl Drop for Installation {
     fn drop(&mut self) {
-        let mut children = std::mem::take(&mut *lock(&self.children));
-        for (_, child) in &mut children {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        if std::env::var_os("KEEP").is_none() {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
+        self.end();
     }
 }
--- a/review/stands/src/setup.rs
+++ b/review/stands/src/setup.rs
@@ -75,6 +75,13 @@
     }
 }
 
+impl Drop for Setup {
+    /// Threads of the case may still hold the installation, so its own drop doesn't do.
+    fn drop(&mut self) {
+        self.installation.end();
+    }
+}
+
 /// The configuration that most cases begin with.
 pub fn first_configuration() -> String {
     configuration(1, ["alpha", "alpha", "beta"])
