Apply moved queues to the jobs that are open

Cause: a job copied the service and the priority of its queue when it came to its entry. A configuration that came in force later changed only what new requests got, so the dispatcher kept looking for targets of the former service. The entry's log shows the new version in force and the jobs counted under no_target; jobs submitted after the move ran.

Change: when a configuration comes in force, Dispatcher::update_queues gives every open job, kept or best-effort, started or not, the service and the priority of its queue, and moves its place in the queue. Assigned runs go on. The first configuration of an entry that already drives jobs has the same effect.

--- a/crates/leased/cloverfold_configuration/src/configuration.rs
+++ b/crates/leased/cloverfold_configuration/src/configuration.rs
@@ -62,6 +62,11 @@
 }
 
 impl Configuration {
+    /// Returns the route of a queue; the first one if several have its name.
+    pub fn find_queue(&self, name: &str) -> Option<&Route> {
+        self.routes.iter().find(|route| route.name == name)
+    }
+
     /// Returns the route of a request: among the routes for its host, the one with the longest matching path prefix.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Route> {
         let routes = self.routes.iter();
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -16,7 +16,7 @@
 //! - `run_ends`: what follows from the end of a run; `late_runs`: which runs take too long;
 //! - `sessions`, `runner_session`: what is known of runners, and when the runs of a lost session have ended;
 //! - `stall_recovery`: which timeouts are suspended after a stall of this process;
-//! - `kept_jobs`: what is specific to kept jobs;
+//! - `kept_jobs`: what is specific to kept jobs; `queue_changes`: open jobs follow the configuration in force;
 //! - `closing`: how jobs are closed, and runs that continue after that; `reports`: decisions to be logged; `waiting_jobs`: why jobs wait.
 //!
 //! The process calls [`Dispatcher::tick`] regularly, carries out the actions in order, and passes on every message and every closed link.
@@ -39,6 +39,7 @@
 mod placement;
 mod placement_pass;
 mod precedence;
+mod queue_changes;
 mod reports;
 mod resubmissions;
 mod run_ends;
@@ -70,6 +71,7 @@
 pub use events::{DispatcherEvent, TargetCounts};
 pub use job::JobNumber;
 pub use kept_jobs::KeptJob;
+pub use queue_changes::QueueAttributes;
 pub use waiting_jobs::WaitingJobs;
 
 use closing::DetachedRun;
--- a/crates/leased/cloverfold_lease/src/dispatcher/shares.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/shares.rs
@@ -58,6 +58,18 @@
             allocated_at,
         };
         self.active.insert(queue.into(), usage);
+        self.update_most_urgent();
+    }
+
+    /// Changes the priority of a queue if it is active.
+    pub(super) fn set_priority(&mut self, queue: &str, priority: u32) {
+        if let Some(usage) = self.active.get_mut(queue) {
+            usage.priority = priority;
+            self.update_most_urgent();
+        }
+    }
+
+    fn update_most_urgent(&mut self) {
         self.most_urgent = self.active.values().map(|usage| usage.priority).min();
     }
 
--- a/crates/leased/cloverfold_lease/src/lib.rs
+++ b/crates/leased/cloverfold_lease/src/lib.rs
@@ -53,7 +53,7 @@
 
 pub use dispatcher::{
     Dispatcher, DispatcherAction, DispatcherCounts, DispatcherEvent, JobAnswer, JobNumber,
-    JobRefusal, KeptJob, RETRY_AFTER, RefusedRunCounts, TargetCounts, WaitingJobs,
+    JobRefusal, KeptJob, QueueAttributes, RETRY_AFTER, RefusedRunCounts, TargetCounts, WaitingJobs,
 };
 pub use health::{HealthLimits, TargetHealth};
 pub use messages::{
--- a/crates/leased/cloverfold_lease/tests/dispatcher/fixture.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/fixture.rs
@@ -160,9 +160,14 @@
 
     /// Announces the target of a runner.
     pub fn announce_target(&mut self, session: SessionId, labels: &[&str]) {
+        self.announce_target_of("service", session, labels);
+    }
+
+    /// Announces the target of a runner, which serves this service.
+    pub fn announce_target_of(&mut self, service: &str, session: SessionId, labels: &[&str]) {
         let description = TargetDescription {
             incarnation: format!("target-{session}"),
-            service: "service".into(),
+            service: service.into(),
             capacity: CAPACITY,
             labels: labels.iter().map(|&label| label.into()).collect(),
         };
--- a/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
@@ -11,6 +11,7 @@
 mod pauses_and_withdrawals;
 mod placement;
 mod precedence;
+mod queue_changes;
 mod resubmissions;
 mod run_ends;
 mod sessions;
--- a/crates/leased/cloverfold_leased_entry/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/links.rs
@@ -1,8 +1,11 @@
 //! Link events of an entry: passes messages from guards to the dispatcher, fetches newer configurations and invites guards.
 
+use std::collections::HashMap;
+
 use cloverfold_base::Timestamp;
-use cloverfold_configuration::{ConfigurationDelta, StoredConfiguration, Version};
+use cloverfold_configuration::{Configuration, ConfigurationDelta, StoredConfiguration, Version};
 use cloverfold_evacuation::EvacuatedHalls;
+use cloverfold_lease::QueueAttributes;
 use cloverfold_link::{LinkEvent, LinkId, send_once};
 use cloverfold_peer::{Hello, PeerMessage, PeerRole};
 
@@ -117,10 +120,25 @@
         self.fetches.finish();
         if self.configuration.replace(stored, self.protocol.as_ref()) {
             self.is_configured.send_replace(true);
+            self.update_queues();
             self.announce_version();
         }
     }
 
+    /// Applies the queues of the configuration in force to the open jobs, which were submitted or handed over under an earlier one.
+    fn update_queues(&mut self) {
+        let Some(configuration) = self.configuration() else {
+            return;
+        };
+        let now = self.clock.now();
+        let changed = self
+            .dispatcher
+            .update_queues(&queue_attributes(&configuration), now);
+        if changed > 0 {
+            log::info!(jobs = changed, version = configuration.version; "open jobs moved with their queues");
+        }
+    }
+
     /// Puts a configuration in force that was sent as a delta.
     fn receive_delta(&mut self, link: LinkId, delta: &ConfigurationDelta) {
         let base = self.configuration.stored();
@@ -161,3 +179,15 @@
         }
     }
 }
+
+/// Returns the attributes of all queues, by name. As in [`Configuration::find_queue`], the first route of a name applies.
+fn queue_attributes(configuration: &Configuration) -> HashMap<String, QueueAttributes> {
+    let queues = configuration.routes.iter().rev().map(|route| {
+        let attributes = QueueAttributes {
+            service: route.service.clone(),
+            priority: route.priority,
+        };
+        (route.name.clone(), attributes)
+    });
+    queues.collect()
+}
--- a/crates/leased/cloverfold_leased_entry/src/stored_job.rs
+++ b/crates/leased/cloverfold_leased_entry/src/stored_job.rs
@@ -1,7 +1,8 @@
 //! The stored form of a kept job, from which any entry can drive it later.
 //!
 //! It holds the request as the caller sent it, and the attributes of its queue at submission. If the configuration in force has a
-//! queue of that name, its current attributes apply, because moving a queue to another service also moves its jobs.
+//! queue of that name, its current attributes apply, because moving a queue to another service also moves its jobs; the dispatcher applies
+//! later changes to the jobs that are driven already ([`Dispatcher::update_queues`](cloverfold_lease::Dispatcher::update_queues)).
 //! Otherwise the stored ones apply, so that an accepted job can run after its queue was removed. The maximum number of attempts is always
 //! the stored one, because the group counts failures against it.
 //!
@@ -65,9 +66,8 @@
 
     /// Returns the queue whose attributes apply to the job now.
     pub fn route(&self, configuration: Option<&Configuration>) -> Route {
-        let mut routes = configuration.into_iter().flat_map(|all| &all.routes);
-        let in_force = routes.find(|route| route.name == self.queue).cloned();
-        let route = in_force.unwrap_or_else(|| self.stored_route());
+        let in_force = configuration.and_then(|all| all.find_queue(&self.queue));
+        let route = in_force.cloned().unwrap_or_else(|| self.stored_route());
         Route {
             max_attempts: self.max_attempts,
             ..route
