Apply changed body limits to open connections

The server asks for the limits on bodies with each request now. The limits on headers and idle time stay those of the connection.

The new test got 413 with the limits read once, and passes now.

--- a/crates/common/cloverfold_http/src/operations.rs
+++ b/crates/common/cloverfold_http/src/operations.rs
@@ -44,7 +44,7 @@
     handler: H,
 ) -> Result<ServerHandle, ListenError>
 where
-    L: Fn() -> HttpLimits + Send + 'static,
+    L: Fn() -> HttpLimits + Send + Sync + 'static,
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
--- a/crates/common/cloverfold_http/src/server.rs
+++ b/crates/common/cloverfold_http/src/server.rs
@@ -33,7 +33,7 @@
 /// Delay after a failed accept, so that the server does not busy-loop while there are no free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Limits of a connection; read once when it is accepted.
+/// Limits of a server. Those on bodies are read for each request, the others once when a connection is accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpLimits {
     /// Maximum size of a request header, in bytes; values below 8 KiB count as 8 KiB.
@@ -142,7 +142,7 @@
     }
 }
 
-/// Serves requests on a listener; calls `limits` once for each connection.
+/// Serves requests on a listener; calls `limits` for each connection and for each request.
 ///
 /// The server drops the future of a handler if its client disconnects before the response. Must be called within a runtime.
 ///
@@ -151,7 +151,7 @@
 /// Returns the system's error if the listener has no local address.
 pub fn serve<L, H, F>(listener: TcpListener, limits: L, handler: H) -> std::io::Result<ServerHandle>
 where
-    L: Fn() -> HttpLimits + Send + 'static,
+    L: Fn() -> HttpLimits + Send + Sync + 'static,
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
@@ -159,7 +159,7 @@
     let (phase, phase_rx) = watch::channel(ShutdownPhase::Serving);
     tokio::spawn(accept_connections(
         listener,
-        limits,
+        Arc::new(limits),
         Arc::new(handler),
         phase_rx,
     ));
@@ -169,11 +169,11 @@
 /// Accepts connections until the server closes, and serves each in its own task.
 async fn accept_connections<L, H, F>(
     listener: TcpListener,
-    limits: L,
+    limits: Arc<L>,
     handler: Arc<H>,
     phase: watch::Receiver<ShutdownPhase>,
 ) where
-    L: Fn() -> HttpLimits,
+    L: Fn() -> HttpLimits + Send + Sync + 'static,
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
@@ -185,7 +185,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = serve_connection(stream, limits(), handler.clone(), phase.clone());
+                let connection =
+                    serve_connection(stream, limits.clone(), handler.clone(), phase.clone());
                 tokio::spawn(connection);
             }
             Err(cause) => {
@@ -204,20 +205,23 @@
         .await;
 }
 
-async fn serve_connection<H, F>(
+async fn serve_connection<L, H, F>(
     stream: TcpStream,
-    limits: HttpLimits,
+    limits: Arc<L>,
     handler: Arc<H>,
     mut phase: watch::Receiver<ShutdownPhase>,
 ) where
+    L: Fn() -> HttpLimits + Send + Sync + 'static,
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     // Without this timeout, a client that disappears or stops reading a response would keep its connection and file descriptor open.
-    set_socket_options(&stream, limits.idle_timeout);
+    let connection_limits = limits();
+    set_socket_options(&stream, connection_limits.idle_timeout);
     let phase_rx = phase.clone();
     let service = service_fn(move |request: http::Request<Incoming>| {
         let handler = handler.clone();
+        let limits = limits();
         let phase_rx = phase_rx.clone();
         async move {
             let mut response = handle_request(request, &limits, handler.as_ref()).await;
@@ -227,8 +231,8 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.header_bytes.max(MIN_HEADER_BUFFER))
+        .header_read_timeout(connection_limits.idle_timeout)
+        .max_buf_size(connection_limits.header_bytes.max(MIN_HEADER_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
--- a/crates/common/cloverfold_http/tests/server.rs
+++ b/crates/common/cloverfold_http/tests/server.rs
@@ -337,3 +337,37 @@
         .expect("the connection is closed, although the client still holds it");
     drop(client);
 }
+
+/// Sends a request on an open connection and returns the status code of the response.
+async fn post_on(stream: &mut TcpStream, body: &str) -> String {
+    let length = body.len();
+    let request =
+        format!("POST / HTTP/1.1\r\nhost: shop.example\r\ncontent-length: {length}\r\n\r\n{body}");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut response = [0; 1024];
+    let length = stream.read(&mut response).await.unwrap();
+    let response = String::from_utf8_lossy(&response[..length]);
+    response.split(' ').nth(1).unwrap_or_default().to_owned()
+}
+
+/// Guards against connections that keep the limit on bodies which was in force when they were opened.
+#[tokio::test]
+async fn a_changed_body_limit_applies_to_open_connections() {
+    let body_bytes = Arc::new(AtomicUsize::new(8));
+    let current = body_bytes.clone();
+    let limits = move || HttpLimits {
+        body_bytes: current.load(Ordering::SeqCst),
+        ..HttpLimits::default()
+    };
+    let listener = cloverfold_link::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let handler = |_: Request| async { plain_response(StatusCode::OK, "") };
+    let server = serve(listener, limits, handler).unwrap();
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    assert_eq!(post_on(&mut stream, "short").await, "200");
+
+    body_bytes.store(64, Ordering::SeqCst);
+    assert_eq!(post_on(&mut stream, "longer than before").await, "200");
+    body_bytes.store(8, Ordering::SeqCst);
+
+    assert_eq!(post_on(&mut stream, "longer than before").await, "413");
+}
