Connect kept jobs to targets outside their entry's subset

Cause: a job is handed over to the driver with the fewest jobs, and a driver waits until a target that it sees can run the job. With more than 16 targets of a service an entry sees a subset of them, which may lack the only target with a label. The entries of the jobs that stood still logged "jobs wait for a target" with no_target each second.

Change: an entry sends the services and labels that its kept jobs lack for 500 ms to the control processes (PeerMessage::TargetNeeds, protocol version 5). These assign up to 16 guards with such targets to the entry in addition to its subset, until no job needs them. No job changes its driver for want of a target, and the request does not grow with the jobs that wait.

--- a/compatibility/tests/leased_messages.rs
+++ b/compatibility/tests/leased_messages.rs
@@ -26,7 +26,7 @@
 };
 use cloverfold_lease::{
     Assignment, DispatcherMessage, FreeCapacity, KeptAssignment, Resources, RunOutcome, RunRefusal,
-    RunnerMessage, StartedRun, TargetDescription, TaskId, UsualSpeed,
+    RunnerMessage, StartedRun, TargetDescription, TargetNeed, TaskId, UsualSpeed,
 };
 use cloverfold_link::{decode_frame, encode_frame};
 use cloverfold_peer::{Directory, Hello, PeerDetails, PeerMessage, PeerRole, Trailing};
@@ -525,9 +525,22 @@
         PeerMessage::RememberedSpeed(_) => one("remembered-speed", PeerMessage::RememberedSpeed(UsualSpeed { slowness_permille: 87_000, runs: 88 })),
         PeerMessage::FetchSince { .. } => one("fetch-since", PeerMessage::FetchSince { known: 98 }),
         PeerMessage::ConfigurationChange(_) => one("configuration-change", PeerMessage::ConfigurationChange(configuration_change())),
+        PeerMessage::TargetNeeds(_) => target_needs(),
     })
 }
 
+fn target_needs() -> Vec<Sample<PeerMessage>> {
+    let need = |label: Option<&str>| TargetNeed {
+        service: "service-103".to_owned(),
+        label: label.map(ToOwned::to_owned),
+    };
+    let needs = vec![need(None), need(Some("label-104"))];
+    several([
+        ("target-needs", PeerMessage::TargetNeeds(needs)),
+        ("target-needs-none", PeerMessage::TargetNeeds(Vec::new())),
+    ])
+}
+
 fn configuration_change() -> ConfigurationDelta {
     ConfigurationDelta {
         base: 98,
--- a/crates/leased/cloverfold_control/src/state/directories.rs
+++ b/crates/leased/cloverfold_control/src/state/directories.rs
@@ -1,6 +1,6 @@
 //! Distribution of directories: the addresses that each entry and guard should connect to.
 //!
-//! The directory of a guard holds the entries assigned to it ([`choose_entries`]) and the control processes, that of an entry only the
+//! The directory of a guard holds the entries assigned to it ([`choose_entries`], [`add_needed_entries`]) and the control processes, that of an entry only the
 //! control processes, so that directories do not grow with the installation. A newly connected process receives its directory at the next
 //! tick. Other processes receive an update at most every [`UPDATE_INTERVAL`], and only if their own directory changed; otherwise, every
 //! connection would rearrange the links of others while many processes start.
@@ -13,7 +13,8 @@
 use cloverfold_lease::TargetDescription;
 use cloverfold_link::LinkId;
 use cloverfold_peer::{
-    Directory, EntrySubsets, GuardAttributes, KnownGuards, PeerMessage, PeerRole, choose_entries,
+    Directory, EntrySubsets, GuardAttributes, KnownGuards, PeerMessage, PeerRole,
+    add_needed_entries, choose_entries,
 };
 
 use super::ControlState;
@@ -76,7 +77,7 @@
         if is_update_due {
             self.directories.outdated_since = None;
         }
-        let entries = choose_entries(&self.list_guards(), &self.entries.addresses());
+        let entries = self.assign_entries();
         let controls = self.list_controls();
         for peer in receivers {
             let directory = build_directory(&entries, &controls, peer.address);
@@ -84,6 +85,16 @@
         }
     }
 
+    /// Returns the entries of each guard.
+    fn assign_entries(&mut self) -> EntrySubsets {
+        let mut entries = choose_entries(&self.list_guards(), &self.entries.addresses());
+        if !self.entry_needs.is_empty() {
+            let needs = self.needs_by_entry();
+            add_needed_entries(&mut entries, &self.list_usable_targets(), &needs);
+        }
+        entries
+    }
+
     /// Records the target that a guard reports. Keeps the service of a guard whose target is gone, because it most likely returns.
     pub(super) fn record_target(&mut self, link: LinkId, target: &TargetDescription) {
         let Some(hello) = self.links.hello(link) else {
@@ -98,6 +109,7 @@
         if before.is_none_or(|before| before != target.service) {
             self.directories.mark_outdated(self.clock.now());
         }
+        self.update_needed_targets();
     }
 
     /// Returns the known guards with the services of their targets and their data halls, and drops data about other guards.
--- a/crates/leased/cloverfold_control/src/state/mod.rs
+++ b/crates/leased/cloverfold_control/src/state/mod.rs
@@ -14,6 +14,7 @@
 //! | `peers` | links and messages |
 //! | `notices` | announcement of the version in force |
 //! | `directories`, `known_peers` | addresses distributed to entries and guards |
+//! | `target_needs` | targets that entries need beyond their subsets |
 //! | `peer_store` | entries and guards stored across restarts |
 //! | `founding` | creation of the groups that keep jobs |
 //! | `hosted_jobs`, `jobs` | hosted groups |
@@ -38,6 +39,7 @@
 mod reads;
 mod replicated;
 mod status;
+mod target_needs;
 mod uncommitted;
 mod upkeep;
 mod upkeep_targets;
@@ -59,6 +61,7 @@
 use self::known_peers::KnownPeers;
 use self::notices::LastNotice;
 use self::pending_reads::PendingReads;
+use self::target_needs::EntryNeeds;
 use self::uncommitted::UncommittedEntries;
 use self::upkeep::UpkeepRuntime;
 use crate::replica_host::ReplicaHost;
@@ -92,6 +95,7 @@
     /// The data halls reported by guards, by the guard's address.
     halls: HashMap<SocketAddr, DataHall>,
     directories: SentDirectories,
+    entry_needs: EntryNeeds,
     peer_store: PeerStore,
     /// `None` once the group exists, or if another process bootstraps it.
     bootstrap: Option<Bootstrap>,
@@ -140,6 +144,7 @@
             services: HashMap::new(),
             halls: HashMap::new(),
             directories: SentDirectories::default(),
+            entry_needs: EntryNeeds::default(),
             peer_store,
             bootstrap,
             uncommitted_versions: UncommittedEntries::default(),
--- a/crates/leased/cloverfold_control/src/state/peers.rs
+++ b/crates/leased/cloverfold_control/src/state/peers.rs
@@ -64,6 +64,7 @@
             PeerMessage::ToDispatcher(RunnerMessage::FreeCapacity(free)) => {
                 self.record_load(link, &free);
             }
+            PeerMessage::TargetNeeds(needs) => self.receive_target_needs(link, needs),
             // These messages are addressed to entries and guards.
             PeerMessage::ToRunner(_)
             | PeerMessage::ToDispatcher(_)
@@ -168,8 +169,16 @@
                     self.job_replica_disconnected(replica);
                 }
             }
-            PeerRole::Entry => self.entries.disconnected(hello.address, now),
-            PeerRole::Guard => self.guards.disconnected(hello.address, now),
+            PeerRole::Entry => {
+                self.entries.disconnected(hello.address, now);
+                if self.entry_needs.discard(link) {
+                    self.directories.mark_outdated(now);
+                }
+            }
+            PeerRole::Guard => {
+                self.guards.disconnected(hello.address, now);
+                self.update_needed_targets();
+            }
         }
     }
 
--- a/crates/leased/cloverfold_control/src/state/upkeep_targets.rs
+++ b/crates/leased/cloverfold_control/src/state/upkeep_targets.rs
@@ -1,10 +1,10 @@
-//! The targets of guards as the upkeep scheduler sees them: their load, and holds sent to their guards.
+//! The targets of guards: their descriptions, and for the upkeep scheduler their load, and holds sent to their guards.
 //!
 //! A guard replies to every hold message with the free capacity of its target.
 
 use std::time::Duration;
 
-use cloverfold_lease::{FreeCapacity, Resources, TargetDescription};
+use cloverfold_lease::{FreeCapacity, TargetDescription};
 use cloverfold_link::LinkId;
 use cloverfold_peer::PeerMessage;
 use cloverfold_upkeep::{TargetHold, TargetLoad, TargetLoads};
@@ -14,8 +14,7 @@
 /// A guard's target as known to this process.
 #[derive(Debug)]
 pub(super) struct KnownTarget {
-    incarnation: String,
-    capacity: Resources,
+    description: TargetDescription,
     /// The last reported load.
     load: Option<TargetLoad>,
 }
@@ -23,11 +22,14 @@
 impl KnownTarget {
     pub(super) fn new(target: &TargetDescription) -> Self {
         Self {
-            incarnation: target.incarnation.clone(),
-            capacity: target.capacity,
+            description: target.clone(),
             load: None,
         }
     }
+
+    pub(super) fn description(&self) -> &TargetDescription {
+        &self.description
+    }
 }
 
 impl ControlState {
@@ -38,10 +40,11 @@
             return;
         };
         if let Some(target) = self.upkeep_runtime.targets.get_mut(&hello.address) {
+            let capacity = target.description.capacity;
             target.load = Some(TargetLoad {
-                capacity_milli: target.capacity.cpu_milli,
+                capacity_milli: capacity.cpu_milli,
                 free_milli: free.free.cpu_milli,
-                is_empty: free.free == target.capacity,
+                is_empty: free.free == capacity,
                 at,
             });
         }
@@ -49,7 +52,8 @@
 
     pub(super) fn list_loads(&self) -> TargetLoads {
         let targets = self.upkeep_runtime.targets.values();
-        let loads = targets.filter_map(|target| Some((target.incarnation.clone(), target.load?)));
+        let loads = targets
+            .filter_map(|target| Some((target.description.incarnation.clone(), target.load?)));
         loads.collect()
     }
 
@@ -57,7 +61,7 @@
     /// capacity of the target.
     pub(super) fn send_hold(&self, incarnation: &str, span: Duration) {
         let mut targets = self.upkeep_runtime.targets.iter();
-        let guard = targets.find(|(_, target)| target.incarnation == incarnation);
+        let guard = targets.find(|(_, target)| target.description.incarnation == incarnation);
         let Some((guard, _)) = guard else {
             return;
         };
--- a/crates/leased/cloverfold_lease/src/dispatcher/kept_admission.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/kept_admission.rs
@@ -55,10 +55,29 @@
     /// Returns whether each step has a target that accepts work and could run a task of the step when empty.
     fn has_capable_targets(&self, request: &JobRequest, now: Timestamp) -> bool {
         self.has_target_for_service(&request.service, now)
-            && request.steps.iter().all(|step| {
-                let mut runners = self.sessions.values();
-                runners.any(|runner| can_run_step(runner, request, step, now))
-            })
+            && request
+                .steps
+                .iter()
+                .all(|step| self.has_capable_target(&request.service, step, now))
+    }
+
+    /// Returns whether a target of a service accepts work and could run a task of a step of a kept job when empty.
+    pub(super) fn has_capable_target(
+        &self,
+        service: &str,
+        step: &StepRequest,
+        now: Timestamp,
+    ) -> bool {
+        let targets = self.targets.find(service, step.required_label.as_deref());
+        let sessions = targets
+            .into_iter()
+            .flat_map(|targets| targets.sessions.iter());
+        let mut runners = sessions.filter_map(|session| self.sessions.get(session));
+        runners.any(|runner| {
+            runner.accepts_work(now)
+                && runner.supports_kept_jobs
+                && runner.fits_when_empty(&step.demand)
+        })
     }
 
     /// Estimates how long the work takes that is served before a job.
@@ -136,18 +155,3 @@
         0
     }
 }
-
-/// Returns whether a target accepts work and could run a task of a step when empty.
-fn can_run_step(
-    runner: &RunnerSession,
-    request: &JobRequest,
-    step: &StepRequest,
-    now: Timestamp,
-) -> bool {
-    let has_label = |label: &String| runner.has_label(label);
-    runner.accepts_work(now)
-        && runner.supports_kept_jobs
-        && runner.serves(&request.service)
-        && step.required_label.as_ref().is_none_or(has_label)
-        && runner.fits_when_empty(&step.demand)
-}
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -16,7 +16,8 @@
 //! - `run_ends`: what follows from the end of a run; `late_runs`: which runs take too long;
 //! - `sessions`, `runner_session`: what is known of runners, and when the runs of a lost session have ended;
 //! - `stall_recovery`: which timeouts are suspended after a stall of this process;
-//! - `kept_jobs`: what is specific to kept jobs; `queue_changes`: open jobs follow the configuration in force;
+//! - `kept_jobs`: what is specific to kept jobs; `target_needs`: which targets they need that this entry does not see;
+//!   `queue_changes`: open jobs follow the configuration in force;
 //! - `closing`: how jobs are closed, and runs that continue after that; `reports`: decisions to be logged; `waiting_jobs`: why jobs wait.
 //!
 //! The process calls [`Dispatcher::tick`] regularly, carries out the actions in order, and passes on every message and every closed link.
@@ -49,6 +50,7 @@
 mod stall_recovery;
 mod standing_queues;
 mod target_index;
+mod target_needs;
 mod wait_causes;
 mod waiting_jobs;
 
@@ -83,6 +85,7 @@
 use shares::QueueShares;
 use standing_queues::StandingQueues;
 use target_index::TargetIndex;
+use target_needs::TargetNeeds;
 use waiting_jobs::WaitingJobsReport;
 
 /// Coordinates the jobs of one entry.
@@ -101,6 +104,7 @@
     /// Jobs with waiting tasks; `precedence` determines the order in which they are served.
     waiting: BTreeSet<QueuePosition>,
     waiting_jobs: WaitingJobsReport,
+    target_needs: TargetNeeds,
     /// Runs of closed jobs; a task with the same ID is not started before the run has ended.
     detached_runs: HashMap<TaskId, DetachedRun>,
     next_job: JobNumber,
@@ -133,6 +137,7 @@
             open_jobs_by_name: HashMap::new(),
             waiting: BTreeSet::new(),
             waiting_jobs: WaitingJobsReport::default(),
+            target_needs: TargetNeeds::default(),
             detached_runs: HashMap::new(),
             next_job: 1,
             last_call_at: Timestamp::ZERO,
@@ -260,6 +265,7 @@
         self.release_expired_lost_sessions(now);
         self.place_waiting(now);
         self.report_waiting_jobs(now);
+        self.update_target_needs(now);
         if !self.catch_up.is_active(now) {
             self.end_expired_jobs(now);
             self.withdraw_late_runs(now);
--- a/crates/leased/cloverfold_lease/src/dispatcher/runner_session.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/runner_session.rs
@@ -89,12 +89,6 @@
         self.may_be_expired |= now > self.last_echo_at + session_timeout;
     }
 
-    /// Returns whether the target serves this service.
-    pub(crate) fn serves(&self, service: &str) -> bool {
-        let description = self.description.as_ref();
-        description.is_some_and(|description| description.service == service)
-    }
-
     pub(crate) fn has_label(&self, label: &str) -> bool {
         let description = self.description.as_ref();
         description.is_some_and(|description| description.labels.iter().any(|l| l == label))
--- a/crates/leased/cloverfold_lease/src/lib.rs
+++ b/crates/leased/cloverfold_lease/src/lib.rs
@@ -58,7 +58,7 @@
 pub use health::{HealthLimits, TargetHealth};
 pub use messages::{
     Assignment, DispatcherMessage, FreeCapacity, KeptAssignment, RunOutcome, RunRefusal,
-    RunnerMessage, SessionId, StartedRun, TargetDescription, TaskId, UsualSpeed,
+    RunnerMessage, SessionId, StartedRun, TargetDescription, TargetNeed, TaskId, UsualSpeed,
 };
 pub use request::{JobRequest, LatencyObjective, StepRequest};
 pub use resources::Resources;
--- a/crates/leased/cloverfold_lease/src/messages.rs
+++ b/crates/leased/cloverfold_lease/src/messages.rs
@@ -204,6 +204,15 @@
     pub labels: Vec<String>,
 }
 
+/// Targets that a kept job needs. An entry that sees none of them requests them from the control processes.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TargetNeed {
+    /// Service of the targets.
+    pub service: String,
+    /// Label that they must have, if any.
+    pub label: Option<String>,
+}
+
 /// A run whose start the target has confirmed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartedRun {
--- a/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/main.rs
@@ -17,5 +17,6 @@
 mod sessions;
 mod stall_recovery;
 mod startup;
+mod target_needs;
 mod usual_speed;
 mod waiting_jobs;
--- a/crates/leased/cloverfold_leased_entry/src/lib.rs
+++ b/crates/leased/cloverfold_leased_entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod process;
 mod protocol;
 mod request_handler;
+mod requested_targets;
 mod responses;
 mod run_numbers;
 mod state;
--- a/crates/leased/cloverfold_leased_entry/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/links.rs
@@ -53,6 +53,7 @@
             | PeerMessage::JobConsensus { .. }
             | PeerMessage::UpkeepCommand(_)
             | PeerMessage::HoldTarget(_)
+            | PeerMessage::TargetNeeds(_)
             | PeerMessage::RememberedSpeed(_) => {}
             PeerMessage::JobGroups(groups) => self.driver.set_group_count(groups.count, now),
             PeerMessage::JobReply(reply) => self.driver.receive(reply, now),
@@ -84,6 +85,7 @@
     /// Removes a link, which closes it if it is still open, and ends the session of a guard.
     pub(super) fn close_link(&mut self, link: LinkId) {
         let now = self.clock.now();
+        self.requested_targets.remove(link);
         let Some(hello) = self.links.close(link) else {
             return;
         };
--- a/crates/leased/cloverfold_leased_entry/src/state/mod.rs
+++ b/crates/leased/cloverfold_leased_entry/src/state/mod.rs
@@ -28,6 +28,7 @@
 use crate::event_log::log_event;
 use crate::guard_invitations::GuardInvitations;
 use crate::protocol::{JobProtocol, JobState};
+use crate::requested_targets::RequestedTargets;
 use crate::run_numbers::first_run_number;
 pub(crate) use kept::GroupAnswer;
 
@@ -44,6 +45,7 @@
     links: PeerLinks,
     controls: ControlLinks,
     guards: GuardInvitations,
+    requested_targets: RequestedTargets,
     /// Channels for the answers to open jobs.
     answers: HashMap<JobNumber, oneshot::Sender<JobAnswer>>,
     /// Calls to groups, and the kept jobs that this entry drives.
@@ -80,6 +82,8 @@
         self.dispatcher.tick(now);
         self.tick_driver(now);
         self.invite_guards(now);
+        let needs = self.dispatcher.requested_targets();
+        self.requested_targets.send(needs, &self.links);
         self.advance();
         self.log_readiness();
     }
@@ -106,6 +110,7 @@
             links: PeerLinks::default(),
             controls,
             guards: GuardInvitations::default(),
+            requested_targets: RequestedTargets::default(),
             answers: HashMap::new(),
             driver,
             driven: DrivenJobs::default(),
--- a/crates/leased/cloverfold_leased_guard/src/state/links.rs
+++ b/crates/leased/cloverfold_leased_guard/src/state/links.rs
@@ -55,6 +55,7 @@
             | PeerMessage::ReadReply { .. }
             | PeerMessage::JobCall(_)
             | PeerMessage::JobConsensus { .. }
+            | PeerMessage::TargetNeeds(_)
             | PeerMessage::UpkeepCommand(_) => {}
             PeerMessage::JobGroups(groups) => self.recorder.set_group_count(groups.count, now),
             PeerMessage::JobReply(reply) => self.recorder.receive(reply, now),
--- a/crates/leased/cloverfold_peer/src/entry_subsets.rs
+++ b/crates/leased/cloverfold_peer/src/entry_subsets.rs
@@ -24,7 +24,7 @@
 /// Minimum number of entries of a guard, unless there are fewer. More entries cause more conflicting placements.
 const ENTRIES_PER_GUARD: usize = 4;
 /// Minimum number of guards of each service that an entry sees, unless there are fewer; gives a job with many tasks enough targets.
-const GUARDS_PER_ENTRY: usize = 16;
+pub(crate) const GUARDS_PER_ENTRY: usize = 16;
 
 /// The attributes of a guard that its subset depends on. The order of the fields is the format on disk.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,13 +49,13 @@
 
 /// An address with its hash.
 #[derive(Clone, Copy, Debug)]
-struct HashedAddress {
-    address: SocketAddr,
+pub(crate) struct HashedAddress {
+    pub(crate) address: SocketAddr,
     hash: u64,
 }
 
 impl HashedAddress {
-    fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new(address: SocketAddr) -> Self {
         let hash = hash_parts(&[address.to_string().as_bytes()]);
         let mut first = [0; 8];
         first.copy_from_slice(&hash[..8]);
@@ -66,7 +66,7 @@
     }
 
     /// Returns the rank weight of an entry for this guard; a higher weight is preferred (rendezvous hashing).
-    fn weight(&self, entry: &Self) -> u64 {
+    pub(crate) fn weight(&self, entry: &Self) -> u64 {
         mix_bits(self.hash ^ mix_bits(entry.hash))
     }
 }
--- a/crates/leased/cloverfold_peer/src/lib.rs
+++ b/crates/leased/cloverfold_peer/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Entries and guards dial control processes: first the seeds from their settings, later those in the newest [`Directory`]. A control
 //! process assigns each guard a subset of the entries ([`choose_entries`]) and lists it in the guard's directory; the guard dials these
-//! entries ([`AssignedEntries`]). An entry sends an invitation to each guard that was connected before, so that both can reconnect while
+//! entries ([`AssignedEntries`]). Guards whose targets an entry needs for its kept jobs are assigned to it as well
+//! ([`add_needed_entries`]). An entry sends an invitation to each guard that was connected before, so that both can reconnect while
 //! no control process is reachable. A restarted control process invites the entries and guards that it stored ([`Invitations`]).
 //!
 //! Each process keeps its open links in [`PeerLinks`] and the addresses that it dials in [`DialedPeers`] and [`ControlLinks`].
@@ -17,6 +18,7 @@
 mod link_drains;
 mod links;
 mod messages;
+mod needed_targets;
 mod sent_counts;
 mod stored_peers;
 mod trailing;
@@ -31,6 +33,7 @@
 pub use messages::{
     Directory, Hello, PROTOCOL_VERSION, PeerDetails, PeerMessage, PeerRole, ProtocolVersion,
 };
+pub use needed_targets::{GuardTarget, NeedsByEntry, add_needed_entries};
 pub use sent_counts::{SentCounts, SentTotals};
 pub use stored_peers::{Invitations, StoredPeers};
 pub use trailing::Trailing;
--- a/crates/leased/cloverfold_peer/src/messages.rs
+++ b/crates/leased/cloverfold_peer/src/messages.rs
@@ -10,7 +10,7 @@
 use cloverfold_consensus::{LogIndex, Message, ReplicaId};
 use cloverfold_evacuation::{DataHall, EvacuatedHalls, EvacuationOrder};
 use cloverfold_kept_jobs::{GroupId, JobCallMessage, JobGroups, JobReplyMessage};
-use cloverfold_lease::{DispatcherMessage, RunnerMessage, UsualSpeed};
+use cloverfold_lease::{DispatcherMessage, RunnerMessage, TargetNeed, UsualSpeed};
 use cloverfold_upkeep::{TargetHold, UpkeepCommand};
 use serde::{Deserialize, Serialize};
 
@@ -24,12 +24,13 @@
 /// | 2 | [`PeerMessage::JobGroups`] and the variants after it, [`DispatcherMessage::AssignKept`], [`RunnerMessage::UsualSpeed`] |
 /// | 3 | [`PeerMessage::FetchSince`], [`PeerMessage::ConfigurationChange`] |
 /// | 4 | [`RunnerMessage::Started`] |
+/// | 5 | [`PeerMessage::TargetNeeds`] |
 ///
 /// Older builds report no version.
 pub type ProtocolVersion = u32;
 
 /// Protocol version of this build.
-pub const PROTOCOL_VERSION: ProtocolVersion = 4;
+pub const PROTOCOL_VERSION: ProtocolVersion = 5;
 /// First version that supports the messages about evacuations.
 const EVACUATIONS_SINCE: ProtocolVersion = 1;
 /// First version that supports the messages about kept jobs, planned upkeep and target speeds.
@@ -38,6 +39,8 @@
 const CONFIGURATION_DELTAS_SINCE: ProtocolVersion = 3;
 /// First version that supports reports of started runs.
 const START_REPORTS_SINCE: ProtocolVersion = 4;
+/// First version that supports requests for targets.
+const TARGET_NEEDS_SINCE: ProtocolVersion = 5;
 
 /// The role of a process in its installation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -116,6 +119,11 @@
         self.supports(START_REPORTS_SINCE)
     }
 
+    /// Returns whether the process supports requests for targets.
+    pub fn supports_target_needs(&self) -> bool {
+        self.supports(TARGET_NEEDS_SINCE)
+    }
+
     fn supports(&self, version: ProtocolVersion) -> bool {
         let details = self.details.0.as_ref();
         details.is_some_and(|details| details.protocol >= version)
@@ -212,4 +220,6 @@
     },
     /// Delta from the configuration of the receiver to the one in force at the sender.
     ConfigurationChange(ConfigurationDelta),
+    /// From an entry to a control process: the targets that its kept jobs need beyond its subset. Replaces the previous message.
+    TargetNeeds(Vec<TargetNeed>),
 }
--- a/crates/leased/cloverfold_peer/src/sent_counts.rs
+++ b/crates/leased/cloverfold_peer/src/sent_counts.rs
@@ -42,11 +42,12 @@
     FetchSince,
     ConfigurationChange,
     Started,
+    TargetNeeds,
 }
 
 impl MessageKind {
     /// All kinds, in the order of their declaration.
-    const ALL: [Self; 33] = [
+    const ALL: [Self; 34] = [
         Self::Hello,
         Self::Echo,
         Self::Assign,
@@ -80,6 +81,7 @@
         Self::FetchSince,
         Self::ConfigurationChange,
         Self::Started,
+        Self::TargetNeeds,
     ];
 
     pub(crate) fn of(message: &PeerMessage) -> Self {
@@ -117,6 +119,7 @@
             PeerMessage::RememberedSpeed(_) => Self::RememberedSpeed,
             PeerMessage::FetchSince { .. } => Self::FetchSince,
             PeerMessage::ConfigurationChange(_) => Self::ConfigurationChange,
+            PeerMessage::TargetNeeds(_) => Self::TargetNeeds,
         }
     }
 
@@ -156,6 +159,7 @@
             Self::FetchSince => "fetch_since",
             Self::ConfigurationChange => "configuration_change",
             Self::Started => "started",
+            Self::TargetNeeds => "target_needs",
         }
     }
 }
