Keep cancelled submissions from running when they arrive late

Cause: an entry resends a submission after its caller has left, and the cancel of an ID that the group did not know yet left no trace. Whichever of the two reached the new leader first decided. Its log shows "processed the cancellation" with outcome=Unknown for the jobs that ran, and "kept job submitted" after it.

Change: the cancel of an unknown ID stores a tombstone in the same log entry before it is acknowledged. A submission under a tombstone is stored as cancelled.

--- a/compatibility/tests/kept_jobs.rs
+++ b/compatibility/tests/kept_jobs.rs
@@ -87,6 +87,21 @@
     assert_eq!(decoded, commands());
 }
 
+#[test]
+fn a_tombstone_is_encoded_as_recorded() {
+    let fixture = "kept-jobs/tombstone.bin";
+    let mut written = JobTable::default();
+    for command in written.plan_cancellation(&"job-12".to_owned()).unwrap() {
+        written.apply(command);
+    }
+
+    assert_recorded(fixture, &written.encode());
+    let recorded = read_or_record(fixture, &written.encode());
+    let read = JobTable::decode(&recorded).unwrap();
+    assert_eq!(read.tombstone_count(), 1);
+    assert_eq!(read, written);
+}
+
 #[test]
 fn a_table_is_encoded_as_recorded() {
     let fixture = "kept-jobs/table.bin";
--- a/crates/leased/cloverfold_control/src/job_groups/apply.rs
+++ b/crates/leased/cloverfold_control/src/job_groups/apply.rs
@@ -5,8 +5,8 @@
 use cloverfold_base::Timestamp;
 use cloverfold_consensus::{LogIndex, Term};
 use cloverfold_kept_jobs::{
-    CommandOutcome, DriverId, EndDecision, Epoch, JobCommand, JobId, JobReassignment, JobReply,
-    OpenJob, RenewalReply, SubmitOutcome, TerminalState, job_assignment,
+    CallRefusal, CancelOutcome, CommandOutcome, DriverId, EndDecision, Epoch, JobCommand, JobId,
+    JobReassignment, JobReply, OpenJob, RenewalReply, SubmitOutcome, TerminalState, job_assignment,
 };
 use log::Level;
 
@@ -50,6 +50,10 @@
     fn apply_command(&mut self, command: JobCommand, caller: Option<Caller>, now: Timestamp) {
         let before = self.list_affected(&command);
         let outcome = self.table.apply(command.clone());
+        if is_tombstone(&command) {
+            // The cancellation that follows reports the result.
+            return;
+        }
         self.counts.record(&outcome);
         if self.leader_state.is_none() {
             return;
@@ -74,7 +78,8 @@
             }
             (JobCommand::Cancel(job), CommandOutcome::Cancel(outcome)) => {
                 log::info!(job = job.as_str(), outcome:? = outcome, group = self.id; "processed the cancellation of a kept job");
-                self.reply_if_awaited(caller, JobReply::Cancelled(outcome));
+                let reply = self.cancel_reply(&job, outcome);
+                self.reply_if_awaited(caller, reply);
             }
             (JobCommand::Assign(assignees), CommandOutcome::Assigned(jobs)) => {
                 self.log_assigned(&before, &jobs);
@@ -87,6 +92,15 @@
         }
     }
 
+    /// Returns the reply to a cancellation. If the job is unknown and no tombstone is stored, a later submission could run, so the call is
+    /// refused and the caller cancels again.
+    fn cancel_reply(&self, job: &str, outcome: CancelOutcome) -> JobReply {
+        if outcome == CancelOutcome::Unknown && self.table.ended(job).is_none() {
+            return JobReply::Refused(CallRefusal::Busy);
+        }
+        JobReply::Cancelled(outcome)
+    }
+
     /// Lists the open jobs that a command may end or reassign.
     fn list_affected(&self, command: &JobCommand) -> Vec<PriorAssignment> {
         let mut jobs: Vec<&JobId> = match command {
@@ -109,7 +123,8 @@
     }
 
     fn notify_if_ended(&mut self, prior: &PriorAssignment, now: Timestamp) {
-        let Some(ended) = self.table.ended(&prior.job) else {
+        let ended = self.table.ended(&prior.job);
+        let Some(ended) = ended.filter(|ended| !ended.is_tombstone()) else {
             return;
         };
         if let Some(leader_state) = &mut self.leader_state {
@@ -218,3 +233,8 @@
         }
     }
 }
+
+/// Returns whether a command only prepares the tombstone of the cancellation that follows it.
+fn is_tombstone(command: &JobCommand) -> bool {
+    matches!(command, JobCommand::Submit(submission) if submission.is_tombstone())
+}
--- a/crates/leased/cloverfold_control/src/job_groups/batches.rs
+++ b/crates/leased/cloverfold_control/src/job_groups/batches.rs
@@ -20,10 +20,13 @@
 /// Maximum number of queued commands; five seconds of them at 850 per second.
 const MAX_WAITING_COMMANDS: usize = 4_096;
 
-/// A queued command.
+/// Queued commands that are applied together.
 #[derive(Debug)]
-struct WaitingCommand {
+struct WaitingCommands {
+    /// The encoded commands, one after the other.
     bytes: Vec<u8>,
+    count: usize,
+    /// The caller that gets the outcome of the last command.
     caller: Option<Caller>,
 }
 
@@ -39,7 +42,7 @@
 /// The queued commands of a leader and its entry in flight.
 #[derive(Debug, Default)]
 pub(super) struct CommandBatches {
-    waiting: VecDeque<WaitingCommand>,
+    waiting: VecDeque<WaitingCommands>,
     waiting_bytes: usize,
     proposed: Option<ProposedEntry>,
 }
@@ -47,16 +50,31 @@
 impl CommandBatches {
     /// Queues a command; returns `false` if the queue is full or the command is too long.
     pub(super) fn push(&mut self, command: &JobCommand, caller: Option<Caller>) -> bool {
-        let Ok(bytes) = postcard::to_stdvec(command) else {
+        self.push_together(std::slice::from_ref(command), caller)
+    }
+
+    /// Queues commands that must be in the same entry; returns `false` if the queue is full or they are too long.
+    pub(super) fn push_together(
+        &mut self,
+        commands: &[JobCommand],
+        caller: Option<Caller>,
+    ) -> bool {
+        let encoded: Result<Vec<Vec<u8>>, _> = commands.iter().map(postcard::to_stdvec).collect();
+        let Ok(encoded) = encoded else {
             log::error!("cannot encode a command of kept jobs");
             return false;
         };
+        let bytes = encoded.concat();
         let has_room = self.waiting.len() < MAX_WAITING_COMMANDS
             && self.waiting_bytes + bytes.len() <= MAX_WAITING_BYTES
             && bytes.len() <= MAX_ENTRY_BYTES;
         if has_room {
             self.waiting_bytes += bytes.len();
-            self.waiting.push_back(WaitingCommand { bytes, caller });
+            self.waiting.push_back(WaitingCommands {
+                bytes,
+                count: commands.len(),
+                caller,
+            });
         }
         has_room
     }
@@ -74,6 +92,7 @@
             }
             self.waiting_bytes -= next.bytes.len();
             commands.extend_from_slice(&next.bytes);
+            callers.extend(std::iter::repeat_n(None, next.count - 1));
             callers.push(next.caller);
             self.waiting.pop_front();
         }
@@ -116,7 +135,7 @@
     pub(super) fn take_waiting_callers(&mut self) -> impl Iterator<Item = Caller> + use<> {
         self.waiting_bytes = 0;
         let waiting = std::mem::take(&mut self.waiting);
-        waiting.into_iter().filter_map(|command| command.caller)
+        waiting.into_iter().filter_map(|commands| commands.caller)
     }
 }
 
--- a/crates/leased/cloverfold_control/src/job_groups/calls.rs
+++ b/crates/leased/cloverfold_control/src/job_groups/calls.rs
@@ -3,7 +3,8 @@
 //! | call | refused if | replied to |
 //! |---|---|---|
 //! | `Submit` | no quorum contact, stuck disks here or on a majority, full queue | after commit |
-//! | `RecordEnds`, `Cancel` | no quorum contact, full queue | after commit |
+//! | `RecordEnds` | no quorum contact, full queue | after commit |
+//! | `Cancel` | no quorum contact, full queue, unknown job and too many tombstones | after commit |
 //! | `Show`, `CountPending`, `Renew` | full queue, leadership not confirmed | after a read barrier |
 //! | `Release` | never | immediately |
 //!
@@ -14,7 +15,7 @@
 
 use cloverfold_base::Timestamp;
 use cloverfold_kept_jobs::{
-    CallRefusal, JobCall, JobCommand, JobPhase, JobReply, JobSubmission, SubmitOutcome,
+    CallRefusal, JobCall, JobCommand, JobId, JobPhase, JobReply, JobSubmission, SubmitOutcome,
 };
 
 use super::batches::MAX_ENTRY_BYTES;
@@ -60,7 +61,7 @@
             JobCall::RecordEnds(ends) => {
                 self.queue_command(caller, &JobCommand::RecordEnds(ends), now)
             }
-            JobCall::Cancel(job) => self.queue_command(caller, &JobCommand::Cancel(job), now),
+            JobCall::Cancel(job) => self.cancel(caller, &job, now),
             JobCall::Show(job) => self.queue_read(caller, ReadRequest::Show(job)),
             JobCall::CountPending(queue) => {
                 self.queue_read(caller, ReadRequest::CountPending(queue))
@@ -99,11 +100,27 @@
         self.queue_command(caller, &JobCommand::Submit(submission), now)
     }
 
+    fn cancel(&mut self, caller: Caller, job: &JobId, now: Timestamp) -> Result<(), CallRefusal> {
+        let commands = self.table.plan_cancellation(job);
+        let commands = commands.ok_or(CallRefusal::Busy)?;
+        self.queue_commands(caller, &commands, now)
+    }
+
     fn queue_command(
         &mut self,
         caller: Caller,
         command: &JobCommand,
         now: Timestamp,
+    ) -> Result<(), CallRefusal> {
+        self.queue_commands(caller, std::slice::from_ref(command), now)
+    }
+
+    /// Queues commands for one entry of the log; the outcome of the last one is the reply.
+    fn queue_commands(
+        &mut self,
+        caller: Caller,
+        commands: &[JobCommand],
+        now: Timestamp,
     ) -> Result<(), CallRefusal> {
         let has_quorum = self
             .host
@@ -112,7 +129,7 @@
         let leader_state = self.leader_state.as_mut();
         let leader_state = leader_state.filter(|_| has_quorum);
         let leader_state = leader_state.ok_or(CallRefusal::NoLeader)?;
-        let has_room = leader_state.batches.push(command, Some(caller));
+        let has_room = leader_state.batches.push_together(commands, Some(caller));
         has_room.then_some(()).ok_or(CallRefusal::Busy)
     }
 
@@ -180,7 +197,7 @@
             let phase = leader_state.and_then(|l| l.drivers.phase(job, open, now));
             return reply_if_known(phase.map(|phase| JobReply::Shown(Some(phase))));
         }
-        let ended = self.table.ended(job);
+        let ended = self.table.ended(job).filter(|ended| !ended.is_tombstone());
         JobReply::Shown(ended.map(|ended| JobPhase::Ended(ended.how)))
     }
 
--- a/crates/leased/cloverfold_kept_jobs/src/lib.rs
+++ b/crates/leased/cloverfold_kept_jobs/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `commands` | commands of a group's log, and their outcomes |
 //! | `job` | one job, open or ended |
 //! | `table` | all jobs of a group: the replicated state |
+//! | `tombstones` | cancellations of jobs that are not stored |
 //! | `calls` | messages of entries and guards to a group, and its replies |
 //! | `drivers`, `handover` | the leader's view of the drivers: whose lease has expired, and which driver gets which job |
 //! | `groups` | the mapping of jobs to groups, and the initial replicas |
@@ -33,6 +34,7 @@
 mod recorder;
 mod table;
 mod timings;
+mod tombstones;
 
 pub use calls::{
     CallRefusal, CallToken, DrivenJob, JobAssignment, JobCall, JobCallMessage, JobReply,
@@ -53,3 +55,4 @@
 pub use recorder::{Recorder, RecorderAction};
 pub use table::{JobTable, MAX_ENDED_JOBS, MAX_OPEN_BYTES};
 pub use timings::KeptJobTimings;
+pub use tombstones::MAX_TOMBSTONES;
--- a/crates/leased/cloverfold_kept_jobs/src/table.rs
+++ b/crates/leased/cloverfold_kept_jobs/src/table.rs
@@ -8,6 +8,7 @@
 //! | nothing, but the open jobs take [`MAX_OPEN_BYTES`] or [`MAX_ENDED_JOBS`] are stored | `Full` |
 //! | a job with the same digest, open or ended | `Known` |
 //! | a job with another digest | `Conflict` |
+//! | a tombstone (`tombstones`) | `Known`: the job is stored as cancelled |
 //!
 //! This makes submissions idempotent: a caller may resend one that was not answered without starting the job twice. A different job
 //! under a used name is refused, so that its caller never gets the answer to another job.
@@ -41,6 +42,9 @@
     /// Open jobs of each driver that has any; derived from `open`.
     #[serde(skip)]
     by_driver: BTreeMap<DriverId, BTreeSet<JobId>>,
+    /// Number of tombstones; derived from `ended`.
+    #[serde(skip)]
+    tombstones: usize,
 }
 
 impl JobTable {
@@ -58,6 +62,8 @@
             let jobs = table.by_driver.entry(job.driver()).or_default();
             jobs.insert(id.clone());
         }
+        let tombstones = table.ended.values().filter(|job| job.is_tombstone());
+        table.tombstones = tombstones.count();
         Ok(table)
     }
 
@@ -80,16 +86,21 @@
         &self.by_driver
     }
 
-    /// Returns a stored ended job.
+    /// Returns a stored ended job, or a tombstone.
     pub fn ended(&self, job: &str) -> Option<&EndedJob> {
         self.ended.get(job)
     }
 
-    /// Returns the number of stored ended jobs.
+    /// Returns the number of stored ended jobs, including tombstones.
     pub fn ended_count(&self) -> usize {
         self.ended.len()
     }
 
+    /// Returns the number of stored tombstones.
+    pub fn tombstone_count(&self) -> usize {
+        self.tombstones
+    }
+
     /// Returns the sequence number of the job that ended last, or 0 if none has.
     pub fn last_end(&self) -> EndSequence {
         self.last_end
@@ -115,6 +126,9 @@
     }
 
     fn submit(&mut self, submission: JobSubmission) -> SubmitOutcome {
+        if self.replace_tombstone(&submission) {
+            return SubmitOutcome::Known;
+        }
         let open = self.open.get(&submission.id);
         let open = open.map(|job| job.submission().digest);
         let stored = open.or_else(|| self.ended.get(&submission.id).map(|job| job.digest));
@@ -139,6 +153,17 @@
         SubmitOutcome::Accepted(epoch)
     }
 
+    /// Stores a submitted job as cancelled if there is a tombstone for it; returns whether there was one.
+    fn replace_tombstone(&mut self, submission: &JobSubmission) -> bool {
+        let ended = self.ended.get_mut(&submission.id);
+        let Some(ended) = ended.filter(|ended| ended.is_tombstone()) else {
+            return false;
+        };
+        ended.digest = submission.digest;
+        self.tombstones -= usize::from(!submission.is_tombstone());
+        true
+    }
+
     fn record_end(&mut self, end: &TaskEnd) -> EndDecision {
         let Some(job) = self.open.get_mut(&end.job) else {
             let ended = self.ended.get(&end.job);
@@ -156,7 +181,8 @@
         if self.open.contains_key(job) {
             self.end_job(job, TerminalState::Cancelled);
         }
-        match self.ended.get(job).map(|ended| ended.how) {
+        let ended = self.ended.get(job).filter(|ended| !ended.is_tombstone());
+        match ended.map(|ended| ended.how) {
             Some(TerminalState::Cancelled) => CancelOutcome::Cancelled,
             Some(how) => CancelOutcome::Ended(how),
             None => CancelOutcome::Unknown,
@@ -201,6 +227,7 @@
         self.open_bytes -= count_bytes(open.submission());
         self.remove_from_driver(open.driver(), job);
         self.last_end += 1;
+        self.tombstones += usize::from(open.submission().is_tombstone());
         self.end_order.push_back(id.clone());
         self.ended.insert(id, open.end(how, self.last_end));
     }
@@ -212,7 +239,8 @@
             if sequence.is_some_and(|sequence| sequence > up_to) {
                 break;
             }
-            self.ended.remove(id);
+            let job = self.ended.remove(id);
+            self.tombstones -= usize::from(job.is_some_and(|job| job.is_tombstone()));
             self.end_order.pop_front();
             removed += 1;
         }
--- a/crates/leased/cloverfold_kept_jobs/tests/table.rs
+++ b/crates/leased/cloverfold_kept_jobs/tests/table.rs
@@ -29,6 +29,8 @@
         is_done: bool,
     },
     Cancel(u8),
+    /// Cancel a job as a leader does, which stores a tombstone if the job is unknown.
+    CancelWithTombstone(u8),
     Assign {
         job: u8,
         after: u64,
@@ -80,12 +82,21 @@
             |(job, task, epoch, run, is_done)| Step::End { job, task, epoch, run, is_done }
         ),
         1 => job.clone().prop_map(Step::Cancel),
+        1 => job.clone().prop_map(Step::CancelWithTombstone),
         2 => (job, 1..4_u64).prop_map(|(job, after)| Step::Assign { job, after }),
         1 => (0..4_u64).prop_map(Step::Expire),
         1 => Just(Step::Restart),
     ]
 }
 
+/// Returns the commands of a step, which are applied together; `None` for a restart.
+fn commands(step: &Step, table: &JobTable) -> Option<Vec<JobCommand>> {
+    match *step {
+        Step::CancelWithTombstone(job) => table.plan_cancellation(&name(job)),
+        _ => command(step, table).map(|command| vec![command]),
+    }
+}
+
 fn command(step: &Step, table: &JobTable) -> Option<JobCommand> {
     match *step {
         Step::Submit { job, content } => Some(JobCommand::Submit(submission(job, content))),
@@ -106,7 +117,7 @@
             driver: after + 1,
         }])),
         Step::Expire(back) => Some(JobCommand::Expire(table.last_end().saturating_sub(back))),
-        Step::Restart => None,
+        Step::CancelWithTombstone(_) | Step::Restart => None,
     }
 }
 
@@ -115,6 +126,7 @@
 struct Model {
     digests: BTreeMap<String, [u8; 16]>,
     ended: BTreeMap<String, TerminalState>,
+    tombstones: BTreeSet<String>,
     /// Runs that are recorded as `Done`, by task.
     done: BTreeMap<(String, u32), u64>,
     failures: BTreeMap<(String, u32), BTreeSet<u64>>,
@@ -123,6 +135,18 @@
 impl Model {
     fn check(&mut self, command: &JobCommand, outcome: &CommandOutcome, table: &JobTable) {
         match (command, outcome) {
+            (JobCommand::Submit(job), CommandOutcome::Submit(_))
+                if job.is_tombstone() && !self.digests.contains_key(&job.id) =>
+            {
+                self.tombstones.insert(job.id.clone());
+            }
+            (JobCommand::Submit(job), CommandOutcome::Submit(outcome))
+                if self.tombstones.remove(&job.id) =>
+            {
+                assert_eq!(*outcome, SubmitOutcome::Known);
+                self.digests.insert(job.id.clone(), job.digest);
+                self.ended.insert(job.id.clone(), TerminalState::Cancelled);
+            }
             (JobCommand::Submit(job), CommandOutcome::Submit(outcome)) => {
                 let expected = match self.digests.get(&job.id) {
                     None => SubmitOutcome::Accepted(1),
@@ -145,6 +169,11 @@
             }
             _ => {}
         }
+        self.tombstones.retain(|job| {
+            let stored = table.ended(job);
+            // A tombstone that has just been submitted is open until its cancellation is applied.
+            table.open().contains_key(job) || stored.is_some_and(|stored| stored.is_tombstone())
+        });
         self.check_jobs(table);
     }
 
@@ -211,16 +240,19 @@
         let mut table = JobTable::default();
         let mut model = Model::default();
         for step in schedule {
-            let Some(command) = command(&step, &table) else {
+            let Some(commands) = commands(&step, &table) else {
                 let restarted = JobTable::decode(&table.encode()).unwrap();
                 prop_assert_eq!(&restarted, &table);
                 table = restarted;
                 continue;
             };
 
-            let outcome = table.apply(command.clone());
+            for command in commands {
+                let outcome = table.apply(command.clone());
+                model.check(&command, &outcome, &table);
+            }
 
-            model.check(&command, &outcome, &table);
+            prop_assert_eq!(table.tombstone_count(), model.tombstones.len());
             let driven: usize = table.by_driver().values().map(BTreeSet::len).sum();
             prop_assert_eq!(driven, table.open().len());
         }
@@ -230,7 +262,7 @@
     fn a_table_without_open_jobs_accounts_no_bytes(schedule in prop::collection::vec(steps(), 1..120)) {
         let mut table = JobTable::default();
         for step in schedule {
-            if let Some(command) = command(&step, &table) {
+            for command in commands(&step, &table).unwrap_or_default() {
                 table.apply(command);
             }
         }
@@ -242,6 +274,7 @@
 
         prop_assert_eq!(table.open_bytes(), 0);
         prop_assert_eq!(table.ended_count(), 0);
+        prop_assert_eq!(table.tombstone_count(), 0);
         prop_assert!(table.by_driver().is_empty());
     }
 }
