Delay the handover of jobs that every driver releases at once

A job that an entry cannot read, for example one that a later build has accepted, was released at once and handed over again every 100 ms, for as long as no entry could read it.

Each release within 500 ms of the handover doubles the delay of the next one, from 200 ms to 10 s. A job that was driven for longer is handed over as before. A release that is sent again no longer replaces the first one.

--- a/crates/leased/cloverfold_control/src/job_groups/apply.rs
+++ b/crates/leased/cloverfold_control/src/job_groups/apply.rs
@@ -83,7 +83,7 @@
             }
             (JobCommand::Assign(assignees), CommandOutcome::Assigned(jobs)) => {
                 self.log_assigned(&before, &jobs);
-                self.notify_assigned_drivers(&assignees, &jobs);
+                self.notify_assigned_drivers(&assignees, &jobs, now);
             }
             (JobCommand::Expire(up_to), CommandOutcome::Expired(count)) => {
                 log::info!(count, up_to, group = self.id; "removed ended kept jobs");
@@ -197,10 +197,15 @@
 
     /// Notifies drivers of jobs assigned to them. An entry that receives such a notification renews its lease immediately and drives the
     /// job according to the reply.
-    fn notify_assigned_drivers(&mut self, assignees: &[JobReassignment], assigned: &[JobId]) {
+    fn notify_assigned_drivers(
+        &mut self,
+        assignees: &[JobReassignment],
+        assigned: &[JobId],
+        now: Timestamp,
+    ) {
         if let Some(leader_state) = &mut self.leader_state {
             let jobs = assignees.iter().map(|assignee| &assignee.job);
-            leader_state.drivers.complete_handover(jobs);
+            leader_state.drivers.complete_handover(jobs, now);
         }
         for JobReassignment { job, driver, .. } in assignees {
             if !assigned.contains(job) {
--- a/crates/leased/cloverfold_kept_jobs/src/drivers.rs
+++ b/crates/leased/cloverfold_kept_jobs/src/drivers.rs
@@ -17,10 +17,12 @@
 //! renewals can arrive out of order, which makes the older driver appear to be the newer.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use cloverfold_base::Timestamp;
 
 use crate::calls::{DrivenJob, JobAssignment, ReleasedJob, Renewal, RenewalReply};
+use crate::handover::Handover;
 use crate::ids::{DriverId, Epoch, JobId};
 use crate::job::{JobPhase, OpenJob};
 use crate::table::JobTable;
@@ -44,8 +46,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Release {
     pub(crate) epoch: Epoch,
-    /// Time by which all runs of the releasing driver have ended.
-    pub(crate) runs_ended_by: Timestamp,
+    /// Time from which it may be handed over: all runs of the releasing driver have ended by then.
+    pub(crate) due_at: Timestamp,
 }
 
 /// The drivers of a group as its leader knows them. A new leader starts with an empty table.
@@ -55,6 +57,8 @@
     elected_at: Timestamp,
     pub(crate) drivers: BTreeMap<DriverId, DriverState>,
     pub(crate) released: BTreeMap<JobId, Release>,
+    /// Latest handover of each open job that was handed over by this leader.
+    pub(crate) handovers: BTreeMap<JobId, Handover>,
     /// Open jobs of which a driver has reported a start. A start is final, but the next driver does not know of it.
     begun: BTreeSet<JobId>,
     /// Jobs whose handover is proposed but not committed.
@@ -69,6 +73,7 @@
             elected_at,
             drivers: BTreeMap::new(),
             released: BTreeMap::new(),
+            handovers: BTreeMap::new(),
             begun: BTreeSet::new(),
             pending_handover: BTreeSet::new(),
         }
@@ -94,6 +99,7 @@
     /// Forgets a job that has ended.
     pub fn remove_ended(&mut self, job: &str) {
         self.begun.remove(job);
+        self.handovers.remove(job);
     }
 
     /// Records the jobs that a driver releases. Jobs of another driver or epoch are ignored.
@@ -114,19 +120,19 @@
             if !open.is_some_and(|open| open.driver() == driver && open.epoch() == epoch) {
                 continue;
             }
-            let wait = if is_clean {
-                Default::default()
+            let released = self.released.get(&job);
+            if released.is_some_and(|released| released.epoch == epoch) {
+                // The release was sent again.
+                continue;
+            }
+            let runs_end_in = if is_clean {
+                Duration::ZERO
             } else {
                 self.timings.run_termination_bound
             };
-            let runs_ended_by = now + wait;
-            self.released.insert(
-                job,
-                Release {
-                    epoch,
-                    runs_ended_by,
-                },
-            );
+            let delay = self.handover_delay(&job, now).max(runs_end_in);
+            let due_at = now + delay;
+            self.released.insert(job, Release { epoch, due_at });
         }
     }
 
--- a/crates/leased/cloverfold_kept_jobs/src/handover.rs
+++ b/crates/leased/cloverfold_kept_jobs/src/handover.rs
@@ -6,8 +6,12 @@
 //!
 //! The job goes to a driver with a valid lease that accepts jobs and is the newest of its entry. Among these, the one with the fewest open
 //! jobs is chosen, including jobs of the same plan, which balances the load of a lost entry. Without such a driver the job waits.
+//!
+//! A job that no entry can read is released by each of them at once. Each release within [`QUICK_RELEASE`] of the handover doubles the delay
+//! of the next one, so that such jobs do not fill the log.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use cloverfold_base::Timestamp;
 
@@ -20,9 +24,23 @@
 /// Maximum number of reassignments in one command, so that a command does not delay the log. With a command every 100 ms, 2,560 jobs per
 /// second are handed over.
 const MAX_REASSIGNMENTS_PER_COMMAND: usize = 256;
+/// Time after a handover within which a release counts as quick: the driver has not tried to run the job.
+const QUICK_RELEASE: Duration = Duration::from_millis(500);
+/// Delay of the next handover after the first quick release.
+const MIN_DELAY: Duration = Duration::from_millis(200);
+/// Maximum delay of a handover after quick releases.
+const MAX_DELAY: Duration = Duration::from_secs(10);
 /// Number of known drivers above which expired drivers without jobs are removed.
 const MAX_IDLE_DRIVERS: usize = 1_024;
 
+/// The latest handover of a job.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Handover {
+    at: Timestamp,
+    /// Number of releases in succession that followed their handover too soon.
+    quick_releases: u32,
+}
+
 impl DriverTable {
     /// Plans the handovers that are due. The jobs stay marked as pending until [`Self::complete_handover`] or [`Self::abort_handover`].
     pub fn plan_handover(&mut self, table: &JobTable, now: Timestamp) -> Vec<JobReassignment> {
@@ -47,11 +65,36 @@
     }
 
     /// Records that a handover is committed: the jobs have their new drivers, or have ended.
-    pub fn complete_handover<'a>(&mut self, jobs: impl IntoIterator<Item = &'a JobId>) {
+    pub fn complete_handover<'a>(
+        &mut self,
+        jobs: impl IntoIterator<Item = &'a JobId>,
+        now: Timestamp,
+    ) {
         for job in jobs {
             self.pending_handover.remove(job);
             self.released.remove(job);
+            let earlier = self.handovers.get(job);
+            let quick_releases = earlier.map_or(0, |earlier| earlier.quick_releases);
+            let handover = Handover {
+                at: now,
+                quick_releases,
+            };
+            self.handovers.insert(job.clone(), handover);
+        }
+    }
+
+    /// Returns how long the next handover of a job that is released now is delayed.
+    pub(crate) fn handover_delay(&mut self, job: &str, now: Timestamp) -> Duration {
+        let Some(handover) = self.handovers.get_mut(job) else {
+            return Duration::ZERO;
+        };
+        if now >= handover.at + QUICK_RELEASE {
+            handover.quick_releases = 0;
+            return Duration::ZERO;
         }
+        handover.quick_releases += 1;
+        let doublings = (handover.quick_releases - 1).min(u32::BITS - 1);
+        MIN_DELAY.saturating_mul(1 << doublings).min(MAX_DELAY)
     }
 
     /// Records that a handover was not proposed.
@@ -94,8 +137,7 @@
 
     fn may_hand_over_released(&self, job: &str, open: &OpenJob, now: Timestamp) -> bool {
         let released = self.released.get(job);
-        released
-            .is_some_and(|released| released.epoch == open.epoch() && now >= released.runs_ended_by)
+        released.is_some_and(|released| released.epoch == open.epoch() && now >= released.due_at)
     }
 
     /// Returns the drivers that may receive jobs, with their numbers of open jobs.
@@ -126,6 +168,8 @@
             let open = table.open().get(job);
             open.is_some_and(|open| open.epoch() == released.epoch)
         });
+        self.handovers
+            .retain(|job, _| table.open().contains_key(job));
         if self.drivers.len() <= MAX_IDLE_DRIVERS {
             return;
         }
--- a/crates/leased/cloverfold_kept_jobs/tests/drivers.rs
+++ b/crates/leased/cloverfold_kept_jobs/tests/drivers.rs
@@ -296,3 +296,64 @@
 
     assert_eq!(phase, Some(JobPhase::Running));
 }
+
+/// Releases a job as soon as it is handed over, for `duration`; returns the number of handovers.
+fn count_handovers_of_unwanted_job(duration: Duration) -> u32 {
+    let mut table = table(&[("job", 1)]);
+    let mut drivers = drivers();
+    let mut handovers = 0;
+    let mut now = ELECTED;
+    while now < ELECTED + duration {
+        now += 100 * MS;
+        for driver in [1, 2] {
+            let entry = format!("entry-{driver}");
+            drivers.renew(&table, renewal(driver, &entry, &[]), now);
+        }
+        let open = &table.open()["job"];
+        let (driver, epoch) = (open.driver(), open.epoch());
+        let release = ReleasedJob {
+            job: "job".into(),
+            epoch,
+            is_clean: true,
+        };
+        drivers.release(&table, driver, vec![release], now);
+        let planned = drivers.plan_handover(&table, now);
+        handovers += planned.len() as u32;
+        table.apply(JobCommand::Assign(planned.clone()));
+        drivers.complete_handover(planned.iter().map(|planned| &planned.job), now);
+    }
+    handovers
+}
+
+/// Guards against jobs that no entry can read, which are handed around and fill the log.
+#[test]
+fn a_job_that_every_driver_releases_at_once_is_handed_over_ever_more_rarely() {
+    let first_minute = count_handovers_of_unwanted_job(Duration::from_secs(60));
+    let first_hour = count_handovers_of_unwanted_job(Duration::from_secs(3_600));
+
+    assert!((5..=14).contains(&first_minute), "{first_minute}");
+    assert!(first_hour - first_minute <= 6 * 59, "{first_hour}");
+}
+
+/// Guards against a delay for jobs that were driven for a while before their release.
+#[test]
+fn a_job_that_was_driven_for_a_while_is_handed_over_without_delay() {
+    let mut table = table(&[("job", 1)]);
+    let mut drivers = drivers();
+    drivers.renew(&table, renewal(1, "entry-1", &[]), ELECTED);
+    drivers.renew(&table, renewal(2, "entry-2", &[]), ELECTED);
+    drivers.release(&table, 1, release("job", true), ELECTED);
+    let first = drivers.plan_handover(&table, ELECTED);
+    table.apply(JobCommand::Assign(first.clone()));
+    drivers.complete_handover(first.iter().map(|planned| &planned.job), ELECTED);
+
+    let later = ELECTED + 1_100 * MS;
+    let epoch = table.open()["job"].epoch();
+    let again = ReleasedJob {
+        epoch,
+        ..release("job", true).remove(0)
+    };
+    drivers.release(&table, first[0].driver, vec![again], later);
+
+    assert_eq!(drivers.plan_handover(&table, later).len(), 1);
+}
--- a/crates/leased/cloverfold_kept_jobs/tests/world/simulation.rs
+++ b/crates/leased/cloverfold_kept_jobs/tests/world/simulation.rs
@@ -209,8 +209,8 @@
             }
             (JobCommand::Assign(reassignments), CommandOutcome::Assigned(jobs)) => {
                 self.history.handovers += jobs.len() as u64;
-                self.drivers
-                    .complete_handover(reassignments.iter().map(|reassignment| &reassignment.job));
+                let handed_over = reassignments.iter().map(|reassignment| &reassignment.job);
+                self.drivers.complete_handover(handed_over, self.now);
                 for reassignment in reassignments.iter().filter(|a| jobs.contains(&a.job)) {
                     let open = self.table.open().get(&reassignment.job);
                     let assignment = open.map(|open| job_assignment(&reassignment.job, open));
