--- a/crates/common/cloverfold_http/src/server.rs
+++ b/crates/common/cloverfold_http/src/server.rs
@@ -2,6 +2,7 @@
 //!
 //! The server reads each request in full before it calls the handler.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -223,11 +224,7 @@
         let handler = handler.clone();
         let limits = limits();
         let phase_rx = phase_rx.clone();
-        async move {
-            let mut response = handle_request(request, &limits, handler.as_ref()).await;
-            ask_to_reconnect(&mut response, *phase_rx.borrow());
-            Ok::<_, std::convert::Infallible>(response)
-        }
+        async move { respond(request, &limits, handler.as_ref(), &phase_rx).await }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -248,6 +245,22 @@
     }
 }
 
+/// Responds to a request of a connection.
+async fn respond<H, F>(
+    request: http::Request<Incoming>,
+    limits: &HttpLimits,
+    handler: &H,
+    phase: &watch::Receiver<ShutdownPhase>,
+) -> Result<Response, Infallible>
+where
+    H: Fn(Request) -> F,
+    F: Future<Output = Response>,
+{
+    let mut response = handle_request(request, limits, handler).await;
+    ask_to_reconnect(&mut response, *phase.borrow());
+    Ok(response)
+}
+
 /// Asks the client to open a new connection for its next request, from [`ShutdownPhase::Draining`] on.
 fn ask_to_reconnect(response: &mut Response, phase: ShutdownPhase) {
     if phase >= ShutdownPhase::Draining {
--- a/crates/leased/cloverfold_control/src/job_groups/apply.rs
+++ b/crates/leased/cloverfold_control/src/job_groups/apply.rs
@@ -6,7 +6,8 @@
 use cloverfold_consensus::{LogIndex, Term};
 use cloverfold_kept_jobs::{
     CallRefusal, CancelOutcome, CommandOutcome, DriverId, EndDecision, Epoch, JobCommand, JobId,
-    JobReassignment, JobReply, OpenJob, RenewalReply, SubmitOutcome, TerminalState, job_assignment,
+    JobReassignment, JobReply, OpenJob, RenewalReply, SubmitOutcome, TaskEnd, TerminalState,
+    job_assignment,
 };
 use log::Level;
 
@@ -66,14 +67,7 @@
                 self.finish_submit(&job.id, job.driver, outcome, caller, now);
             }
             (JobCommand::RecordEnds(ends), CommandOutcome::Ends(decisions)) => {
-                for (end, decision) in ends.iter().zip(&decisions) {
-                    if *decision == EndDecision::Fenced {
-                        log::warn!(
-                            job = end.job.as_str(), task = end.task, run = end.run, epoch = end.epoch, group = self.id;
-                            "ignored a task end reported by an earlier driver"
-                        );
-                    }
-                }
+                self.log_fenced(&ends, &decisions);
                 self.reply_if_awaited(caller, JobReply::EndsRecorded(decisions));
             }
             (JobCommand::Cancel(job), CommandOutcome::Cancel(outcome)) => {
@@ -92,6 +86,16 @@
         }
     }
 
+    fn log_fenced(&self, ends: &[TaskEnd], decisions: &[EndDecision]) {
+        let decided = ends.iter().zip(decisions);
+        for (end, _) in decided.filter(|(_, decision)| **decision == EndDecision::Fenced) {
+            log::warn!(
+                job = end.job.as_str(), task = end.task, run = end.run, epoch = end.epoch, group = self.id;
+                "ignored a task end reported by an earlier driver"
+            );
+        }
+    }
+
     /// Returns the reply to a cancellation. If the job is unknown and no tombstone is stored, a later submission could run, so the call is
     /// refused and the caller cancels again.
     fn cancel_reply(&self, job: &str, outcome: CancelOutcome) -> JobReply {
