Choose only guards that an entry does not see for its target needs

An entry that sees targets with a label, none of which can run its job, may have been connected to fewer than 16 others: guards of its own subset counted among the 16. With many targets of a label, the one that can run the job could stay out of sight.

Guards whose subset holds the entry are left out of the choice now. The rule that finds the capacities which no other covers is that of the placement pass; it moved to Resources::maximal and both call it.

--- a/crates/leased/cloverfold_lease/src/dispatcher/placement_pass.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/placement_pass.rs
@@ -38,13 +38,7 @@
 
 impl FreeCapacities {
     fn new(targets: Vec<(SessionId, Resources)>) -> Self {
-        let mut maximal: Vec<Resources> = Vec::new();
-        for (_, free) in &targets {
-            if !maximal.iter().any(|other| other.covers(free)) {
-                maximal.retain(|other| !free.covers(other));
-                maximal.push(*free);
-            }
-        }
+        let maximal = Resources::maximal(targets.iter().map(|(_, free)| free));
         Self { targets, maximal }
     }
 
--- a/crates/leased/cloverfold_lease/src/resources.rs
+++ b/crates/leased/cloverfold_lease/src/resources.rs
@@ -26,6 +26,18 @@
             && self.accelerators >= demand.accelerators
     }
 
+    /// Returns the distinct amounts that no other one covers. A demand fits any of `all` if and only if it fits one of these.
+    pub fn maximal<'a>(all: impl IntoIterator<Item = &'a Self>) -> Vec<Self> {
+        let mut maximal: Vec<Self> = Vec::new();
+        for amount in all {
+            if !maximal.iter().any(|other| other.covers(amount)) {
+                maximal.retain(|other| !amount.covers(other));
+                maximal.push(*amount);
+            }
+        }
+        maximal
+    }
+
     /// Returns these resources less `taken`.
     pub fn minus(&self, taken: &Self) -> Self {
         Self {
--- a/crates/leased/cloverfold_peer/src/needed_targets.rs
+++ b/crates/leased/cloverfold_peer/src/needed_targets.rs
@@ -1,7 +1,7 @@
 //! Guards that are assigned to an entry beyond its subset, because its kept jobs need their targets.
 //!
-//! For each need of an entry, up to [`GUARDS_PER_ENTRY`] guards with a matching target are chosen. The entry reports only the service and the
-//! label, so the choice covers every demand that any matching target could satisfy: it starts with a target of each capacity that no other
+//! For each need of an entry, up to [`GUARDS_PER_ENTRY`] guards with a matching target are chosen, outside its subset, which does not meet the
+//! need. The entry reports only the service and the label, so the choice covers every demand that any matching target could satisfy: it starts with a target of each capacity that no other
 //! capacity covers. Beyond that, each entry ranks the guards by a hash, as for the subsets.
 
 use std::cmp::Reverse;
@@ -33,11 +33,17 @@
     let wanted: BTreeSet<&TargetNeed> = needs.values().flatten().collect();
     let matching = group_by_need(targets, &wanted);
     for (entry, needs) in needs {
-        for need in needs {
-            let matching = matching.get(need).map_or(&[][..], Vec::as_slice);
-            for guard in choose_guards(*entry, matching) {
-                subsets.entry(guard).or_default().insert(*entry);
-            }
+        let is_new = |target: &&GuardTarget<'_>| {
+            let subset = subsets.get(&target.guard);
+            !subset.is_some_and(|subset| subset.contains(entry))
+        };
+        let mut chosen = Vec::new();
+        for matching in needs.iter().filter_map(|need| matching.get(need)) {
+            let candidates = matching.iter().filter(is_new).copied().collect();
+            chosen.extend(choose_guards(*entry, candidates));
+        }
+        for guard in chosen {
+            subsets.entry(guard).or_default().insert(*entry);
         }
     }
 }
@@ -64,14 +70,14 @@
 }
 
 /// Chooses the guards for one need of an entry.
-fn choose_guards(entry: SocketAddr, matching: &[GuardTarget<'_>]) -> Vec<SocketAddr> {
+fn choose_guards(entry: SocketAddr, mut ranked: Vec<GuardTarget<'_>>) -> Vec<SocketAddr> {
     let entry = HashedAddress::new(entry);
-    let mut ranked = matching.to_vec();
     ranked.sort_by_cached_key(|target| {
         let guard = HashedAddress::new(target.guard);
         (Reverse(guard.weight(&entry)), target.guard)
     });
-    let mut uncovered = maximal_capacities(matching);
+    let capacities = ranked.iter().map(|target| &target.target.capacity);
+    let mut uncovered = Resources::maximal(capacities);
     let (first, others): (Vec<_>, Vec<_>) = ranked
         .into_iter()
         .partition(|target| take(&mut uncovered, &target.target.capacity));
@@ -82,19 +88,6 @@
         .collect()
 }
 
-/// Returns the distinct capacities that no other one covers.
-fn maximal_capacities(targets: &[GuardTarget<'_>]) -> Vec<Resources> {
-    let mut maximal: Vec<Resources> = Vec::new();
-    for target in targets {
-        let capacity = &target.target.capacity;
-        if !maximal.iter().any(|other| other.covers(capacity)) {
-            maximal.retain(|other| !capacity.covers(other));
-            maximal.push(*capacity);
-        }
-    }
-    maximal
-}
-
 /// Removes a capacity from a list; returns whether it was there.
 fn take(capacities: &mut Vec<Resources>, capacity: &Resources) -> bool {
     let position = capacities.iter().position(|other| other == capacity);
--- a/crates/leased/cloverfold_peer/tests/needed_targets.rs
+++ b/crates/leased/cloverfold_peer/tests/needed_targets.rs
@@ -114,6 +114,19 @@
     }
 }
 
+/// Guards against a choice of guards that the entry sees already, none of which meets its need.
+#[test]
+fn guards_of_the_subset_do_not_count_among_the_guards_for_a_need() {
+    let targets = vec![target("send", &["a"], 1_000); 40];
+    let needs = NeedsByEntry::from([(entry(1), BTreeSet::from([need(Some("a"))]))]);
+    let visible = (0..20).map(|number| (guard(number), BTreeSet::from([entry(1)])));
+    let mut subsets: EntrySubsets = visible.collect();
+
+    add_needed_entries(&mut subsets, &guard_targets(&targets), &needs);
+
+    assert_eq!(subsets.len(), 20 + MAX_GUARDS);
+}
+
 /// Guards against needs that replace the subset of a guard instead of extending it.
 #[test]
 fn entries_of_the_subset_remain_assigned() {
