--- a/crates/common/cloverfold_http/src/server.rs
+++ b/crates/common/cloverfold_http/src/server.rs
@@ -216,8 +216,8 @@
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    // Without this timeout, a client that disappears or stops reading a response would keep its connection and file descriptor open.
     let connection_limits = limits();
+    // Without this timeout, a client that disappears or stops reading a response would keep its connection and file descriptor open.
     set_socket_options(&stream, connection_limits.idle_timeout);
     let phase_rx = phase.clone();
     let service = service_fn(move |request: http::Request<Incoming>| {
--- a/crates/leased/cloverfold_kept_jobs/src/drivers.rs
+++ b/crates/leased/cloverfold_kept_jobs/src/drivers.rs
@@ -99,7 +99,6 @@
     /// Forgets a job that has ended.
     pub fn remove_ended(&mut self, job: &str) {
         self.begun.remove(job);
-        self.handovers.remove(job);
     }
 
     /// Records the jobs that a driver releases. Jobs of another driver or epoch are ignored.
@@ -130,7 +129,7 @@
             } else {
                 self.timings.run_termination_bound
             };
-            let delay = self.handover_delay(&job, now).max(runs_end_in);
+            let delay = self.record_release(&job, now).max(runs_end_in);
             let due_at = now + delay;
             self.released.insert(job, Release { epoch, due_at });
         }
--- a/crates/leased/cloverfold_kept_jobs/src/handover.rs
+++ b/crates/leased/cloverfold_kept_jobs/src/handover.rs
@@ -83,8 +83,8 @@
         }
     }
 
-    /// Returns how long the next handover of a job that is released now is delayed.
-    pub(crate) fn handover_delay(&mut self, job: &str, now: Timestamp) -> Duration {
+    /// Records that a job is released, and returns how long its next handover is delayed.
+    pub(crate) fn record_release(&mut self, job: &str, now: Timestamp) -> Duration {
         let Some(handover) = self.handovers.get_mut(job) else {
             return Duration::ZERO;
         };
--- a/crates/leased/cloverfold_lease/src/dispatcher/queue_changes.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/queue_changes.rs
@@ -38,9 +38,8 @@
         now: Timestamp,
     ) -> usize {
         self.give_up_after_stall(now);
-        for (name, attributes) in queues {
-            self.shares.set_priority(name, attributes.priority);
-        }
+        self.shares
+            .update_priorities(|queue| queues.get(queue).map(|attributes| attributes.priority));
         let changed: Vec<(JobNumber, &QueueAttributes)> = self
             .jobs
             .iter()
--- a/crates/leased/cloverfold_lease/src/dispatcher/shares.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/shares.rs
@@ -61,12 +61,12 @@
         self.update_most_urgent();
     }
 
-    /// Changes the priority of a queue if it is active.
-    pub(super) fn set_priority(&mut self, queue: &str, priority: u32) {
-        if let Some(usage) = self.active.get_mut(queue) {
-            usage.priority = priority;
-            self.update_most_urgent();
+    /// Updates the priorities of the active queues that `priority_of` knows.
+    pub(super) fn update_priorities(&mut self, priority_of: impl Fn(&str) -> Option<u32>) {
+        for (queue, usage) in &mut self.active {
+            usage.priority = priority_of(queue).unwrap_or(usage.priority);
         }
+        self.update_most_urgent();
     }
 
     fn update_most_urgent(&mut self) {
