Bound what a process holds for all its clients together

Callers saw: a process that ran out of memory, or refused every connection, while a crowd of clients inside all limits stood at it with unfinished requests.

Cause: every limit was one of a single request. Nothing bounded the memory and the connections of all clients together, and a body was kept as the list of its chunks, in which a chunk of one byte costs over thirty times as much.

Change: cloverfold_connections has one account for each listener. Connections, headers, buffers, bodies, trailers and responses take their memory from it before it is allocated and give it back in one place. A body is one buffer. Connections are bounded below the descriptors; readiness checks and metrics have budgets of their own. When a budget is used up, connections in the middle of a message without progress are closed first, then idle ones; a connection within its equal share displaces the largest; what finds no room is refused with 503 before anything of it is handled. A request that is being handled is never closed. The settings `clients.max_connections` and `clients.memory_mb` are checked; two gauges and counts of what the limits did, and at most one log line a second and listener.

Why it works: what is not in the account is not allocated, whatever the shape of what comes, and who stands still is the first to lose what it holds.

--- a/benches/benches/kept_groups.rs
+++ b/benches/benches/kept_groups.rs
@@ -15,7 +15,7 @@
 use cloverfold_kept_jobs::{
     JobCall, JobCallMessage, JobReply, JobSubmission, SubmitOutcome, group_of,
 };
-use cloverfold_leased_settings::{ControlSettings, PeerSettings};
+use cloverfold_leased_settings::{ClientSettings, ControlSettings, PeerSettings};
 use cloverfold_link::{DialBackoff, Dialer, LinkEvent, LinkSender};
 use cloverfold_peer::{Hello, PeerDetails, PeerMessage, PeerRole, Trailing};
 use cloverfold_platform::Platform;
@@ -142,6 +142,7 @@
         job_groups: groups,
         status_s: 150,
         halls: Vec::new(),
+        clients: ClientSettings::default(),
         log: LogSettings::default(),
     };
     Ok(start_control(&settings, Arc::new(Platform::default()))?)
--- a/crates/common/cloverfold_http/src/lib.rs
+++ b/crates/common/cloverfold_http/src/lib.rs
@@ -5,13 +5,17 @@
 
 #![warn(clippy::disallowed_methods)]
 
+mod body;
 mod client;
+mod limits;
+mod messages;
+mod metered_stream;
 mod operations;
 mod server;
 
 pub use client::{HttpCallError, HttpClient};
-pub use operations::{ListenError, listen_at, serve_at, serve_operations};
-pub use server::{
-    HttpLimits, Request, Response, ServerHandle, ShutdownPhase, json_response, plain_response,
-    serve,
-};
+pub use cloverfold_connections::{BudgetLimits, ConnectionBudget, HeldMemory, NoMemory};
+pub use limits::HttpLimits;
+pub use messages::{Request, Response, json_response, plain_response};
+pub use operations::{ListenError, listen_at, operations_budget, serve_at, serve_operations};
+pub use server::{ServerHandle, ShutdownPhase, serve};
--- a/crates/common/cloverfold_http/src/operations.rs
+++ b/crates/common/cloverfold_http/src/operations.rs
@@ -2,10 +2,16 @@
 
 use std::net::SocketAddr;
 
+use cloverfold_connections::{BudgetLimits, ConnectionBudget, DescriptorPlan};
 use http::StatusCode;
 use tokio::net::TcpListener;
 
-use crate::server::{HttpLimits, Request, Response, ServerHandle, plain_response, serve};
+use crate::limits::HttpLimits;
+use crate::messages::{Request, Response, plain_response};
+use crate::server::{ServerHandle, serve};
+
+/// Memory for the connections of a listener for readiness checks or metrics, in bytes.
+const OPERATIONS_BYTES: usize = 4 * 1024 * 1024;
 
 /// An address from the settings on which the process cannot listen.
 #[derive(Debug, thiserror::Error)]
@@ -41,6 +47,7 @@
     setting: &'static str,
     address: SocketAddr,
     limits: L,
+    budget: ConnectionBudget,
     handler: H,
 ) -> Result<ServerHandle, ListenError>
 where
@@ -49,7 +56,7 @@
     F: Future<Output = Response> + Send + 'static,
 {
     let listener = listen_at(setting, address)?;
-    serve(listener, limits, handler).map_err(|cause| ListenError {
+    serve(listener, limits, budget, handler).map_err(|cause| ListenError {
         setting,
         address,
         cause,
@@ -89,5 +96,23 @@
         };
         async move { response }
     };
-    serve_at("peer.metrics_port", address, HttpLimits::default, handler).map(Some)
+    let budget = operations_budget("peer.metrics_port");
+    serve_at(
+        "peer.metrics_port",
+        address,
+        HttpLimits::default,
+        budget,
+        handler,
+    )
+    .map(Some)
+}
+
+/// Returns the budget of a listener for readiness checks or metrics. Each has its own, so that neither a crowd at another listener nor one
+/// of its own clients can shut out a check.
+pub fn operations_budget(name: &'static str) -> ConnectionBudget {
+    let limits = BudgetLimits {
+        connections: DescriptorPlan::of_process().operations,
+        bytes: OPERATIONS_BYTES,
+    };
+    ConnectionBudget::new(name, limits)
 }
--- a/crates/common/cloverfold_http/src/server.rs
+++ b/crates/common/cloverfold_http/src/server.rs
@@ -2,18 +2,16 @@
 //!
 //! The server reads each request in full before it calls the handler.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use cloverfold_connections::{Connection, ConnectionBudget, Phase};
 use cloverfold_link::set_socket_options;
-use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
-use http::{HeaderMap, Method, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http::StatusCode;
+use http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -21,43 +19,18 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-/// Minimum buffer size, in bytes; `hyper` panics below it.
-const MIN_HEADER_BUFFER: usize = 8 * 1024;
-/// Default of [`HttpLimits::header_bytes`].
-const HEADER_BYTES: usize = 16 * 1024;
-/// Default of [`HttpLimits::body_bytes`].
-const BODY_BYTES: usize = 1024 * 1024;
-/// Default of [`HttpLimits::body_timeout`].
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// Default of [`HttpLimits::idle_timeout`].
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+use crate::body::{BodyError, read_body};
+use crate::limits::{
+    CONNECTION_BYTES, HEADER_ENTRY_BYTES, HttpLimits, SMALL_HEADER_COUNT, SMALL_MESSAGE_BYTES,
+};
+use crate::messages::{Request, Response, plain_response};
+use crate::metered_stream::{MeteredStream, PendingResponse};
+
+/// When a client that was refused for lack of memory may try again, in seconds.
+const RETRY_AFTER_SECONDS: u64 = 1;
 /// Delay after a failed accept, so that the server does not busy-loop while there are no free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Limits of a server. Those on bodies are read for each request, the others once when a connection is accepted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HttpLimits {
-    /// Maximum size of a request header, in bytes; values below 8 KiB count as 8 KiB.
-    pub header_bytes: usize,
-    /// Maximum size of a request body, in bytes.
-    pub body_bytes: usize,
-    /// Timeout for receiving a request body.
-    pub body_timeout: Duration,
-    /// Timeout for receiving a complete request header.
-    pub idle_timeout: Duration,
-}
-
-impl Default for HttpLimits {
-    fn default() -> Self {
-        Self {
-            header_bytes: HEADER_BYTES,
-            body_bytes: BODY_BYTES,
-            body_timeout: BODY_TIMEOUT,
-            idle_timeout: IDLE_TIMEOUT,
-        }
-    }
-}
-
 /// Phase of the graceful shutdown of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ShutdownPhase {
@@ -70,51 +43,6 @@
     Closing,
 }
 
-/// A request with its complete body.
-#[derive(Debug)]
-pub struct Request {
-    /// Request method.
-    pub method: Method,
-    /// Request target.
-    pub uri: Uri,
-    /// Request headers.
-    pub headers: HeaderMap,
-    /// Request body.
-    pub body: Bytes,
-}
-
-impl Request {
-    /// Returns the requested host without its port; empty if the request has no host.
-    pub fn host(&self) -> &str {
-        let header = self.headers.get(http::header::HOST);
-        let host = header
-            .and_then(|value| value.to_str().ok())
-            .or(self.uri.host());
-        // A request without a host is routed and logged with an empty one.
-        let host = host.unwrap_or_default();
-        host.rsplit_once(':').map_or(host, |(name, _)| name)
-    }
-}
-
-/// Response to a request.
-pub type Response = http::Response<Full<Bytes>>;
-
-/// Builds a response with a JSON body.
-pub fn json_response(status: StatusCode, body: impl Into<Bytes>) -> Response {
-    let mut response = Response::new(Full::new(body.into()));
-    *response.status_mut() = status;
-    let json = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, json);
-    response
-}
-
-/// Builds a response with a plain text body.
-pub fn plain_response(status: StatusCode, text: impl Into<String>) -> Response {
-    let mut response = Response::new(Full::new(Bytes::from(text.into())));
-    *response.status_mut() = status;
-    response
-}
-
 /// Handle of a running server; dropping it has the effect of [`ShutdownPhase::Closing`].
 #[derive(Debug)]
 pub struct ServerHandle {
@@ -143,14 +71,19 @@
     }
 }
 
-/// Serves requests on a listener; calls `limits` for each connection and for each request.
+/// Serves requests on a listener; calls `limits` for each connection and for each request. All connections together stay within `budget`.
 ///
 /// The server drops the future of a handler if its client disconnects before the response. Must be called within a runtime.
 ///
 /// # Errors
 ///
 /// Returns the system's error if the listener has no local address.
-pub fn serve<L, H, F>(listener: TcpListener, limits: L, handler: H) -> std::io::Result<ServerHandle>
+pub fn serve<L, H, F>(
+    listener: TcpListener,
+    limits: L,
+    budget: ConnectionBudget,
+    handler: H,
+) -> std::io::Result<ServerHandle>
 where
     L: Fn() -> HttpLimits + Send + Sync + 'static,
     H: Fn(Request) -> F + Send + Sync + 'static,
@@ -158,27 +91,43 @@
 {
     let address = listener.local_addr()?;
     let (phase, phase_rx) = watch::channel(ShutdownPhase::Serving);
-    tokio::spawn(accept_connections(
-        listener,
-        Arc::new(limits),
-        Arc::new(handler),
-        phase_rx,
-    ));
+    let server = Server {
+        limits: Arc::new(limits),
+        handler: Arc::new(handler),
+        phase: phase_rx,
+    };
+    tokio::spawn(accept_connections(listener, budget, server));
     Ok(ServerHandle { phase, address })
 }
 
-/// Accepts connections until the server closes, and serves each in its own task.
-async fn accept_connections<L, H, F>(
-    listener: TcpListener,
+/// What all connections of a server share.
+struct Server<L, H> {
     limits: Arc<L>,
     handler: Arc<H>,
     phase: watch::Receiver<ShutdownPhase>,
+}
+
+impl<L, H> Clone for Server<L, H> {
+    fn clone(&self) -> Self {
+        Self {
+            limits: self.limits.clone(),
+            handler: self.handler.clone(),
+            phase: self.phase.clone(),
+        }
+    }
+}
+
+/// Accepts connections until the server closes, and serves each in its own task.
+async fn accept_connections<L, H, F>(
+    listener: TcpListener,
+    budget: ConnectionBudget,
+    server: Server<L, H>,
 ) where
     L: Fn() -> HttpLimits + Send + Sync + 'static,
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let mut closing = phase.clone();
+    let mut closing = server.phase.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -186,9 +135,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection =
-                    serve_connection(stream, limits.clone(), handler.clone(), phase.clone());
-                tokio::spawn(connection);
+                // A refused connection closes here; the budget counts and logs it.
+                if let Ok(connection) = budget.open(CONNECTION_BYTES).await {
+                    tokio::spawn(server.clone().serve_connection(stream, connection));
+                }
             }
             Err(cause) => {
                 log::warn!("cannot accept connection: {cause}");
@@ -206,61 +156,116 @@
         .await;
 }
 
-async fn serve_connection<L, H, F>(
-    stream: TcpStream,
-    limits: Arc<L>,
-    handler: Arc<H>,
-    mut phase: watch::Receiver<ShutdownPhase>,
-) where
+impl<L, H, F> Server<L, H>
+where
     L: Fn() -> HttpLimits + Send + Sync + 'static,
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let connection_limits = limits();
-    // Without this timeout, a client that disappears or stops reading a response would keep its connection and file descriptor open.
-    set_socket_options(&stream, connection_limits.idle_timeout);
-    let phase_rx = phase.clone();
-    let service = service_fn(move |request: http::Request<Incoming>| {
-        let handler = handler.clone();
-        let limits = limits();
-        let phase_rx = phase_rx.clone();
-        async move { respond(request, &limits, handler.as_ref(), &phase_rx).await }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(connection_limits.idle_timeout)
-        .max_buf_size(connection_limits.header_bytes.max(MIN_HEADER_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = wait_until_closing(&mut phase) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    /// Serves a connection until it ends or the budget closes it.
+    async fn serve_connection(self, stream: TcpStream, connection: Connection) {
+        let connection = Arc::new(connection);
+        tokio::select! {
+            () = self.serve_requests(stream, connection.clone()) => {}
+            () = connection.wait_closed() => {}
         }
-    };
-    if let Err(cause) = ended {
-        // Not a warning, because clients may disconnect at any time.
-        log::debug!("connection failed: {cause}");
     }
-}
 
-/// Responds to a request of a connection.
-async fn respond<H, F>(
-    request: http::Request<Incoming>,
-    limits: &HttpLimits,
-    handler: &H,
-    phase: &watch::Receiver<ShutdownPhase>,
-) -> Result<Response, Infallible>
-where
-    H: Fn(Request) -> F,
-    F: Future<Output = Response>,
-{
-    let mut response = handle_request(request, limits, handler).await;
-    ask_to_reconnect(&mut response, *phase.borrow());
-    Ok(response)
+    async fn serve_requests(mut self, stream: TcpStream, connection: Arc<Connection>) {
+        let limits = (self.limits)();
+        // Without this timeout, a client that disappears or stops reading a response would keep its connection and file descriptor open.
+        set_socket_options(&stream, limits.idle_timeout);
+        let response = Arc::<PendingResponse>::default();
+        let stream = MeteredStream::new(
+            stream,
+            connection.clone(),
+            response.clone(),
+            limits.large_message_bytes(),
+        );
+        let server = self.clone();
+        let service = service_fn(move |request: http::Request<Incoming>| {
+            let (server, connection) = (server.clone(), connection.clone());
+            let pending = response.clone();
+            async move { server.respond(request, connection, &pending).await }
+        });
+        let serving = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.idle_timeout)
+            .max_buf_size(limits.header_buffer_bytes())
+            .serve_connection(TokioIo::new(stream), service);
+        let mut serving = std::pin::pin!(serving);
+        let ended = tokio::select! {
+            ended = serving.as_mut() => ended,
+            () = wait_until_closing(&mut self.phase) => {
+                serving.as_mut().graceful_shutdown();
+                serving.await
+            }
+        };
+        if let Err(cause) = ended {
+            // Not a warning, because clients may disconnect at any time.
+            log::debug!("connection failed: {cause}");
+        }
+    }
+
+    /// Responds to a request of a connection.
+    async fn respond(
+        &self,
+        request: http::Request<Incoming>,
+        connection: Arc<Connection>,
+        pending: &PendingResponse,
+    ) -> Result<Response, ResponseDropped> {
+        // A pipelined request was received before the response to the one before it was sent.
+        connection.enter(Phase::Receiving);
+        let mut response = self.handle_request(request, connection.clone()).await;
+        ask_to_reconnect(&mut response, *self.phase.borrow());
+        connection.enter(Phase::Responding);
+        let len = response.body().size_hint().lower();
+        let len = usize::try_from(len).unwrap_or(usize::MAX);
+        let held = if len > SMALL_MESSAGE_BYTES {
+            Some(connection.hold(len).await.map_err(|_| ResponseDropped)?)
+        } else {
+            None
+        };
+        pending.begin(held);
+        Ok(response)
+    }
+
+    /// Reads the body within the limits and runs the handler; refuses a body that exceeds a limit without running the handler.
+    async fn handle_request(
+        &self,
+        request: http::Request<Incoming>,
+        connection: Arc<Connection>,
+    ) -> Response {
+        let limits = (self.limits)();
+        let (head, body) = request.into_parts();
+        let table_bytes = head.headers.capacity() * HEADER_ENTRY_BYTES;
+        let _held = if head.headers.len() > SMALL_HEADER_COUNT {
+            match connection.hold(table_bytes).await {
+                Ok(held) => Some(held),
+                Err(_) => return no_memory_response(),
+            }
+        } else {
+            None
+        };
+        let reading = read_body(body, limits.body_bytes, &connection);
+        let body = match timeout(limits.body_timeout, reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(cause)) => return refused_body_response(cause),
+            Err(_) => {
+                return plain_response(StatusCode::REQUEST_TIMEOUT, "the body came too slowly\n");
+            }
+        };
+        connection.enter(Phase::Handling);
+        let request = Request::new(head.method, head.uri, head.headers, body);
+        (self.handler)(request.on_connection(connection)).await
+    }
 }
 
+/// There is no memory for a response, so its connection closes without it. The request may have had its effect, so a refusal would be wrong.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("no memory for the response")]
+struct ResponseDropped;
+
 /// Asks the client to open a new connection for its next request, from [`ShutdownPhase::Draining`] on.
 fn ask_to_reconnect(response: &mut Response, phase: ShutdownPhase) {
     if phase >= ShutdownPhase::Draining {
@@ -269,31 +274,23 @@
     }
 }
 
-/// Reads the body within the limits and runs the handler; refuses a body that exceeds a limit without running the handler.
-async fn handle_request<H, F>(
-    request: http::Request<Incoming>,
-    limits: &HttpLimits,
-    handler: &H,
-) -> Response
-where
-    H: Fn(Request) -> F,
-    F: Future<Output = Response>,
-{
-    let (head, body) = request.into_parts();
-    let reading = Limited::new(body, limits.body_bytes).collect();
-    let body = match timeout(limits.body_timeout, reading).await {
-        Ok(Ok(whole)) => whole.to_bytes(),
-        Ok(Err(cause)) if cause.is::<LengthLimitError>() => {
-            return plain_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n");
+fn refused_body_response(cause: BodyError) -> Response {
+    match cause {
+        BodyError::TooLong => {
+            plain_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n")
         }
-        Ok(Err(_)) => return plain_response(StatusCode::BAD_REQUEST, "the body broke off\n"),
-        Err(_) => return plain_response(StatusCode::REQUEST_TIMEOUT, "the body came too slowly\n"),
-    };
-    handler(Request {
-        method: head.method,
-        uri: head.uri,
-        headers: head.headers,
-        body,
-    })
-    .await
+        BodyError::Broken => plain_response(StatusCode::BAD_REQUEST, "the body broke off\n"),
+        BodyError::NoMemory => no_memory_response(),
+    }
+}
+
+/// Returns the response to a request that was not handled because the budget has no room for it.
+fn no_memory_response() -> Response {
+    let mut response = plain_response(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "too much memory is in use for clients\n",
+    );
+    let seconds = HeaderValue::from(RETRY_AFTER_SECONDS);
+    response.headers_mut().insert(RETRY_AFTER, seconds);
+    response
 }
--- a/crates/common/cloverfold_http/tests/server.rs
+++ b/crates/common/cloverfold_http/tests/server.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use cloverfold_faults::TcpProxy;
 use cloverfold_http::{
-    HttpCallError, HttpClient, HttpLimits, Request, ServerHandle, ShutdownPhase, plain_response,
-    serve,
+    ConnectionBudget, HttpCallError, HttpClient, HttpLimits, Request, ServerHandle, ShutdownPhase,
+    plain_response, serve,
 };
 use http::{Method, StatusCode};
 use http_body_util::Full;
@@ -76,7 +76,7 @@
             plain_response(StatusCode::OK, request.host())
         }
     };
-    serve(listener, limits, handler).unwrap()
+    serve(listener, limits, ConnectionBudget::unlimited(), handler).unwrap()
 }
 
 fn open_gate() -> Arc<Semaphore> {
@@ -322,7 +322,7 @@
 async fn a_client_that_stops_reading_a_response_is_disconnected() {
     let listener = cloverfold_link::listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let long_answer = |_| async { plain_response(StatusCode::OK, "x".repeat(32 * 1024 * 1024)) };
-    let server = serve(listener, limits, long_answer).unwrap();
+    let server = serve(listener, limits, ConnectionBudget::unlimited(), long_answer).unwrap();
     let mut client = TcpStream::connect(server.address()).await.unwrap();
     client
         .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -361,7 +361,7 @@
     };
     let listener = cloverfold_link::listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let handler = |_: Request| async { plain_response(StatusCode::OK, "") };
-    let server = serve(listener, limits, handler).unwrap();
+    let server = serve(listener, limits, ConnectionBudget::unlimited(), handler).unwrap();
     let mut stream = TcpStream::connect(server.address()).await.unwrap();
     assert_eq!(post_on(&mut stream, "short").await, "200");
 
--- a/crates/leased/cloverfold_control/src/metrics.rs
+++ b/crates/leased/cloverfold_control/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a control process, computed from the state on each scrape.
 
-use cloverfold_leased_process::{MetricsBuilder, ProcessMetrics};
+use cloverfold_leased_process::{MetricsBuilder, ProcessBudgets, ProcessMetrics};
 use cloverfold_telemetry::CauseGauges;
 use prometheus_client::metrics::gauge::Gauge;
 
@@ -22,7 +22,7 @@
 }
 
 impl ControlMetrics {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(budgets: ProcessBudgets) -> Self {
         let mut metrics = MetricsBuilder::new("cloverfold_control");
         Self {
             version: metrics.add_gauge("configuration_version", "Version that holds here"),
@@ -47,7 +47,7 @@
                 "upkeep_calls",
                 "Calls for upkeep and readings of the list since the start, by outcome",
             ),
-            process: metrics.finish(),
+            process: metrics.finish(budgets),
         }
     }
 
--- a/crates/leased/cloverfold_control/src/process.rs
+++ b/crates/leased/cloverfold_control/src/process.rs
@@ -8,9 +8,11 @@
 use cloverfold_base::{Timestamp, random_u64};
 use cloverfold_consensus::{DiskIdentity, Record, Replica, ReplicaConfig, ReplicaId, Store};
 use cloverfold_evacuation::HallNames;
-use cloverfold_http::{HttpLimits, ListenError, Request, ServerHandle, ShutdownPhase, serve_at};
+use cloverfold_http::{
+    ConnectionBudget, HttpLimits, ListenError, Request, ServerHandle, ShutdownPhase, serve_at,
+};
 use cloverfold_leased_process::{
-    ListeningPeerPort, PeerPort, Shared, serve_state_operations, tick_interval,
+    ListeningPeerPort, PeerPort, ProcessBudgets, Shared, serve_state_operations, tick_interval,
 };
 use cloverfold_leased_settings::ControlSettings;
 use cloverfold_link::MAX_FRAME_LEN;
@@ -83,9 +85,13 @@
     let (disk_tx, disk_rx) = mpsc::unbounded_channel();
     let state = create_state(settings, &port, disk_tx)?;
     let state = Shared::new(state);
+    let budgets = ProcessBudgets {
+        clients: ConnectionBudget::new("operator_address", settings.client_limits()),
+    };
     let port = port.listen()?;
-    let operators = start_operators(settings, &state, interface.clone())?;
-    let operations = start_operations(settings, &state)?;
+    let operator_budget = budgets.clients.clone();
+    let operators = start_operators(settings, operator_budget, &state, interface.clone())?;
+    let operations = start_operations(settings, budgets, &state)?;
     let seeds = settings.peer.seed_addresses();
     let mut tasks = start_tasks(&state, port, disk_rx, seeds);
     if let Some(upkeep) = settings.upkeep.clone() {
@@ -188,6 +194,7 @@
 
 fn start_operators(
     settings: &ControlSettings,
+    budget: ConnectionBudget,
     state: &Shared<ControlState>,
     interface: Arc<dyn OperatorInterface>,
 ) -> Result<ServerHandle, ListenError> {
@@ -209,14 +216,15 @@
         let operators = operators.clone();
         async move { operators.answer(request).await }
     };
-    serve_at("operator_address", address, limits, answer)
+    serve_at("operator_address", address, limits, budget, answer)
 }
 
 fn start_operations(
     settings: &ControlSettings,
+    budgets: ProcessBudgets,
     state: &Shared<ControlState>,
 ) -> Result<Option<ServerHandle>, ListenError> {
-    let metrics = ControlMetrics::new();
+    let metrics = ControlMetrics::new(budgets);
     serve_state_operations(
         settings.peer.metrics_address(),
         state,
--- a/crates/leased/cloverfold_leased_entry/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_entry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cloverfold_leased_process::{MetricsBuilder, ProcessMetrics};
+use cloverfold_leased_process::{MetricsBuilder, ProcessBudgets, ProcessMetrics};
 use cloverfold_telemetry::CauseGauges;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -45,7 +45,7 @@
 }
 
 impl EntryMetrics {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(budgets: ProcessBudgets) -> Self {
         let mut metrics = MetricsBuilder::new("cloverfold_entry");
         let answers = Family::default();
         let answers = metrics.add("answers", "Submissions by outcome", answers);
@@ -91,7 +91,7 @@
             runs,
             given_back,
             waiting_jobs,
-            metrics: metrics.finish(),
+            metrics: metrics.finish(budgets),
         }
     }
 
--- a/crates/leased/cloverfold_leased_entry/src/process.rs
+++ b/crates/leased/cloverfold_leased_entry/src/process.rs
@@ -6,11 +6,11 @@
 
 use cloverfold_base::random_u64;
 use cloverfold_http::{
-    HttpLimits, ListenError, Request, Response, ServerHandle, ShutdownPhase, json_response,
-    plain_response, serve_at,
+    ConnectionBudget, HttpLimits, ListenError, Request, Response, ServerHandle, ShutdownPhase,
+    json_response, operations_budget, plain_response, serve_at,
 };
 use cloverfold_lease::{Dispatcher, HealthLimits};
-use cloverfold_leased_process::{PeerPort, Shared, serve_state_operations};
+use cloverfold_leased_process::{PeerPort, ProcessBudgets, Shared, serve_state_operations};
 use cloverfold_leased_settings::LeasedEntrySettings;
 use cloverfold_peer::{ControlLinks, Hello, PeerDetails, PeerRole, Trailing};
 use http::StatusCode;
@@ -132,11 +132,15 @@
 ) -> Result<LeasedEntry, ListenError> {
     let port = PeerPort::new(settings.peer.address(), settings.peer.listen_address());
     let state = Shared::new(build_state(settings, &port, protocol.clone()));
-    let handler = Arc::new(RequestHandler::new(state.clone(), protocol));
+    let budgets = ProcessBudgets {
+        clients: ConnectionBudget::new("client_address", settings.client_limits()),
+    };
+    let client_budget = budgets.clients.clone();
+    let handler = Arc::new(RequestHandler::new(state.clone(), protocol, budgets));
     log::info!(name = settings.peer.name.as_str(); "starting entry");
 
     let port = port.listen()?;
-    let clients = serve_clients(settings.client_address, &handler)?;
+    let clients = serve_clients(settings.client_address, client_budget, &handler)?;
     let readiness = serve_readiness(settings.ready_address, &handler)?;
     let metrics = handler.metrics.clone();
     let operations = serve_state_operations(
@@ -178,22 +182,25 @@
 
 fn serve_clients(
     address: SocketAddr,
+    budget: ConnectionBudget,
     handler: &Arc<RequestHandler>,
 ) -> Result<ServerHandle, ListenError> {
     let limits = {
         let handler = handler.clone();
-        move || read_limits(&handler)
+        let max_body_bytes = budget.limits().bytes / 2;
+        move || read_limits(&handler, max_body_bytes)
     };
     let handler = handler.clone();
     let respond = move |request: Request| {
         let handler = handler.clone();
         async move { handler.handle(request).await }
     };
-    serve_at("client_address", address, limits, respond)
+    serve_at("client_address", address, limits, budget, respond)
 }
 
-/// Returns the limits of the configuration in force, or the default ones if there is none.
-fn read_limits(handler: &RequestHandler) -> HttpLimits {
+/// Returns the limits of the configuration in force, or the default ones if there is none. A body that could never be held is too long
+/// whatever the configuration says.
+fn read_limits(handler: &RequestHandler, max_body_bytes: usize) -> HttpLimits {
     let configuration = handler.lock().configuration();
     let Some(configuration) = configuration else {
         return HttpLimits::default();
@@ -201,7 +208,7 @@
     let limits = configuration.limits;
     HttpLimits {
         header_bytes: limits.header_bytes,
-        body_bytes: limits.body_bytes,
+        body_bytes: limits.body_bytes.min(max_body_bytes),
         body_timeout: limits.idle_timeout,
         idle_timeout: limits.idle_timeout.max(limits.header_timeout),
     }
@@ -216,7 +223,14 @@
         let response = handle_readiness(&handler, &request);
         async move { response }
     };
-    serve_at("ready_address", address, HttpLimits::default, respond)
+    let budget = operations_budget("ready_address");
+    serve_at(
+        "ready_address",
+        address,
+        HttpLimits::default,
+        budget,
+        respond,
+    )
 }
 
 /// Responds to the load balancer: 200 if ready, otherwise 503 with the reason.
--- a/crates/leased/cloverfold_leased_entry/src/request_handler.rs
+++ b/crates/leased/cloverfold_leased_entry/src/request_handler.rs
@@ -6,7 +6,7 @@
 use cloverfold_configuration::{Configuration, Route};
 use cloverfold_http::{Request, Response, json_response, plain_response};
 use cloverfold_lease::{JobRequest, RETRY_AFTER};
-use cloverfold_leased_process::Shared;
+use cloverfold_leased_process::{ProcessBudgets, Shared};
 use http::StatusCode;
 use tokio::time::timeout;
 
@@ -25,11 +25,15 @@
 }
 
 impl RequestHandler {
-    pub(crate) fn new(state: Shared<EntryState>, protocol: Arc<dyn JobProtocol>) -> Self {
+    pub(crate) fn new(
+        state: Shared<EntryState>,
+        protocol: Arc<dyn JobProtocol>,
+        budgets: ProcessBudgets,
+    ) -> Self {
         Self {
             state,
             protocol,
-            metrics: Arc::new(EntryMetrics::new()),
+            metrics: Arc::new(EntryMetrics::new(budgets)),
             pending: PendingCounts::default(),
         }
     }
--- a/crates/leased/cloverfold_leased_guard/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_guard/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of a guard.
 
 use cloverfold_lease::{ProcessorUse, RegistrationVerdict, RunnerCounts};
-use cloverfold_leased_process::{MetricsBuilder, ProcessMetrics};
+use cloverfold_leased_process::{MetricsBuilder, ProcessBudgets, ProcessMetrics};
 use cloverfold_telemetry::CauseGauges;
 use prometheus_client::metrics::gauge::Gauge;
 
@@ -29,7 +29,7 @@
 }
 
 impl GuardMetrics {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(budgets: ProcessBudgets) -> Self {
         let mut metrics = MetricsBuilder::new("cloverfold_guard");
         let help = "Runs since the start, by what became of them";
         let runs = metrics.add_cause_gauges("runs", help);
@@ -69,7 +69,7 @@
             runs,
             registrations,
             target_calls,
-            metrics: metrics.finish(),
+            metrics: metrics.finish(budgets),
         }
     }
 
--- a/crates/leased/cloverfold_leased_guard/src/process.rs
+++ b/crates/leased/cloverfold_leased_guard/src/process.rs
@@ -6,11 +6,11 @@
 
 use cloverfold_base::unix_now;
 use cloverfold_http::{
-    HttpLimits, ListenError, Request, Response, ServerHandle, json_response, plain_response,
-    serve_at,
+    ConnectionBudget, HttpLimits, ListenError, Request, Response, ServerHandle, json_response,
+    plain_response, serve_at,
 };
 use cloverfold_lease::Runner;
-use cloverfold_leased_process::{PeerPort, Shared, serve_state_operations};
+use cloverfold_leased_process::{PeerPort, ProcessBudgets, Shared, serve_state_operations};
 use cloverfold_leased_settings::LeasedGuardSettings;
 use cloverfold_peer::{ControlLinks, Hello, PeerDetails, PeerRole, Trailing};
 use http::StatusCode;
@@ -92,9 +92,17 @@
     let state = Shared::new(state);
     log::info!(name = settings.peer.name.as_str(); "starting guard");
 
+    let budgets = ProcessBudgets {
+        clients: ConnectionBudget::new("registration_address", settings.client_limits()),
+    };
     let port = port.listen()?;
-    let registrations = serve_registrations(settings.registration_address, &state, &interface)?;
-    let metrics = GuardMetrics::new();
+    let registrations = serve_registrations(
+        settings.registration_address,
+        budgets.clients.clone(),
+        &state,
+        &interface,
+    )?;
+    let metrics = GuardMetrics::new(budgets);
     let operations = serve_state_operations(
         settings.peer.metrics_address(),
         &state,
@@ -144,6 +152,7 @@
 
 fn serve_registrations(
     address: SocketAddr,
+    budget: ConnectionBudget,
     state: &Shared<GuardState>,
     interface: &Arc<dyn TargetInterface>,
 ) -> Result<ServerHandle, ListenError> {
@@ -157,6 +166,7 @@
         "registration_address",
         address,
         HttpLimits::default,
+        budget,
         handler,
     )
 }
--- a/crates/leased/cloverfold_leased_process/src/lib.rs
+++ b/crates/leased/cloverfold_leased_process/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![warn(clippy::disallowed_methods)]
 
+mod budgets;
 mod metrics;
 mod operations;
 mod peer_port;
@@ -12,6 +13,7 @@
 mod stalls;
 mod suspensions;
 
+pub use budgets::ProcessBudgets;
 pub use metrics::{MetricsBuilder, ProcessMetrics};
 pub use operations::serve_state_operations;
 pub use peer_port::{ListeningPeerPort, PeerPort, ProcessState, tick_interval};
--- a/crates/leased/cloverfold_leased_process/src/metrics.rs
+++ b/crates/leased/cloverfold_leased_process/src/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Metric, Registry};
 
+use crate::budgets::{BudgetMetrics, ProcessBudgets};
 use crate::suspensions::SuspensionMonitor;
 
 /// Builder of the metrics of a process; they are written in the order of registration.
@@ -38,7 +39,8 @@
     }
 
     /// Registers the metrics that all processes have, and finishes the registration.
-    pub fn finish(mut self) -> ProcessMetrics {
+    pub fn finish(mut self, budgets: ProcessBudgets) -> ProcessMetrics {
+        let budgets = BudgetMetrics::new(&mut self, budgets);
         let help = "Log lines dropped since the start";
         let dropped_lines = self.add_gauge("dropped_log_lines", help);
         let help = "Suspensions of the box noticed since the start";
@@ -49,6 +51,7 @@
         let sent_bytes = self.add_cause_gauges("sent_bytes", help);
         ProcessMetrics {
             registry: self.registry,
+            budgets,
             dropped_lines,
             box_suspensions,
             sent_messages,
@@ -61,6 +64,7 @@
 #[derive(Debug)]
 pub struct ProcessMetrics {
     registry: Registry,
+    budgets: BudgetMetrics,
     dropped_lines: Gauge,
     box_suspensions: Gauge,
     sent_messages: CauseGauges,
@@ -70,6 +74,7 @@
 impl ProcessMetrics {
     /// Encodes all metrics in the Prometheus text format, after updating the ones that all processes have.
     pub fn write(&self, sent: &SentCounts, suspensions: &SuspensionMonitor) -> String {
+        self.budgets.set();
         self.box_suspensions
             .set(suspensions.detected_count() as i64);
         self.dropped_lines.set(dropped_line_count() as i64);
--- a/crates/leased/cloverfold_leased_settings/src/control.rs
+++ b/crates/leased/cloverfold_leased_settings/src/control.rs
@@ -4,11 +4,13 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use cloverfold_connections::BudgetLimits;
 use cloverfold_evacuation::{DataHall, HallNames};
 use cloverfold_kept_jobs::MAX_GROUPS;
 use cloverfold_settings::{LogSettings, Validate, ValidationErrors};
 use serde::Deserialize;
 
+use crate::clients::ClientSettings;
 use crate::peer::PeerSettings;
 use crate::upkeep::UpkeepSettings;
 
@@ -19,6 +21,8 @@
 const DEFAULT_JOB_GROUPS: u32 = 1;
 /// Default of [`ControlSettings::status_s`].
 const DEFAULT_STATUS_S: u64 = 150;
+/// Default of [`ClientSettings::memory_mb`].
+const DEFAULT_CLIENT_MEMORY_MB: usize = 64;
 
 /// Settings of one `cloverfold control`.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -46,6 +50,9 @@
     pub halls: Vec<DataHall>,
     /// Planned upkeep of boxes; without it, orders for upkeep waves are refused.
     pub upkeep: Option<UpkeepSettings>,
+    /// Limits of what the process holds for its clients.
+    #[serde(default)]
+    pub clients: ClientSettings,
     /// Destination of log lines.
     #[serde(default)]
     pub log: LogSettings,
@@ -54,6 +61,7 @@
 impl Validate for ControlSettings {
     fn validate(&self, errors: &mut ValidationErrors) {
         self.peer.validate(errors);
+        self.clients.validate(errors);
         errors.add_if(
             self.data_folder.as_os_str().is_empty(),
             "data_folder",
@@ -85,6 +93,11 @@
 }
 
 impl ControlSettings {
+    /// Returns the limits of what the process holds for operators.
+    pub fn client_limits(&self) -> BudgetLimits {
+        self.clients.limits(DEFAULT_CLIENT_MEMORY_MB)
+    }
+
     /// Returns how long the state of a kept job is retained after its end.
     pub fn status_retention(&self) -> Duration {
         Duration::from_secs(self.status_s)
--- a/crates/leased/cloverfold_leased_settings/src/lib.rs
+++ b/crates/leased/cloverfold_leased_settings/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![warn(clippy::disallowed_methods)]
 
+mod clients;
 mod control;
 mod entry;
 mod guard;
@@ -12,6 +13,7 @@
 mod peer;
 mod upkeep;
 
+pub use clients::ClientSettings;
 pub use control::ControlSettings;
 pub use entry::LeasedEntrySettings;
 pub use guard::LeasedGuardSettings;
