Bound links and frames before the hello

Operators saw: a process whose memory or descriptors were used up by connections to its peer port that never say who they are.

Cause: a link was read like that of a known process from its first byte, with frames of up to 8 MiB, and nothing bounded the number of such links.

When there are too many, the longest without progress is closed, as for clients. Links that have identified themselves, and dialed ones, are as before.

Why it works: what a stranger can make a process hold is 24 KiB for each of a bounded number of links. A hello, an invitation and the addresses of control processes are some hundred bytes.

Two tests of the links themselves.

--- a/crates/common/cloverfold_link/src/dial.rs
+++ b/crates/common/cloverfold_link/src/dial.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::frame::encode_frame;
-use crate::link::{LinkEvent, run_link};
+use crate::link::{LinkEvent, run_dialed_link};
 use crate::socket::{USER_TIMEOUT, set_socket_options};
 
 /// Timeout of [`send_once`].
@@ -127,7 +127,7 @@
             Ok(Ok(stream)) => {
                 failures = 0;
                 let stopped = wait_until_dropped(stop_rx.clone());
-                run_link(stream, address, true, &events, stopped).await;
+                run_dialed_link(stream, address, &events, stopped).await;
             }
             // Not logged, because there are several attempts a second and the state logs which peers are connected.
             Ok(Err(_)) | Err(_) => failures = failures.saturating_add(1),
--- a/crates/common/cloverfold_link/src/frame.rs
+++ b/crates/common/cloverfold_link/src/frame.rs
@@ -17,8 +17,8 @@
 /// Why a frame is invalid; the link from which it comes must be closed.
 #[derive(Debug, thiserror::Error)]
 pub enum FrameError {
-    /// The length is over [`MAX_FRAME_LEN`].
-    #[error("a frame of {0} bytes is longer than {MAX_FRAME_LEN}")]
+    /// The length is over [`MAX_FRAME_LEN`], or over the maximum before the peer has identified itself.
+    #[error("a frame of {0} bytes is too long")]
     TooLong(usize),
     /// The message cannot be encoded or decoded.
     #[error("a message cannot be coded: {0}")]
@@ -55,6 +55,14 @@
 /// Returns [`FrameError::TooLong`] if the length is over [`MAX_FRAME_LEN`] and [`FrameError::Codec`] if the frame does not contain a
 /// message of this type; the stream cannot be read any further.
 pub fn decode_frame<M: DeserializeOwned>(buf: &mut BytesMut) -> Result<Option<M>, FrameError> {
+    decode_frame_within(buf, MAX_FRAME_LEN)
+}
+
+/// Like [`decode_frame`], with a lower maximum length.
+pub(crate) fn decode_frame_within<M: DeserializeOwned>(
+    buf: &mut BytesMut,
+    max_len: usize,
+) -> Result<Option<M>, FrameError> {
     let len = loop {
         let Some(prefix) = buf.first_chunk::<PREFIX_LEN>() else {
             return Ok(None);
@@ -64,7 +72,7 @@
             len => break len as usize,
         }
     };
-    if len > MAX_FRAME_LEN {
+    if len > max_len {
         return Err(FrameError::TooLong(len));
     }
     if buf.len() < PREFIX_LEN + len {
--- a/crates/common/cloverfold_link/src/lib.rs
+++ b/crates/common/cloverfold_link/src/lib.rs
@@ -15,5 +15,5 @@
 pub use dial::{DialAttempt, DialBackoff, Dialer, send_once};
 pub use encoded::EncodedMessage;
 pub use frame::{FrameError, MAX_FRAME_LEN, decode_frame, encode_frame};
-pub use link::{LinkEvent, LinkId, LinkSender, accept_links};
+pub use link::{Greeting, LinkEvent, LinkId, LinkSender, MAX_GREETING_LEN, accept_links};
 pub use socket::{listen, set_socket_options};
--- a/crates/common/cloverfold_link/src/link.rs
+++ b/crates/common/cloverfold_link/src/link.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use cloverfold_connections::{Connection, ConnectionBudget};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -17,7 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::encoded::EncodedMessage;
-use crate::frame::{decode_frame, encode_heartbeat};
+use crate::frame::{MAX_FRAME_LEN, decode_frame_within, encode_heartbeat};
 use crate::socket::{USER_TIMEOUT, set_socket_options};
 
 /// Capacity of the send queue of a link, in messages; further messages are dropped, and the first drop is logged.
@@ -34,6 +35,11 @@
 /// Delay after a failed accept, for example while there are no free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Maximum length of an encoded message before the peer has identified itself, in bytes.
+pub const MAX_GREETING_LEN: usize = 8 * 1024;
+/// Memory of a link before the peer has identified itself, in bytes: its tasks, and a read buffer for the longest greeting.
+const UNIDENTIFIED_LINK_BYTES: usize = 24 * 1024;
+
 /// Number of a link within this process, from 1; never reused.
 pub type LinkId = u64;
 
@@ -125,17 +131,51 @@
     }
 }
 
+/// How the peer of an accepted link identifies itself.
+#[derive(Clone, Debug)]
+pub struct Greeting<M> {
+    /// Bounds the links whose peer has not identified itself. Each takes [`Self::link_bytes`] of it.
+    pub budget: ConnectionBudget,
+    /// Returns whether a message identifies the peer. Until then, messages are at most [`MAX_GREETING_LEN`] long.
+    pub is_greeting: fn(&M) -> bool,
+}
+
+impl<M> Greeting<M> {
+    /// Returns the memory that a link takes of the budget, in bytes.
+    pub const fn link_bytes() -> usize {
+        UNIDENTIFIED_LINK_BYTES
+    }
+}
+
+/// An accepted link whose peer has not identified itself.
+struct UnidentifiedPeer<M> {
+    connection: Connection,
+    is_greeting: fn(&M) -> bool,
+}
+
 /// Accepts links for as long as the future is polled; all links report to `events`.
-pub async fn accept_links<M>(listener: TcpListener, events: mpsc::Sender<LinkEvent<M>>)
-where
+pub async fn accept_links<M>(
+    listener: TcpListener,
+    greeting: Greeting<M>,
+    events: mpsc::Sender<LinkEvent<M>>,
+) where
     M: Serialize + DeserializeOwned + Send + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, address)) => {
+                // A refused link closes here; the budget counts and logs it.
+                let Ok(connection) = greeting.budget.open(UNIDENTIFIED_LINK_BYTES).await else {
+                    continue;
+                };
+                let peer = UnidentifiedPeer {
+                    connection,
+                    is_greeting: greeting.is_greeting,
+                };
                 let events = events.clone();
-                let never = std::future::pending();
-                tokio::spawn(async move { run_link(stream, address, false, &events, never).await });
+                tokio::spawn(
+                    async move { run_accepted_link(stream, address, peer, &events).await },
+                );
             }
             Err(cause) => {
                 log::warn!("cannot accept link: {cause}");
@@ -145,11 +185,36 @@
     }
 }
 
-/// Runs a link until it closes or `stopped` completes.
-pub(crate) async fn run_link<M>(
+/// Runs an accepted link until it closes.
+async fn run_accepted_link<M>(
+    stream: TcpStream,
+    address: SocketAddr,
+    peer: UnidentifiedPeer<M>,
+    events: &mpsc::Sender<LinkEvent<M>>,
+) where
+    M: Serialize + DeserializeOwned + Send + 'static,
+{
+    let never = std::future::pending();
+    run_link(stream, address, Some(peer), events, never).await;
+}
+
+/// Runs a link that this process has dialed until it closes or `stopped` completes.
+pub(crate) async fn run_dialed_link<M>(
     stream: TcpStream,
     address: SocketAddr,
-    dialed: bool,
+    events: &mpsc::Sender<LinkEvent<M>>,
+    stopped: impl Future<Output = ()>,
+) where
+    M: Serialize + DeserializeOwned + Send + 'static,
+{
+    run_link(stream, address, None, events, stopped).await;
+}
+
+/// Runs a link until it closes or `stopped` completes; `accepted` is the peer of an accepted link.
+async fn run_link<M>(
+    stream: TcpStream,
+    address: SocketAddr,
+    accepted: Option<UnidentifiedPeer<M>>,
     events: &mpsc::Sender<LinkEvent<M>>,
     stopped: impl Future<Output = ()>,
 ) where
@@ -163,14 +228,14 @@
     let opened = LinkEvent::Opened {
         link,
         address,
-        dialed,
+        dialed: accepted.is_none(),
         sender: LinkSender::new(tx),
     };
     if events.send(opened).await.is_err() {
         return;
     }
     tokio::select! {
-        () = read_messages(reader, link, events) => {}
+        () = read_link(reader, link, accepted, events) => {}
         () = write_messages(writer, rx) => {}
         () = stopped => {}
     }
@@ -178,35 +243,78 @@
     let _ = events.send(LinkEvent::Closed { link }).await;
 }
 
-async fn read_messages<M: DeserializeOwned>(
-    mut reader: OwnedReadHalf,
+/// Reads the messages of a link until it closes.
+async fn read_link<M: DeserializeOwned>(
+    reader: OwnedReadHalf,
     link: LinkId,
+    accepted: Option<UnidentifiedPeer<M>>,
     events: &mpsc::Sender<LinkEvent<M>>,
 ) {
-    let mut buf = BytesMut::with_capacity(READ_BUFFER_BYTES);
-    loop {
-        match decode_frame(&mut buf) {
-            Ok(Some(message)) => {
-                let event = LinkEvent::Received { link, message };
-                if events.send(event).await.is_err() {
-                    return;
+    let mut reader = MessageReader {
+        reader,
+        buf: BytesMut::with_capacity(READ_BUFFER_BYTES),
+        link,
+        events,
+    };
+    if let Some(peer) = accepted {
+        let identified = reader.pass_on_until(MAX_GREETING_LEN, peer.is_greeting);
+        tokio::select! {
+            is_identified = identified => if !is_identified { return },
+            // Not logged here, because the budget logs it.
+            () = peer.connection.wait_closed() => return,
+        }
+    }
+    reader.pass_on_until(MAX_FRAME_LEN, |_| false).await;
+}
+
+/// Reads messages and passes them on as events.
+struct MessageReader<'a, M> {
+    reader: OwnedReadHalf,
+    buf: BytesMut,
+    link: LinkId,
+    events: &'a mpsc::Sender<LinkEvent<M>>,
+}
+
+impl<M: DeserializeOwned> MessageReader<'_, M> {
+    /// Passes messages of at most `max_len` bytes on up to the first that `is_last` accepts. Returns `false` if the link ends before.
+    async fn pass_on_until(&mut self, max_len: usize, is_last: impl Fn(&M) -> bool) -> bool {
+        loop {
+            match decode_frame_within(&mut self.buf, max_len) {
+                Ok(Some(message)) => {
+                    let is_done = is_last(&message);
+                    let link = self.link;
+                    let event = LinkEvent::Received { link, message };
+                    if self.events.send(event).await.is_err() {
+                        return false;
+                    }
+                    if is_done {
+                        return true;
+                    }
+                    continue;
+                }
+                Ok(None) => {}
+                Err(cause) => {
+                    log::warn!("closing link after an invalid frame: {cause}");
+                    return false;
                 }
-                continue;
             }
-            Ok(None) => {}
-            Err(cause) => {
-                log::warn!("closing link after an invalid frame: {cause}");
-                return;
+            if !self.read().await {
+                return false;
             }
         }
-        buf.reserve(READ_BUFFER_BYTES);
-        match timeout(READ_TIMEOUT, reader.read_buf(&mut buf)).await {
+    }
+
+    /// Reads some bytes; returns `false` if the link has ended.
+    async fn read(&mut self) -> bool {
+        self.buf.reserve(READ_BUFFER_BYTES);
+        match timeout(READ_TIMEOUT, self.reader.read_buf(&mut self.buf)).await {
             // Not logged, because the `Closed` event follows and its receiver logs which peer it was.
-            Ok(Ok(0) | Err(_)) => return,
-            Ok(Ok(_)) => {}
+            Ok(Ok(0) | Err(_)) => false,
+            Ok(Ok(_)) => true,
             Err(_) => {
+                let link = self.link;
                 log::info!(link; "peer timed out; closing link");
-                return;
+                false
             }
         }
     }
--- a/crates/common/cloverfold_link/tests/links.rs
+++ b/crates/common/cloverfold_link/tests/links.rs
@@ -5,14 +5,25 @@
 use std::time::Duration;
 
 use bytes::{BufMut, BytesMut};
+use cloverfold_connections::{BudgetLimits, ConnectionBudget, STALL_TIMEOUT};
 use cloverfold_faults::TcpProxy;
 use cloverfold_link::{
-    DialBackoff, Dialer, EncodedMessage, FrameError, LinkEvent, MAX_FRAME_LEN, accept_links,
-    decode_frame, encode_frame, listen,
+    DialBackoff, Dialer, EncodedMessage, FrameError, Greeting, LinkEvent, MAX_FRAME_LEN,
+    MAX_GREETING_LEN, accept_links, decode_frame, encode_frame, listen,
 };
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+/// Returns a greeting that any message is, without limits.
+fn any_greeting<M>() -> Greeting<M> {
+    Greeting {
+        budget: ConnectionBudget::unlimited(),
+        is_greeting: |_| true,
+    }
+}
+
 type Events = mpsc::Receiver<LinkEvent<String>>;
 
 async fn next(events: &mut Events) -> LinkEvent<String> {
@@ -28,7 +39,7 @@
     let address = listener.local_addr().unwrap();
     let (server_tx, mut server) = mpsc::channel(16);
     let (client_tx, mut client) = mpsc::channel(16);
-    tokio::spawn(accept_links(listener, server_tx));
+    tokio::spawn(accept_links(listener, any_greeting(), server_tx));
     let _dialer = Dialer::start(address, DialBackoff::default(), client_tx);
 
     for _ in 0..2 {
@@ -130,7 +141,7 @@
         DialBackoff::default(),
         dialed_tx,
     );
-    tokio::spawn(accept_links(idle, idle_tx));
+    tokio::spawn(accept_links(idle, any_greeting(), idle_tx));
     let (_held, _) = silent.accept().await.unwrap();
     // The senders in the events keep the links open from this side.
     let held_links = [
@@ -156,7 +167,7 @@
     let address = listener.local_addr().unwrap();
     let (server_tx, mut server) = mpsc::channel(16);
     let (client_tx, mut client) = mpsc::channel(16);
-    tokio::spawn(accept_links(listener, server_tx));
+    tokio::spawn(accept_links(listener, any_greeting(), server_tx));
     let dialer = Dialer::start(address, DialBackoff::default(), client_tx);
     // The senders in the events keep the link open from both sides.
     let _opened = [next(&mut client).await, next(&mut server).await];
@@ -173,7 +184,7 @@
     let address = listener.local_addr().unwrap();
     let (server_tx, mut server) = mpsc::channel(16);
     let (client_tx, mut client) = mpsc::channel(16);
-    tokio::spawn(accept_links(listener, server_tx));
+    tokio::spawn(accept_links(listener, any_greeting(), server_tx));
     let _dialer = Dialer::start(address, DialBackoff::default(), client_tx);
     let LinkEvent::Opened { sender, .. } = next(&mut client).await else {
         panic!("the dialed link opens first");
@@ -201,7 +212,7 @@
         .unwrap();
     let (server_tx, mut server) = mpsc::channel(16);
     let (client_tx, mut client) = mpsc::channel(16);
-    tokio::spawn(accept_links(listener, server_tx));
+    tokio::spawn(accept_links(listener, any_greeting(), server_tx));
     let _dialer = Dialer::start(proxy.address(), DialBackoff::default(), client_tx);
     // The senders in the events keep the link open from both sides.
     let _opened = [next(&mut client).await, next(&mut server).await];
@@ -244,3 +255,89 @@
     assert_eq!(message.0.get(), 1);
     assert!(copies.iter().all(|copy| copy.frame_len() == 5));
 }
+
+/// Starts to accept links whose first message must be `hello`, at most `count` before that.
+fn accept_greeted(count: usize) -> (std::net::SocketAddr, ConnectionBudget, Events) {
+    let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let limits = BudgetLimits {
+        connections: count,
+        bytes: usize::MAX,
+    };
+    let greeting = Greeting {
+        budget: ConnectionBudget::new("test", limits),
+        is_greeting: |message: &String| message == "hello",
+    };
+    let budget = greeting.budget.clone();
+    let (tx, rx) = mpsc::channel(16);
+    tokio::spawn(accept_links(listener, greeting, tx));
+    (address, budget, rx)
+}
+
+fn long_message() -> String {
+    "x".repeat(MAX_GREETING_LEN + 1)
+}
+
+/// Fails if a process reads a long frame of a peer that has not said who it is, or no long frame of one that has.
+#[tokio::test]
+async fn a_long_frame_is_read_only_after_the_greeting() {
+    let (address, budget, mut server) = accept_greeted(8);
+    let (client_tx, mut client) = mpsc::channel(16);
+    let _dialer = Dialer::start(address, DialBackoff::default(), client_tx);
+    let LinkEvent::Opened { sender, .. } = next(&mut client).await else {
+        panic!("expected an opened link");
+    };
+    // The sender in the event keeps the link open.
+    let _opened = next(&mut server).await;
+    sender.send(&"hello".to_owned()).unwrap();
+    sender.send(&long_message()).unwrap();
+
+    let greeting = next(&mut server).await;
+    let long = next(&mut server).await;
+
+    assert!(matches!(greeting, LinkEvent::Received { message, .. } if message == "hello"));
+    assert!(matches!(long, LinkEvent::Received { message, .. } if message == long_message()));
+    assert_eq!(budget.usage().connections, 0);
+
+    let mut buf = BytesMut::new();
+    encode_frame(&long_message(), &mut buf).unwrap();
+    let mut stranger = TcpStream::connect(address).await.unwrap();
+    stranger.write_all(&buf).await.unwrap();
+    let _opened = next(&mut server).await;
+    assert!(matches!(next(&mut server).await, LinkEvent::Closed { .. }));
+}
+
+/// Fails if links without a greeting shut out others, or cost one that has greeted its place.
+#[tokio::test]
+async fn links_without_a_greeting_give_way() {
+    let (address, budget, mut server) = accept_greeted(2);
+    let (client_tx, mut client) = mpsc::channel(16);
+    let _dialer = Dialer::start(address, DialBackoff::default(), client_tx);
+    let LinkEvent::Opened { sender, .. } = next(&mut client).await else {
+        panic!("expected an opened link");
+    };
+    let _opened = next(&mut server).await;
+    sender.send(&"hello".to_owned()).unwrap();
+    assert!(matches!(
+        next(&mut server).await,
+        LinkEvent::Received { .. }
+    ));
+
+    let mut strangers = Vec::new();
+    for _ in 0..3 {
+        strangers.push(TcpStream::connect(address).await.unwrap());
+        tokio::time::sleep(STALL_TIMEOUT).await;
+    }
+
+    let mut opened = Vec::new();
+    let closed = loop {
+        match next(&mut server).await {
+            LinkEvent::Opened { link, sender, .. } => opened.push((link, sender)),
+            LinkEvent::Closed { link } => break link,
+            LinkEvent::Received { .. } => panic!("expected no message"),
+        }
+    };
+    assert_eq!(Some(closed), opened.first().map(|(link, _)| *link));
+    assert_eq!(budget.usage().closed, 1);
+    assert!(sender.send(&"still here".to_owned()).is_some());
+}
--- a/crates/leased/cloverfold_control/src/process.rs
+++ b/crates/leased/cloverfold_control/src/process.rs
@@ -87,6 +87,7 @@
     let state = Shared::new(state);
     let budgets = ProcessBudgets {
         clients: ConnectionBudget::new("operator_address", settings.client_limits()),
+        unidentified_links: port.unidentified_links(),
     };
     let port = port.listen()?;
     let operator_budget = budgets.clients.clone();
--- a/crates/leased/cloverfold_leased_entry/src/process.rs
+++ b/crates/leased/cloverfold_leased_entry/src/process.rs
@@ -134,6 +134,7 @@
     let state = Shared::new(build_state(settings, &port, protocol.clone()));
     let budgets = ProcessBudgets {
         clients: ConnectionBudget::new("client_address", settings.client_limits()),
+        unidentified_links: port.unidentified_links(),
     };
     let client_budget = budgets.clients.clone();
     let handler = Arc::new(RequestHandler::new(state.clone(), protocol, budgets));
--- a/crates/leased/cloverfold_leased_guard/src/process.rs
+++ b/crates/leased/cloverfold_leased_guard/src/process.rs
@@ -94,6 +94,7 @@
 
     let budgets = ProcessBudgets {
         clients: ConnectionBudget::new("registration_address", settings.client_limits()),
+        unidentified_links: port.unidentified_links(),
     };
     let port = port.listen()?;
     let registrations = serve_registrations(
--- a/crates/leased/cloverfold_leased_process/src/peer_port.rs
+++ b/crates/leased/cloverfold_leased_process/src/peer_port.rs
@@ -6,8 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cloverfold_connections::{BudgetLimits, ConnectionBudget, DescriptorPlan};
 use cloverfold_http::{ListenError, listen_at};
-use cloverfold_link::{LinkEvent, accept_links};
+use cloverfold_link::{Greeting, LinkEvent, accept_links};
 use cloverfold_peer::{DialedPeers, PeerMessage};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -37,6 +38,8 @@
     /// Address by which peers reach this process; the process never dials it.
     address: SocketAddr,
     listen_address: SocketAddr,
+    /// Bounds the links whose peer has not identified itself.
+    unidentified: ConnectionBudget,
     events_tx: mpsc::Sender<LinkEvent<PeerMessage>>,
     events_rx: mpsc::Receiver<LinkEvent<PeerMessage>>,
 }
@@ -48,11 +51,17 @@
         Self {
             address,
             listen_address,
+            unidentified: unidentified_links_budget(),
             events_tx,
             events_rx,
         }
     }
 
+    /// Returns the budget of links whose peer has not identified itself.
+    pub fn unidentified_links(&self) -> ConnectionBudget {
+        self.unidentified.clone()
+    }
+
     /// Returns an empty set of dialed peers whose links report to this port.
     pub fn dialed_peers(&self) -> DialedPeers {
         DialedPeers::new(self.address, self.events_tx.clone())
@@ -67,6 +76,7 @@
         let listener = listen_at("peer.port", self.listen_address)?;
         Ok(ListeningPeerPort {
             listener,
+            unidentified: self.unidentified,
             events_tx: self.events_tx,
             events_rx: self.events_rx,
         })
@@ -77,6 +87,7 @@
 #[derive(Debug)]
 pub struct ListeningPeerPort {
     listener: TcpListener,
+    unidentified: ConnectionBudget,
     events_tx: mpsc::Sender<LinkEvent<PeerMessage>>,
     events_rx: mpsc::Receiver<LinkEvent<PeerMessage>>,
 }
@@ -90,11 +101,24 @@
 
     /// Accepts links and returns the channel of their events, for a process whose state also handles other events.
     pub fn accept(self, tasks: &mut JoinSet<()>) -> mpsc::Receiver<LinkEvent<PeerMessage>> {
-        tasks.spawn(accept_links(self.listener, self.events_tx));
+        let greeting = Greeting {
+            budget: self.unidentified,
+            is_greeting: |message| matches!(message, PeerMessage::Hello(_)),
+        };
+        tasks.spawn(accept_links(self.listener, greeting, self.events_tx));
         self.events_rx
     }
 }
 
+fn unidentified_links_budget() -> ConnectionBudget {
+    let connections = DescriptorPlan::of_process().unidentified_links;
+    let limits = BudgetLimits {
+        connections,
+        bytes: connections * Greeting::<PeerMessage>::link_bytes(),
+    };
+    ConnectionBudget::new("peer.port", limits)
+}
+
 /// Returns the tick interval of a process. After a delayed tick the next one follows a whole interval later, so a stalled process does not
 /// catch up on missed ticks.
 pub fn tick_interval(tick: Duration) -> Interval {
--- a/crates/leased/cloverfold_peer/tests/links.rs
+++ b/crates/leased/cloverfold_peer/tests/links.rs
@@ -5,14 +5,23 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cloverfold_connections::ConnectionBudget;
 use cloverfold_evacuation::EvacuatedHalls;
-use cloverfold_link::{DialBackoff, Dialer, LinkEvent, LinkId, accept_links, listen};
+use cloverfold_link::{DialBackoff, Dialer, Greeting, LinkEvent, LinkId, accept_links, listen};
 use cloverfold_peer::{
     Hello, PeerDetails, PeerLinks, PeerMessage, PeerRole, SharedMessage, Trailing,
 };
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+/// Returns a greeting that any message is, without limits.
+fn any_greeting<M>() -> Greeting<M> {
+    Greeting {
+        budget: ConnectionBudget::unlimited(),
+        is_greeting: |_| true,
+    }
+}
+
 const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// One end of the connection: its links, and the events that are not handled yet.
@@ -90,7 +99,7 @@
     let (guard_tx, guard_rx) = mpsc::channel(16);
     let mut entry = End::new(hello("entry", PeerRole::Entry, address), entry_rx);
     let mut guard = End::new(hello("guard", PeerRole::Guard, address), guard_rx);
-    tokio::spawn(accept_links(listener, entry_tx));
+    tokio::spawn(accept_links(listener, any_greeting(), entry_tx));
     let dialer = Dialer::start(address, DialBackoff::default(), guard_tx);
     let (entry_link, guard_link) = tokio::join!(entry.handshake(), guard.handshake());
     (entry, entry_link, guard, guard_link, dialer)
