Count open jobs among what clients hold

Callers saw: an entry that ran out of memory, or refused everything, after a handful of requests of a hundred bytes.

Cause: a job of 100,000 tasks takes 16 MB while it is open, and a step without tasks some hundred times the three bytes that describe it. The limits were those of one job.

Change: the steps and tasks of a job are taken from the account of its client before the job is submitted, until it is answered. A job without room is refused with 503 (`NoMemory`) and nothing of it is started; one that waits for room is parsed again afterwards, so that waiting takes no memory.

--- a/crates/leased/cloverfold_lease/src/dispatcher/answers.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/answers.rs
@@ -16,6 +16,8 @@
     Draining,
     /// The process was stalled, so the request may be outdated.
     Stalled,
+    /// Open jobs and clients take all the memory reserved for them.
+    NoMemory,
 }
 
 impl JobRefusal {
@@ -26,6 +28,7 @@
             Self::NoTarget => "NoTarget",
             Self::Draining => "Leaving",
             Self::Stalled => "Stalled",
+            Self::NoMemory => "NoMemory",
         }
     }
 }
--- a/crates/leased/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/job.rs
@@ -290,7 +290,8 @@
 
 /// Builds the tasks of all steps, in order; those without dependencies start in `Waiting`, the others in `Blocked`.
 fn build_tasks(request: &JobRequest, first_run: u64) -> Vec<Task> {
-    let mut tasks = Vec::new();
+    let count: usize = request.steps.iter().map(|step| step.count as usize).sum();
+    let mut tasks = Vec::with_capacity(count);
     for (step_number, step) in request.steps.iter().enumerate() {
         let phase = if step.depends_on.is_empty() {
             TaskPhase::Waiting
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -33,6 +33,7 @@
 mod events;
 mod headroom;
 mod job;
+mod job_memory;
 mod kept_admission;
 mod kept_jobs;
 mod late_runs;
--- a/crates/leased/cloverfold_lease/tests/written_names.rs
+++ b/crates/leased/cloverfold_lease/tests/written_names.rs
@@ -50,6 +50,7 @@
         (JobRefusal::NoTarget, "NoTarget"),
         (JobRefusal::Draining, "Leaving"),
         (JobRefusal::Stalled, "Stalled"),
+        (JobRefusal::NoMemory, "NoMemory"),
     ];
 
     for (cause, name) in names {
--- a/crates/leased/cloverfold_leased_entry/src/submission.rs
+++ b/crates/leased/cloverfold_leased_entry/src/submission.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use cloverfold_configuration::Route;
-use cloverfold_http::{Request, Response, plain_response};
-use cloverfold_lease::{JobAnswer, JobNumber, JobRequest, RETRY_AFTER};
+use cloverfold_http::{HeldMemory, NoMemory, Request, Response, plain_response};
+use cloverfold_lease::{JobAnswer, JobNumber, JobRefusal, JobRequest, RETRY_AFTER};
 use http::StatusCode;
 
 use crate::job_counts::JobOutcome;
@@ -13,17 +13,35 @@
 use crate::request_handler::RequestHandler;
 use crate::responses::{answer_response, refusal_response};
 
+/// Memory up to which an open job is covered by that of its connection, in bytes.
+const SMALL_JOB_BYTES: usize = 4 * 1024;
+
 /// A job that can run.
 enum RunnableJob {
     Repeatable(JobRequest),
     Kept(JobRequest),
 }
 
+impl RunnableJob {
+    fn request(&self) -> &JobRequest {
+        match self {
+            Self::Repeatable(request) | Self::Kept(request) => request,
+        }
+    }
+}
+
 /// Why a job cannot run.
 enum UnrunnableJob {
     /// The job needs an unimplemented feature.
     Unsupported(&'static str),
     Malformed(MalformedJob),
+    NoMemory,
+}
+
+impl From<NoMemory> for UnrunnableJob {
+    fn from(_: NoMemory) -> Self {
+        Self::NoMemory
+    }
 }
 
 /// Cancels a job when its request is dropped before the answer, which means that the caller has disconnected.
@@ -47,10 +65,12 @@
 impl RequestHandler {
     /// Submits the job in the body of a request and waits for its answer.
     pub(crate) async fn submit(&self, id: &str, route: &Route, request: &Request) -> Response {
-        let job = match self.parse_job(id, route, request) {
-            Ok(RunnableJob::Repeatable(job)) => job,
-            Ok(RunnableJob::Kept(job)) => return self.submit_kept(id, route, request, &job).await,
-            Err(cause) => return reject_job(id, route, &cause),
+        let (job, _held) = match self.receive_job(id, route, request).await {
+            Ok((RunnableJob::Repeatable(job), held)) => (job, held),
+            Ok((RunnableJob::Kept(job), _held)) => {
+                return self.submit_kept(id, route, request, &job).await;
+            }
+            Err(cause) => return self.reject_job(id, route, &cause),
         };
         if self.lock().is_driving(id) {
             return conflict_response();
@@ -65,6 +85,28 @@
         answer_response(self.protocol.as_ref(), answer)
     }
 
+    /// Parses a job and holds the memory that it takes while it is open.
+    async fn receive_job(
+        &self,
+        id: &str,
+        route: &Route,
+        request: &Request,
+    ) -> Result<(RunnableJob, Option<HeldMemory>), UnrunnableJob> {
+        let job = self.parse_job(id, route, request)?;
+        let bytes = job.request().open_bytes();
+        if bytes <= SMALL_JOB_BYTES {
+            return Ok((job, None));
+        }
+        if let Ok(held) = request.try_hold_memory(bytes) {
+            return Ok((job, held));
+        }
+        // A job that waits for memory takes none.
+        drop(job);
+        let held = request.hold_memory(bytes).await?;
+        let job = self.parse_job(id, route, request)?;
+        Ok((job, held))
+    }
+
     /// Parses a job and the timeout of its caller.
     fn parse_job(
         &self,
@@ -86,6 +128,27 @@
         }
     }
 
+    /// Logs why a job cannot run and returns the response.
+    fn reject_job(&self, id: &str, route: &Route, cause: &UnrunnableJob) -> Response {
+        let route = route.name.as_str();
+        match cause {
+            UnrunnableJob::Unsupported(what) => {
+                log::warn!(job = id, route, what; "the job needs an unsupported feature");
+                refusal_response(&format!("not carried: {what}\n"), RETRY_AFTER)
+            }
+            UnrunnableJob::Malformed(error) => {
+                log::warn!(job = id, route; "cannot parse job: {error}");
+                plain_response(StatusCode::BAD_REQUEST, format!("{error}\n"))
+            }
+            UnrunnableJob::NoMemory => {
+                let answer = JobAnswer::refused(JobRefusal::NoMemory);
+                self.metrics.count_answer(outcome_name(answer));
+                log::info!(job = id, route, cause = JobRefusal::NoMemory.as_str(); "job refused");
+                answer_response(self.protocol.as_ref(), answer)
+            }
+        }
+    }
+
     /// Submits a job and waits for its answer; cancels the job if this future is dropped first.
     async fn run_job(&self, id: &str, job: JobRequest) -> JobAnswer {
         let (number, answer) = self.lock().submit(job);
@@ -118,21 +181,6 @@
     }
 }
 
-/// Logs why a job cannot run and returns the response.
-fn reject_job(id: &str, route: &Route, cause: &UnrunnableJob) -> Response {
-    let route = route.name.as_str();
-    match cause {
-        UnrunnableJob::Unsupported(what) => {
-            log::warn!(job = id, route, what; "the job needs an unsupported feature");
-            refusal_response(&format!("not carried: {what}\n"), RETRY_AFTER)
-        }
-        UnrunnableJob::Malformed(error) => {
-            log::warn!(job = id, route; "cannot parse job: {error}");
-            plain_response(StatusCode::BAD_REQUEST, format!("{error}\n"))
-        }
-    }
-}
-
 /// Returns the name of an answer in metrics and log lines.
 fn outcome_name(answer: JobAnswer) -> &'static str {
     match answer {
