Refuse kept jobs when those driven here take too much memory

Callers saw: an entry that ran out of memory after it had accepted some kept jobs.

Cause: the entry that drives a kept job holds all its tasks until the job has ended. Admission counts the time that the backlog takes, not its memory: 100,000 tasks that wait for another one take no time.

Change: `find_kept_refusal` refuses a kept job with 503 (`NoMemory`) if those that the entry drives would take over 32 MiB with it. Nothing of it is stored. Jobs that are handed over count and are never refused.

One test of the rule.

--- a/crates/leased/cloverfold_lease/src/dispatcher/job.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/job.rs
@@ -110,6 +110,8 @@
     pub(crate) has_begun: bool,
     /// Epoch in which this entry drives it; `None` for a repeatable job.
     pub(crate) epoch: Option<Epoch>,
+    /// [`JobRequest::open_bytes`] of its request.
+    pub(crate) bytes: usize,
 }
 
 impl Job {
@@ -121,6 +123,7 @@
         now: Timestamp,
     ) -> Self {
         let deadlines = JobDeadlines::new(&request, now);
+        let bytes = request.open_bytes();
         let tasks = build_tasks(&request, first_run);
         let mut phases = PhaseCounts::new(request.steps.len());
         for task in &tasks {
@@ -136,6 +139,7 @@
             has_run: false,
             has_begun: false,
             epoch: None,
+            bytes,
         }
     }
 
--- a/crates/leased/cloverfold_lease/src/dispatcher/kept_admission.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/kept_admission.rs
@@ -5,7 +5,8 @@
 //! 1. `Leaving`: the process is draining.
 //! 2. `NoTarget`: no target of the service accepts work, or some step has no target that could run one of its tasks even when empty,
 //!    because the targets are too small or lack the required label.
-//! 3. `NoRoom`: the expected latency is more than [`MAX_OBJECTIVE_FACTOR`] times the latency objective of the job. The expected latency is
+//! 3. `NoMemory`: the kept jobs that this entry drives would take more than [`MAX_KEPT_BYTES`] with this one.
+//! 4. `NoRoom`: the expected latency is more than [`MAX_OBJECTIVE_FACTOR`] times the latency objective of the job. The expected latency is
 //!    the time that the targets of the service take for the work that is served first, plus the critical path of the job.
 //!
 //! Work that is served first consists of the unfinished tasks of kept jobs of the same service with the same or a more urgent priority, and
@@ -29,6 +30,9 @@
 use crate::dispatcher::target_index::{TargetSet, TargetSetId};
 use crate::request::{JobRequest, StepRequest};
 
+/// Maximum memory of the kept jobs that an entry drives, in bytes. Jobs that are handed over to it count, but are never refused.
+pub const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
+
 /// Multiple of the latency objective beyond which an answer has no value for callers.
 const MAX_OBJECTIVE_FACTOR: f64 = 3.0;
 
@@ -41,6 +45,9 @@
         if !self.has_capable_targets(request, now) {
             return Some(JobRefusal::NoTarget);
         }
+        if self.kept_bytes() + request.open_bytes() > MAX_KEPT_BYTES {
+            return Some(JobRefusal::NoMemory);
+        }
         let max_latency = request.latency_objective().mul_f64(MAX_OBJECTIVE_FACTOR);
         let ratio = self
             .duration_ratio
@@ -52,6 +59,12 @@
         (expected > max_latency).then_some(JobRefusal::NoCapacity)
     }
 
+    /// Returns the memory of the kept jobs that are driven here, in bytes.
+    fn kept_bytes(&self) -> usize {
+        let kept = self.jobs.values().filter(|job| job.is_kept());
+        kept.map(|job| job.bytes).sum()
+    }
+
     /// Returns whether each step has a target that accepts work and could run a task of the step when empty.
     fn has_capable_targets(&self, request: &JobRequest, now: Timestamp) -> bool {
         self.has_target_for_service(&request.service, now)
--- a/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
+++ b/crates/leased/cloverfold_lease/src/dispatcher/mod.rs
@@ -73,6 +73,7 @@
 pub use counts::{DispatcherCounts, RefusedRunCounts};
 pub use events::{DispatcherEvent, TargetCounts};
 pub use job::JobNumber;
+pub use kept_admission::MAX_KEPT_BYTES;
 pub use kept_jobs::KeptJob;
 pub use queue_changes::QueueAttributes;
 pub use waiting_jobs::WaitingJobs;
--- a/crates/leased/cloverfold_lease/src/lib.rs
+++ b/crates/leased/cloverfold_lease/src/lib.rs
@@ -53,7 +53,8 @@
 
 pub use dispatcher::{
     Dispatcher, DispatcherAction, DispatcherCounts, DispatcherEvent, JobAnswer, JobNumber,
-    JobRefusal, KeptJob, QueueAttributes, RETRY_AFTER, RefusedRunCounts, TargetCounts, WaitingJobs,
+    JobRefusal, KeptJob, MAX_KEPT_BYTES, QueueAttributes, RETRY_AFTER, RefusedRunCounts,
+    TargetCounts, WaitingJobs,
 };
 pub use health::{HealthLimits, TargetHealth};
 pub use messages::{
--- a/crates/leased/cloverfold_lease/tests/dispatcher/kept_jobs.rs
+++ b/crates/leased/cloverfold_lease/tests/dispatcher/kept_jobs.rs
@@ -3,7 +3,8 @@
 use cloverfold_kept_jobs::{TaskProgress, first_run_of};
 use cloverfold_lease::{
     Assignment, DispatcherAction, DispatcherMessage, JobAnswer, JobRefusal, JobRequest,
-    KeptAssignment, KeptJob, RunOutcome, RunRefusal, SessionId, StepRequest,
+    KeptAssignment, KeptJob, MAX_KEPT_BYTES, Resources, RunOutcome, RunRefusal, SessionId,
+    StepRequest,
 };
 
 use crate::fixture::{
@@ -265,6 +266,33 @@
     assert_eq!(refusal(&fixture), Some(JobRefusal::NoCapacity));
 }
 
+/// Fails if an entry accepts kept jobs until their tasks take more memory than its box has.
+#[test]
+fn a_kept_job_is_refused_when_those_driven_here_take_too_much_memory() {
+    let mut fixture = fixture_with_kept_jobs(1);
+    let large = |id: &str| {
+        let tasks = StepRequest {
+            demand: Resources::default(),
+            estimate: ms(0),
+            ..step(100_000, vec![0])
+        };
+        job(id, vec![step(1, vec![]), tasks])
+    };
+    let refusal = |fixture: &Fixture, request: &JobRequest| {
+        fixture.dispatcher.find_kept_refusal(request, fixture.now)
+    };
+    let fitting = MAX_KEPT_BYTES / large("a").open_bytes();
+    for number in 0..fitting {
+        let request = large(&number.to_string());
+        assert_eq!(refusal(&fixture, &request), None);
+        drive(&mut fixture, kept_job(request, 1));
+    }
+
+    assert_eq!(refusal(&fixture, &large("b")), Some(JobRefusal::NoMemory));
+
+    assert_eq!(refusal(&fixture, &job("c", vec![step(1, vec![])])), None);
+}
+
 fn labelled_step(count: u32) -> StepRequest {
     StepRequest {
         required_label: Some("b".into()),
