Bound the memory of submissions at an entry of claims

Callers saw: an entry of a claims installation that ran out of memory while callers with a valid key stopped before the end of their bodies.

Bodies were bounded one by one, at 4 MiB, and kept as lists of their chunks; the number of submissions in flight was checked only once a body had been read.

A body that makes no progress gives way; a submission without room gets `entry_busy`, `unknown` under a caller's own key. The body is read by the reader of the leased server. Connections and headers are not in the account: volo-http has no place for it.

--- a/crates/claims/cloverfold_claims_settings/src/entry.rs
+++ b/crates/claims/cloverfold_claims_settings/src/entry.rs
@@ -13,6 +13,8 @@
 
 /// Default longest body of a submission, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Default memory for the submissions of all callers, in MiB.
+const DEFAULT_SUBMISSION_MEMORY_MB: usize = 64;
 /// Default timeout of receiving a body.
 const DEFAULT_READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Deadline of a submission without one, counted from its arrival.
@@ -41,6 +43,9 @@
     /// Longest body of a submission, in bytes.
     #[serde(default = "default_max_body")]
     pub max_body: usize,
+    /// Maximum memory for the submissions of all callers that are received or in flight, in MiB.
+    #[serde(default = "default_submission_memory_mb")]
+    pub submission_memory_mb: usize,
     /// Timeout of receiving a body; `read_timeout_ms` in the file.
     #[serde(
         rename = "read_timeout_ms",
@@ -88,6 +93,10 @@
     DEFAULT_MAX_BODY_BYTES
 }
 
+fn default_submission_memory_mb() -> usize {
+    DEFAULT_SUBMISSION_MEMORY_MB
+}
+
 fn default_read_timeout() -> Duration {
     DEFAULT_READ_TIMEOUT
 }
@@ -115,6 +124,13 @@
     }
 }
 
+impl EntrySettings {
+    /// Returns the maximum memory for the submissions of all callers, in bytes.
+    pub fn submission_memory(&self) -> usize {
+        self.submission_memory_mb.saturating_mul(1024 * 1024)
+    }
+}
+
 impl Validate for EntrySettings {
     fn validate(&self, errors: &mut ValidationErrors) {
         errors.add_if(
@@ -123,6 +139,11 @@
             "must begin with `entry-`, as the certificate's name does",
         );
         errors.add_if(self.max_body == 0, "max_body", "must be above 0");
+        errors.add_if(
+            self.max_body > self.submission_memory() / 4,
+            "submission_memory_mb",
+            "must be at least four times max_body",
+        );
         errors.add_if(self.in_flight == 0, "in_flight", "must be above 0");
         errors.add_if(
             self.read_timeout.is_zero(),
--- a/crates/claims/cloverfold_entry/src/api.rs
+++ b/crates/claims/cloverfold_entry/src/api.rs
@@ -11,9 +11,9 @@
 use cloverfold_claims_core::{ReasonCode, derive_submission_key};
 use cloverfold_claims_settings::{CellSettings, EntrySettings};
 use cloverfold_coordinate::{JobState, Submit};
+use cloverfold_http::BodyError;
 use http::StatusCode;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use volo_http::request::Request;
 
 use crate::answer::{Answer, ErrorBody};
@@ -23,6 +23,7 @@
 use crate::submission::{
     CheckedSubmission, Refusal, RequestHeaders, SubmissionLimits, check_submission,
 };
+use crate::submission_memory::{ReadError, SubmissionMemory};
 
 /// Path of submissions; the path of a job appends its key.
 pub(crate) const JOBS_PATH: &str = "/v1/jobs";
@@ -32,6 +33,11 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// When a caller should retry at an overloaded entry, in milliseconds.
 const BUSY_RETRY_MS: u64 = 500;
+/// Refusal of a submission beyond the limit of those in flight.
+const TOO_MANY_IN_FLIGHT: &str =
+    "this entry has as many submissions in flight as it may; come again";
+/// Refusal of a submission that finds no memory.
+const NO_MEMORY: &str = "the submissions of this entry take all the memory they may; come again";
 /// Time for the last answers to reach their callers after their handlers have ended.
 const ANSWER_FLUSH_DELAY: Duration = Duration::from_millis(200);
 
@@ -42,6 +48,7 @@
     pub(crate) routing: JobRouting,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) in_flight: AtomicUsize,
+    pub(crate) memory: SubmissionMemory,
     pub(crate) metrics: EntryMetrics,
 }
 
@@ -89,20 +96,33 @@
             let message = "must be ASCII text";
             return Err(Refusal::of_field("bad_key", "Idempotency-Key", message));
         }
-        let body = self.read_body(body).await?;
+        let (max_body, read_timeout) = (self.settings.max_body, self.settings.read_timeout);
+        let received = match self.memory.receive(body, max_body, read_timeout).await {
+            Ok(received) => received,
+            Err(cause) => return self.refuse_unread(cause, headers.idempotency_key),
+        };
         let limits = SubmissionLimits {
             default_deadline: self.settings.default_deadline,
             max_deadline: self.settings.max_deadline,
         };
         let generated = self.routing.generate_key(&workspace.name).await;
         let now = unix_now();
-        let checked = check_submission(&workspace.name, &headers, &body, generated, limits, now)?;
+        let checked = check_submission(
+            &workspace.name,
+            &headers,
+            &received.body,
+            generated,
+            limits,
+            now,
+        )?;
         if self.cell.find_service(&checked.service).is_none() {
             let message = format!("no service is named {:?}", checked.service);
             return Err(Refusal::of_field("unknown_service", "service", message));
         }
         if self.in_flight.load(Ordering::Acquire) > self.settings.in_flight {
-            return Ok(answer_busy(&checked));
+            let has_own_key = !checked.is_generated_key;
+            let key = Some(checked.caller_key);
+            return Ok(answer_busy(key, has_own_key, TOO_MANY_IN_FLIGHT));
         }
         let key = checked.caller_key.clone();
         let outcome = self
@@ -112,39 +132,43 @@
         Ok(Answer::from_outcome(outcome, key))
     }
 
-    /// Reads a body within the size limit and the read timeout.
-    async fn read_body(&self, body: volo_http::body::Body) -> Result<bytes::Bytes, Refusal> {
-        let limited = Limited::new(body, self.settings.max_body).collect();
-        let Ok(read) = timeout(self.settings.read_timeout, limited).await else {
-            return Err(Refusal {
-                status: StatusCode::REQUEST_TIMEOUT,
-                code: "body_too_slow",
-                field: None,
-                message: "the body did not arrive in time; send it without pauses".into(),
-            });
-        };
-        let read = read.map_err(|e| self.explain_body_error(e.as_ref()))?;
-        Ok(read.to_bytes())
-    }
-
-    fn explain_body_error(&self, e: &(dyn std::error::Error + 'static)) -> Refusal {
-        if e.is::<LengthLimitError>() {
-            return Refusal {
-                status: StatusCode::PAYLOAD_TOO_LARGE,
-                code: "body_too_large",
-                field: None,
-                message: format!(
+    /// Refuses a submission whose body was not read.
+    fn refuse_unread(
+        &self,
+        cause: ReadError,
+        callers_key: Option<String>,
+    ) -> Result<Answer, Refusal> {
+        let (status, code, message) = match cause {
+            ReadError::Body(BodyError::NoMemory) => {
+                self.metrics.memory_refusals.inc();
+                let has_own_key = callers_key.is_some();
+                return Ok(answer_busy(callers_key, has_own_key, NO_MEMORY));
+            }
+            ReadError::TooSlow => (
+                StatusCode::REQUEST_TIMEOUT,
+                "body_too_slow",
+                "the body did not arrive in time; send it without pauses".into(),
+            ),
+            ReadError::Body(BodyError::TooLong) => (
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_large",
+                format!(
                     "the body is longer than {} bytes; split the job",
                     self.settings.max_body
                 ),
-            };
-        }
-        Refusal {
-            status: StatusCode::BAD_REQUEST,
-            code: "bad_body",
+            ),
+            ReadError::Body(BodyError::Broken(cause)) => (
+                StatusCode::BAD_REQUEST,
+                "bad_body",
+                format!("the body broke off: {cause}"),
+            ),
+        };
+        Err(Refusal {
+            status,
+            code,
             field: None,
-            message: format!("the body broke off: {e}"),
-        }
+            message,
+        })
     }
 
     /// Handles `GET /v1/jobs/{key}`.
@@ -190,20 +214,15 @@
     }
 }
 
-/// Refuses a submission at an overloaded entry; the outcome is `not_run` only for a key that the entry generated.
-fn answer_busy(checked: &CheckedSubmission) -> Answer {
+/// Refuses a submission at an overloaded entry. Under a caller's own key the outcome is `unknown`, since the job may run by another way.
+fn answer_busy(key: Option<String>, has_own_key: bool, message: &str) -> Answer {
     let error = ErrorBody {
         code: "entry_busy",
-        message: "this entry has as many submissions in flight as it may; come again".into(),
+        message: message.into(),
         field: None,
         retry_after_ms: Some(BUSY_RETRY_MS),
     };
-    let outcome = if checked.is_generated_key {
-        "not_run"
-    } else {
-        "unknown"
-    };
-    let key = Some(checked.caller_key.clone());
+    let outcome = if has_own_key { "unknown" } else { "not_run" };
     Answer::new(StatusCode::SERVICE_UNAVAILABLE, outcome, key, Some(error))
 }
 
--- a/crates/claims/cloverfold_entry/src/lib.rs
+++ b/crates/claims/cloverfold_entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod plugin;
 mod routing;
 mod submission;
+mod submission_memory;
 
 pub use answer::{AnswerBody, ErrorBody};
 pub use plugin::EntryPlugin;
--- a/crates/claims/cloverfold_entry/src/metrics.rs
+++ b/crates/claims/cloverfold_entry/src/metrics.rs
@@ -33,6 +33,8 @@
     pub(crate) in_flight: Gauge<i64>,
     /// Submissions that were sent to another guard after the first.
     pub(crate) reroutes: Counter,
+    /// Submissions refused for lack of memory.
+    pub(crate) memory_refusals: Counter,
 }
 
 impl EntryMetrics {
@@ -42,6 +44,7 @@
             seconds: Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS)),
             in_flight: Gauge::default(),
             reroutes: Counter::default(),
+            memory_refusals: Counter::default(),
         };
         let registry = app.registry();
         registry.register(
@@ -64,6 +67,11 @@
             "Submissions sent to a further guard of their group",
             metrics.reroutes.clone(),
         );
+        registry.register(
+            "memory_refusals",
+            "Submissions that found no memory",
+            metrics.memory_refusals.clone(),
+        );
         metrics
     }
 
--- a/crates/claims/cloverfold_entry/src/plugin.rs
+++ b/crates/claims/cloverfold_entry/src/plugin.rs
@@ -12,6 +12,7 @@
 use crate::api::{Api, JOBS_PATH};
 use crate::metrics::EntryMetrics;
 use crate::routing::JobRouting;
+use crate::submission_memory::SubmissionMemory;
 
 /// Serves callers; needs [`CellSettings`], [`EntrySettings`], [`Membership`] and [`Directory`].
 pub struct EntryPlugin;
@@ -27,8 +28,10 @@
             network: app.network(),
             metrics: metrics.clone(),
         };
+        let settings = app.resource::<EntrySettings>()?;
         let api = Arc::new(Api {
-            settings: app.resource::<EntrySettings>()?,
+            memory: SubmissionMemory::new(settings.submission_memory()),
+            settings,
             cell,
             routing,
             lifecycle: app.lifecycle(),
--- a/crates/cloverfold/tests/system/cluster/disturbances.rs
+++ b/crates/cloverfold/tests/system/cluster/disturbances.rs
@@ -8,6 +8,20 @@
 use super::Cluster;
 
 impl Cluster {
+    /// Returns the most resident memory that an entry has had, in MiB.
+    pub fn entry_peak_memory_mb(&self, index: usize) -> u64 {
+        let pid = self.entries[index].pid().as_raw_nonzero();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib: u64 = peak
+            .unwrap()
+            .trim()
+            .trim_end_matches(" kB")
+            .parse()
+            .unwrap();
+        kib / 1024
+    }
+
     pub fn kill_guard(&mut self, index: usize) {
         self.guards[index].kill();
     }
--- a/crates/cloverfold/tests/system/main.rs
+++ b/crates/cloverfold/tests/system/main.rs
@@ -6,6 +6,7 @@
 mod bad_input;
 mod checker;
 mod checker_tests;
+mod client_crowds;
 mod cluster;
 mod drain;
 mod entry_faults;
--- a/crates/common/cloverfold_http/src/body.rs
+++ b/crates/common/cloverfold_http/src/body.rs
@@ -1,19 +1,21 @@
 //! Reading a request body into one buffer that the budget of the server accounts for.
 
+use std::fmt::Display;
+
 use bytes::Bytes;
 use cloverfold_connections::{Connection, HeldMemory, NoMemory};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 
 use crate::limits::SMALL_MESSAGE_BYTES;
 
 /// Why a body was not read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum BodyError {
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BodyError {
     /// It is longer than the limit.
     TooLong,
-    /// The client sent an invalid chunk or disconnected.
-    Broken,
+    /// The client sent an invalid chunk or disconnected; the text says which.
+    Broken(String),
     /// The budget has no room for it.
     NoMemory,
 }
@@ -63,12 +65,20 @@
     }
 }
 
-/// Reads a body of at most `max_bytes`. However it is split into chunks, it takes memory for its length only.
-pub(crate) async fn read_body(
-    mut body: Incoming,
+/// Reads a body of at most `max_bytes`. However it is split into chunks, it takes memory for its length only; the memory is given back when
+/// the last clone of the result is dropped.
+///
+/// # Errors
+///
+/// Returns why the body was not read; the rest of it is left unread.
+pub async fn read_body<B>(
+    mut body: B,
     max_bytes: usize,
     connection: &Connection,
-) -> Result<Bytes, BodyError> {
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes, Error: Display> + Unpin,
+{
     let declared = body.size_hint().exact();
     let max_len = declared.map_or(max_bytes, |len| {
         max_bytes.min(usize::try_from(len).unwrap_or(usize::MAX))
@@ -78,7 +88,7 @@
         held: None,
     };
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyError::Broken)?;
+        let frame = frame.map_err(|cause| BodyError::Broken(cause.to_string()))?;
         // Trailers are dropped.
         let Ok(data) = frame.into_data() else {
             continue;
--- a/crates/common/cloverfold_http/src/lib.rs
+++ b/crates/common/cloverfold_http/src/lib.rs
@@ -13,8 +13,11 @@
 mod operations;
 mod server;
 
+pub use body::{BodyError, read_body};
 pub use client::{HttpCallError, HttpClient};
-pub use cloverfold_connections::{BudgetLimits, ConnectionBudget, HeldMemory, NoMemory};
+pub use cloverfold_connections::{
+    BudgetLimits, Connection, ConnectionBudget, HeldMemory, NoMemory, Phase,
+};
 pub use limits::HttpLimits;
 pub use messages::{Request, Response, json_response, plain_response};
 pub use operations::{ListenError, listen_at, operations_budget, serve_at, serve_operations};
--- a/crates/common/cloverfold_http/src/server.rs
+++ b/crates/common/cloverfold_http/src/server.rs
@@ -250,7 +250,7 @@
         let reading = read_body(body, limits.body_bytes, &connection);
         let body = match timeout(limits.body_timeout, reading).await {
             Ok(Ok(body)) => body,
-            Ok(Err(cause)) => return refused_body_response(cause),
+            Ok(Err(cause)) => return refused_body_response(&cause),
             Err(_) => {
                 return plain_response(StatusCode::REQUEST_TIMEOUT, "the body came too slowly\n");
             }
@@ -274,12 +274,12 @@
     }
 }
 
-fn refused_body_response(cause: BodyError) -> Response {
+fn refused_body_response(cause: &BodyError) -> Response {
     match cause {
         BodyError::TooLong => {
             plain_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n")
         }
-        BodyError::Broken => plain_response(StatusCode::BAD_REQUEST, "the body broke off\n"),
+        BodyError::Broken(_) => plain_response(StatusCode::BAD_REQUEST, "the body broke off\n"),
         BodyError::NoMemory => no_memory_response(),
     }
 }
