--- a/crates/cloverfold/tests/client_crowds/main.rs
+++ b/crates/cloverfold/tests/client_crowds/main.rs
@@ -273,3 +273,13 @@
 
     check_crowd(&installation, Role::Control, crowd);
 }
+
+/// Fails if clients that connect again as soon as they are closed keep others from being served, or add up.
+#[test]
+fn bodies_of_clients_that_come_back() {
+    let installation = Installation::start(large_bodies());
+
+    let crowd = Crowd::repeat(installation.clients(), 240, |_| whole_body(MIB));
+
+    check_crowd(&installation, Role::Entry, crowd);
+}
