Allocate the buffer of a body in few steps

Cause: a buffer that doubles leaves gaps in the heap that add up to its size, so that a process had almost twice the memory resident that it had accounted for.

Change: a buffer is allocated at the declared length at once; without one it grows fourfold.

--- a/crates/common/cloverfold_http/src/body.rs
+++ b/crates/common/cloverfold_http/src/body.rs
@@ -9,6 +9,9 @@
 
 use crate::limits::SMALL_MESSAGE_BYTES;
 
+/// Ratio of consecutive capacities of the buffer of a body whose length is not declared.
+const GROWTH_FACTOR: usize = 4;
+
 /// Why a body was not read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BodyError {
@@ -33,6 +36,25 @@
     held: Option<HeldMemory>,
 }
 
+/// What is known of the length of a body before it is read.
+#[derive(Clone, Copy)]
+enum ExpectedLen {
+    Declared(usize),
+    AtMost(usize),
+}
+
+impl ExpectedLen {
+    /// Returns the capacity to which a full buffer grows. It grows in few steps, because each leaves a gap in the heap.
+    fn next_capacity(self, capacity: usize) -> usize {
+        match self {
+            Self::Declared(len) => len,
+            Self::AtMost(max_len) => (GROWTH_FACTOR * capacity)
+                .max(SMALL_MESSAGE_BYTES)
+                .min(max_len),
+        }
+    }
+}
+
 impl AsRef<[u8]> for BodyBuffer {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
@@ -40,11 +62,11 @@
 }
 
 impl BodyBuffer {
-    /// Takes memory for `additional` bytes and allocates it. The capacity doubles, but does not exceed `max_len` without need.
+    /// Takes memory for `additional` bytes and allocates it, up to `expected_len` at once.
     async fn reserve(
         &mut self,
         additional: usize,
-        max_len: usize,
+        expected_len: ExpectedLen,
         connection: &Connection,
     ) -> Result<(), NoMemory> {
         let len = self.bytes.len() + additional;
@@ -52,8 +74,7 @@
         if len <= capacity {
             return Ok(());
         }
-        let doubled = (2 * capacity).max(SMALL_MESSAGE_BYTES).min(max_len);
-        let new_capacity = len.max(doubled);
+        let new_capacity = len.max(expected_len.next_capacity(capacity));
         if new_capacity > SMALL_MESSAGE_BYTES {
             match &mut self.held {
                 Some(held) => held.grow(new_capacity - capacity).await?,
@@ -80,9 +101,11 @@
     B: Body<Data = Bytes, Error: Display> + Unpin,
 {
     let declared = body.size_hint().exact();
-    let max_len = declared.map_or(max_bytes, |len| {
-        max_bytes.min(usize::try_from(len).unwrap_or(usize::MAX))
-    });
+    let declared = declared.and_then(|len| usize::try_from(len).ok());
+    let expected_len = match declared.filter(|len| *len <= max_bytes) {
+        Some(len) => ExpectedLen::Declared(len),
+        None => ExpectedLen::AtMost(max_bytes),
+    };
     let mut buf = BodyBuffer {
         bytes: Vec::new(),
         held: None,
@@ -96,7 +119,7 @@
         if buf.bytes.len() + data.len() > max_bytes {
             return Err(BodyError::TooLong);
         }
-        buf.reserve(data.len(), max_len, connection).await?;
+        buf.reserve(data.len(), expected_len, connection).await?;
         buf.bytes.extend_from_slice(&data);
     }
     Ok(Bytes::from_owner(buf))
