Register the closer of a connection under the lock that opens it

Cause: between the two locks another thread could select the new connection to make room; nobody would then have been told to close it, and who waits for the room would have waited until it ended by itself. Only processes of several threads are concerned (solo); found by reading.

--- a/crates/common/cloverfold_connections/src/budget.rs
+++ b/crates/common/cloverfold_connections/src/budget.rs
@@ -101,18 +101,20 @@
     /// Returns [`NoMemory`] if there is no room.
     pub async fn open(&self, bytes: usize) -> Result<Connection, NoMemory> {
         let opened = self.shared.retry_when_freed(|shared, state| {
-            match state.ledger.open(bytes, shared.clock.now()) {
-                Ok(id) => Ok(id),
-                Err(Reservation::Wait) => Err(Reservation::Wait),
+            let id = match state.ledger.open(bytes, shared.clock.now()) {
+                Ok(id) => id,
+                Err(Reservation::Wait) => return Err(Reservation::Wait),
                 Err(other) => {
                     shared.record(state, Outcome::ConnectionRefused);
-                    Err(other)
+                    return Err(other);
                 }
-            }
+            };
+            // Within the same lock, because another thread may select the connection at once.
+            let closer = Arc::new(Notify::new());
+            state.closers.insert(id, closer.clone());
+            Ok((id, closer))
         });
-        let id = opened.await?;
-        let closer = Arc::new(Notify::new());
-        self.shared.lock().closers.insert(id, closer.clone());
+        let (id, closer) = opened.await?;
         Ok(Connection::new(self.shared.clone(), id, bytes, closer))
     }
 }
