Test that a limit on clients is logged and counted

The crowd of 240 bodies of which at most 40 fit: one log line a second at most, the gauge of held memory within the limit, each connection closed or refused counted.

--- a/crates/cloverfold/tests/client_crowds/installation.rs
+++ b/crates/cloverfold/tests/client_crowds/installation.rs
@@ -37,6 +37,8 @@
 const MAX_READ_CHECKS: usize = 20;
 /// Processor time within that interval, in ticks of 10 ms, up to which a process has nothing left to read.
 const MAX_IDLE_TICKS: u64 = 10;
+/// Log line of a limit on clients that acts.
+const LIMIT_LINE: &str = "clients use up the connections or memory reserved for them";
 /// Version of the first configuration.
 const VERSION: u64 = 1;
 /// Version of the configuration of [`Installation::put_large_configuration`].
@@ -201,6 +203,28 @@
         assert!(open <= bound, "{role:?}: {open} descriptors are open");
     }
 
+    /// Waits for the log line of a process that says that a limit on clients acts.
+    pub fn wait_for_limit_line(&self, role: Role) -> Value {
+        self.programs[role.index()].wait_for_line(LIMIT_LINE)
+    }
+
+    pub fn count_limit_lines(&self, role: Role) -> usize {
+        self.programs[role.index()]
+            .read_log()
+            .matches(LIMIT_LINE)
+            .count()
+    }
+
+    /// Returns a metric of a process; its name lacks the prefix of the role.
+    pub fn read_metric(&self, role: Role, name: &str) -> u64 {
+        let request = "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        let metrics = call(self.metrics(role), request).unwrap();
+        let role = format!("{role:?}").to_lowercase();
+        let prefix = format!("cloverfold_{role}_{name} ");
+        let value = metrics.lines().find_map(|line| line.strip_prefix(&prefix));
+        value.unwrap().parse().unwrap()
+    }
+
     /// Submits an ordinary job, again after a refusal as callers do, until it is completed.
     pub fn serve_ordinary_job(&self) {
         let job = write_job(JobShape {
--- a/crates/cloverfold/tests/client_crowds/main.rs
+++ b/crates/cloverfold/tests/client_crowds/main.rs
@@ -283,3 +283,24 @@
 
     check_crowd(&installation, Role::Entry, crowd);
 }
+
+/// Fails if an operator cannot see that a limit acts, or if the log grows with the crowd.
+#[test]
+fn a_limit_that_acts_is_logged_and_counted() {
+    let installation = Installation::start(large_bodies());
+
+    let crowd = Crowd::send(installation.clients(), 240, |_| whole_body(MIB));
+
+    let line = installation.wait_for_limit_line(Role::Entry);
+    assert!(line.to_string().contains("client_address"), "{line}");
+    installation.wait_until_read(Role::Entry);
+    assert!(installation.read_metric(Role::Entry, "client_bytes") <= (40 * MIB) as u64);
+    let count = |effect: &str| {
+        let name = format!(r#"connection_limits{{cause="{effect}"}}"#);
+        installation.read_metric(Role::Entry, &name)
+    };
+    // At most 40 of the 240 bodies fit.
+    assert!(count("client_closed") + count("memory_refused") >= 200);
+    assert!(installation.count_limit_lines(Role::Entry) < 30);
+    drop(crowd);
+}
--- a/crates/cloverfold/tests/programs/mod.rs
+++ b/crates/cloverfold/tests/programs/mod.rs
@@ -115,6 +115,11 @@
         })
     }
 
+    /// Returns what the program has logged.
+    pub fn read_log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+
     /// Stops the program with SIGTERM and returns its exit code.
     pub fn stop(mut self) -> Option<i32> {
         self.signal(Signal::TERM);
