Leave room for small requests beside large ones that are handled

Callers could have seen: 503 or closed connections for as long as a crowd of complete large requests, or of jobs of many tasks, is being handled.

Cause: a connection whose request is handled is never closed, and such requests could hold the whole budget.

--- a/crates/claims/cloverfold_entry/src/plugin.rs
+++ b/crates/claims/cloverfold_entry/src/plugin.rs
@@ -30,7 +30,7 @@
         };
         let settings = app.resource::<EntrySettings>()?;
         let api = Arc::new(Api {
-            memory: SubmissionMemory::new(settings.submission_memory()),
+            memory: SubmissionMemory::new(settings.in_flight, settings.submission_memory()),
             settings,
             cell,
             routing,
--- a/crates/claims/cloverfold_entry/src/submission_memory.rs
+++ b/crates/claims/cloverfold_entry/src/submission_memory.rs
@@ -41,9 +41,10 @@
 }
 
 impl SubmissionMemory {
-    pub(crate) fn new(bytes: usize) -> Self {
+    /// Creates the budget of at most `in_flight` submissions.
+    pub(crate) fn new(in_flight: usize, bytes: usize) -> Self {
         let limits = BudgetLimits {
-            connections: usize::MAX,
+            connections: in_flight,
             bytes,
         };
         Self {
@@ -74,7 +75,7 @@
             },
             () = connection.wait_closed() => return Err(NoMemory.into()),
         };
-        connection.enter(Phase::Handling);
+        connection.begin_handling()?;
         let tasks = connection.hold(body.len()).await?;
         Ok(ReceivedSubmission {
             body,
--- a/crates/common/cloverfold_connections/src/budget.rs
+++ b/crates/common/cloverfold_connections/src/budget.rs
@@ -219,6 +219,16 @@
         self.lock().ledger.record_transfer(id, bytes, now);
     }
 
+    pub(crate) fn begin_handling(&self, id: ConnectionId) -> Result<(), NoMemory> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state.ledger.begin_handling(id, now) == Reservation::Granted {
+            return Ok(());
+        }
+        self.record(&mut state, Outcome::MemoryRefused);
+        Err(NoMemory)
+    }
+
     pub(crate) fn enter(&self, id: ConnectionId, phase: Phase) {
         let now = self.clock.now();
         self.lock().ledger.enter(id, phase, now);
--- a/crates/common/cloverfold_connections/src/connection.rs
+++ b/crates/common/cloverfold_connections/src/connection.rs
@@ -57,6 +57,15 @@
         self.budget.enter(self.id, phase);
     }
 
+    /// Records that the complete request is handled from now on.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoMemory`] if the large requests that are being handled hold too much already; the request is then refused.
+    pub fn begin_handling(&self) -> Result<(), NoMemory> {
+        self.budget.begin_handling(self.id)
+    }
+
     /// Takes memory that the connection holds until it is dropped; waits while others are closed for it.
     ///
     /// # Errors
--- a/crates/common/cloverfold_connections/src/ledger.rs
+++ b/crates/common/cloverfold_connections/src/ledger.rs
@@ -11,7 +11,8 @@
 //!    most first;
 //! 4. otherwise the connection that needs the memory is refused.
 //!
-//! A connection whose request is being handled is never closed.
+//! A connection whose request is being handled is never closed. So that those do not take everything, the ones that hold more than an equal
+//! share by the maximum number of connections may together hold [`HANDLED_SHARE`] of the budget; a further one is refused.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -24,6 +25,9 @@
 /// Number of bytes that count as progress within a message.
 pub const MIN_PROGRESS_BYTES: usize = 1_024;
 
+/// Share of the budget that large requests may hold while they are handled, as a numerator and a denominator.
+pub const HANDLED_SHARE: (usize, usize) = (3, 4);
+
 /// Number of a connection within its ledger; never reused.
 pub type ConnectionId = u64;
 
@@ -163,6 +167,12 @@
             // It is about to lose what it has.
             None => Reservation::Refused,
             Some(account) if account.is_closing => Reservation::Refused,
+            Some(account)
+                if account.phase == Phase::Handling
+                    && !self.may_handle(id, account.bytes + bytes) =>
+            {
+                Reservation::Refused
+            }
             Some(_) => self.reserve(Some(id), bytes, now),
         };
         if reservation == Reservation::Granted
@@ -218,6 +228,30 @@
         }
     }
 
+    /// Begins to handle the request of a connection, unless large requests that are being handled hold too much already.
+    pub fn begin_handling(&mut self, id: ConnectionId, now: Timestamp) -> Reservation {
+        let held = self.accounts.get(&id).map_or(0, |account| account.bytes);
+        if !self.may_handle(id, held) {
+            return Reservation::Refused;
+        }
+        self.enter(id, Phase::Handling, now);
+        Reservation::Granted
+    }
+
+    /// Returns whether a request may be handled that holds this much.
+    fn may_handle(&self, id: ConnectionId, held: usize) -> bool {
+        let small = self.limits.bytes / self.limits.connections.max(1);
+        if held <= small {
+            return true;
+        }
+        let others = self.accounts.iter().filter(|(other, account)| {
+            **other != id && account.phase == Phase::Handling && account.bytes > small
+        });
+        let others: usize = others.map(|(_, account)| account.bytes).sum();
+        let (numerator, denominator) = HANDLED_SHARE;
+        others + held <= self.limits.bytes / denominator * numerator
+    }
+
     /// Records what a connection does from now on; a change is progress.
     pub fn enter(&mut self, id: ConnectionId, phase: Phase, now: Timestamp) {
         if let Some(account) = self.accounts.get_mut(&id)
--- a/crates/common/cloverfold_connections/src/lib.rs
+++ b/crates/common/cloverfold_connections/src/lib.rs
@@ -18,5 +18,6 @@
 pub use connection::{Connection, HeldMemory, NoMemory};
 pub use descriptors::DescriptorPlan;
 pub use ledger::{
-    BudgetLimits, ConnectionId, Ledger, MIN_PROGRESS_BYTES, Phase, Reservation, STALL_TIMEOUT,
+    BudgetLimits, ConnectionId, HANDLED_SHARE, Ledger, MIN_PROGRESS_BYTES, Phase, Reservation,
+    STALL_TIMEOUT,
 };
--- a/crates/common/cloverfold_connections/tests/ledger.rs
+++ b/crates/common/cloverfold_connections/tests/ledger.rs
@@ -144,3 +144,26 @@
     assert_eq!(ledger.phase(other), Some(Phase::Receiving));
     assert!(ledger.take_closures().is_empty());
 }
+
+/// Fails if large requests that are being handled, which are never closed, leave nothing for small ones.
+#[test]
+fn large_requests_that_are_handled_leave_room_for_small_ones() {
+    let mut ledger = ledger(16, 32 * KIB);
+    let mut handled = 0;
+    for _ in 0..8 {
+        let id = open(&mut ledger, Phase::Receiving, 5 * KIB, later());
+        if ledger.begin_handling(id, later()) == Reservation::Refused {
+            ledger.give_back(id, 6 * KIB);
+            ledger.remove(id);
+        } else {
+            handled += 1;
+        }
+    }
+
+    let small = ledger.open(OWN, later()).unwrap();
+
+    assert_eq!(handled, 4, "three quarters of 32 KiB, 6 KiB each");
+    assert_eq!(ledger.begin_handling(small, later()), Reservation::Granted);
+    assert_eq!(ledger.take(small, KIB, later()), Reservation::Granted);
+    assert_eq!(ledger.take(small, KIB, later()), Reservation::Refused);
+}
--- a/crates/common/cloverfold_http/src/server.rs
+++ b/crates/common/cloverfold_http/src/server.rs
@@ -255,7 +255,9 @@
                 return plain_response(StatusCode::REQUEST_TIMEOUT, "the body came too slowly\n");
             }
         };
-        connection.enter(Phase::Handling);
+        if connection.begin_handling().is_err() {
+            return no_memory_response();
+        }
         let request = Request::new(head.method, head.uri, head.headers, body);
         (self.handler)(request.on_connection(connection)).await
     }
