Simplify what the changes for clients added

After a second reading of the whole change. A connection that waits for room while enough is being freed no longer sorts all connections: under load each release woke all that wait, and each sorted. The memory of a link without a hello is a constant instead of a generic function, and the inner state of a budget is private.

New test: a single client with the longest body, in one-byte chunks, or sending slower than what counts as progress, is served and not closed while nobody else is there; it holds.

--- a/crates/common/cloverfold_connections/src/budget.rs
+++ b/crates/common/cloverfold_connections/src/budget.rs
@@ -28,7 +28,7 @@
 /// A budget of connections and memory; clones share it.
 #[derive(Clone, Debug)]
 pub struct ConnectionBudget {
-    pub(crate) shared: Arc<SharedBudget>,
+    shared: Arc<SharedBudget>,
 }
 
 #[derive(Debug)]
--- a/crates/common/cloverfold_connections/src/ledger.rs
+++ b/crates/common/cloverfold_connections/src/ledger.rs
@@ -292,6 +292,10 @@
             .filter(|account| account.is_closing)
             .map(|account| need.freed_by(account))
             .sum();
+        if freed >= need.amount() {
+            // Many wait at once under load, and each would sort all connections.
+            return Reservation::Wait;
+        }
         let mut candidates = self.list_closable(asking, need, now);
         let mut chosen = Vec::new();
         while freed < need.amount() {
--- a/crates/common/cloverfold_http/tests/budget.rs
+++ b/crates/common/cloverfold_http/tests/budget.rs
@@ -205,3 +205,28 @@
         .await;
     }
 }
+
+/// Fails if a single client at the limits of a request is refused while nobody else is there.
+#[tokio::test]
+async fn a_single_request_at_the_limits_is_served() {
+    let test = start(8 * 1_024 * KIB);
+    let address = test.server.address();
+    let max_len = HttpLimits::default().body_bytes;
+    let chunked = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let small_chunks = [&chunked[..], &b"1\r\nx\r\n".repeat(max_len), b"0\r\n\r\n"].concat();
+
+    for request in [post(max_len, max_len), small_chunks] {
+        let answer = exchange(address, &request).await;
+        assert!(answer.ends_with(&max_len.to_string()), "{answer}");
+    }
+
+    let mut slow = send(address, &post(6, 1)).await;
+    for _ in 1..6 {
+        sleep(STALL).await;
+        slow.write_all(b"x").await.unwrap();
+    }
+    let mut answer = vec![0; 256];
+    let len = slow.read(&mut answer).await.unwrap();
+    assert!(String::from_utf8_lossy(&answer[..len]).ends_with('6'));
+    assert_eq!(test.budget.usage().closed, 0);
+}
--- a/crates/common/cloverfold_link/src/lib.rs
+++ b/crates/common/cloverfold_link/src/lib.rs
@@ -15,5 +15,8 @@
 pub use dial::{DialAttempt, DialBackoff, Dialer, send_once};
 pub use encoded::EncodedMessage;
 pub use frame::{FrameError, MAX_FRAME_LEN, decode_frame, encode_frame};
-pub use link::{Greeting, LinkEvent, LinkId, LinkSender, MAX_GREETING_LEN, accept_links};
+pub use link::{
+    Greeting, LinkEvent, LinkId, LinkSender, MAX_GREETING_LEN, UNIDENTIFIED_LINK_BYTES,
+    accept_links,
+};
 pub use socket::{listen, set_socket_options};
--- a/crates/common/cloverfold_link/src/link.rs
+++ b/crates/common/cloverfold_link/src/link.rs
@@ -38,7 +38,7 @@
 /// Maximum length of an encoded message before the peer has identified itself, in bytes.
 pub const MAX_GREETING_LEN: usize = 8 * 1024;
 /// Memory of a link before the peer has identified itself, in bytes: its tasks, and a read buffer for the longest greeting.
-const UNIDENTIFIED_LINK_BYTES: usize = 24 * 1024;
+pub const UNIDENTIFIED_LINK_BYTES: usize = 24 * 1024;
 
 /// Number of a link within this process, from 1; never reused.
 pub type LinkId = u64;
@@ -134,19 +134,12 @@
 /// How the peer of an accepted link identifies itself.
 #[derive(Clone, Debug)]
 pub struct Greeting<M> {
-    /// Bounds the links whose peer has not identified itself. Each takes [`Self::link_bytes`] of it.
+    /// Bounds the links whose peer has not identified itself. Each takes [`UNIDENTIFIED_LINK_BYTES`] of it.
     pub budget: ConnectionBudget,
     /// Returns whether a message identifies the peer. Until then, messages are at most [`MAX_GREETING_LEN`] long.
     pub is_greeting: fn(&M) -> bool,
 }
 
-impl<M> Greeting<M> {
-    /// Returns the memory that a link takes of the budget, in bytes.
-    pub const fn link_bytes() -> usize {
-        UNIDENTIFIED_LINK_BYTES
-    }
-}
-
 /// An accepted link whose peer has not identified itself.
 struct UnidentifiedPeer<M> {
     connection: Connection,
--- a/crates/leased/cloverfold_leased_process/src/peer_port.rs
+++ b/crates/leased/cloverfold_leased_process/src/peer_port.rs
@@ -8,7 +8,7 @@
 
 use cloverfold_connections::{BudgetLimits, ConnectionBudget, DescriptorPlan};
 use cloverfold_http::{ListenError, listen_at};
-use cloverfold_link::{Greeting, LinkEvent, accept_links};
+use cloverfold_link::{Greeting, LinkEvent, UNIDENTIFIED_LINK_BYTES, accept_links};
 use cloverfold_peer::{DialedPeers, PeerMessage};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -114,7 +114,7 @@
     let connections = DescriptorPlan::of_process().unidentified_links;
     let limits = BudgetLimits {
         connections,
-        bytes: connections * Greeting::<PeerMessage>::link_bytes(),
+        bytes: connections * UNIDENTIFIED_LINK_BYTES,
     };
     ConnectionBudget::new("peer.port", limits)
 }
